--- /dev/null
+++ b/src/facts.rs
@@ -0,0 +1,57 @@
+//! What an instance is told at its start, decoded once, and a server's entry in the list.
+
+use crate::time::{Moment, Span};
+
+#[derive(Clone, Debug)]
+pub struct Operation {
+    pub billed_value: f64,
+    pub latency_objective: Span,
+    pub writes: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Throttle {
+    Share,
+    Rate,
+    Ignored,
+}
+
+#[derive(Clone, Debug)]
+pub struct Facts {
+    pub operations: Vec<Operation>,
+    pub slices: usize,
+    pub proxies: usize,
+    pub list_on_request: bool,
+    pub ask_within: Span,
+    pub throttle: Throttle,
+    pub again: u8,
+    pub load_in_answers: bool,
+    pub load_fields: usize,
+    pub interval: Span,
+    pub lease: Span,
+    pub settle: Span,
+    pub push_delay: Span,
+    pub push_delay_max: Span,
+    pub overhead: f64,
+    pub most_waiting: f64,
+    pub pushes_allowed: usize,
+    pub reload_span: Span,
+    pub grace: Span,
+    pub cold_from: f64,
+    pub warm_after: Span,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct Listing {
+    pub task: u32,
+    pub standing: Standing,
+    pub size: f64,
+    pub started: Option<Moment>,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! lynxmill's decisions and the interface that they are called through.
+
+mod chance;
+mod facts;
+mod orders;
+mod rules;
+mod time;
+
+pub use facts::{Facts, Listing, Operation, Standing, Throttle};
+pub use orders::Orders;
+pub use rules::Assigner;
+pub use time::{Moment, Span};
--- /dev/null
+++ b/src/time.rs
@@ -0,0 +1,69 @@
+//! Points in time and spans, in microseconds; one can't be taken for the other.
+
+use std::ops::{Add, AddAssign, Sub};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Moment(i64);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(i64);
+
+fn micros(seconds: f64) -> i64 {
+    (seconds * 1e6).round() as i64
+}
+
+impl Moment {
+    pub fn from_secs(seconds: f64) -> Self {
+        Moment(micros(seconds))
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+
+    pub fn from_secs(seconds: f64) -> Self {
+        Span(micros(seconds))
+    }
+
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    pub fn times(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor).round() as i64)
+    }
+}
+
+impl Add<Span> for Moment {
+    type Output = Moment;
+    fn add(self, span: Span) -> Moment {
+        Moment(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Moment {
+    type Output = Moment;
+    fn sub(self, span: Span) -> Moment {
+        Moment(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Sub for Moment {
+    type Output = Span;
+    fn sub(self, earlier: Moment) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign<Span> for Moment {
+    fn add_assign(&mut self, span: Span) {
+        *self = *self + span;
+    }
+}
