--- /dev/null
+++ b/benchlink/src/decode.rs
@@ -0,0 +1,113 @@
+//! The wire's values, read into the module's own.
+
+use lynxmill::{Facts, Listing, Moment, Operation, Span, Standing, Throttle};
+use serde_json::Value;
+
+pub type Fail = String;
+
+pub fn field<'a>(of: &'a Value, key: &str) -> Result<&'a Value, Fail> {
+    of.get(key)
+        .filter(|v| !v.is_null())
+        .ok_or_else(|| format!("no `{key}` in {}", brief(of)))
+}
+
+fn wrong(of: &Value, key: &str) -> Fail {
+    format!("odd `{key}` in {}", brief(of))
+}
+
+fn brief(of: &Value) -> String {
+    of.to_string().chars().take(200).collect()
+}
+
+pub fn number(of: &Value, key: &str) -> Result<f64, Fail> {
+    field(of, key)?.as_f64().ok_or_else(|| wrong(of, key))
+}
+
+pub fn span(of: &Value, key: &str) -> Result<Span, Fail> {
+    number(of, key).map(Span::from_secs)
+}
+
+pub fn flag(of: &Value, key: &str) -> Result<bool, Fail> {
+    field(of, key)?.as_bool().ok_or_else(|| wrong(of, key))
+}
+
+pub fn text<'a>(of: &'a Value, key: &str) -> Result<&'a str, Fail> {
+    field(of, key)?.as_str().ok_or_else(|| wrong(of, key))
+}
+
+pub fn list<'a>(of: &'a Value, key: &str) -> Result<&'a [Value], Fail> {
+    field(of, key)?
+        .as_array()
+        .map(Vec::as_slice)
+        .ok_or_else(|| wrong(of, key))
+}
+
+pub fn seed(of: &Value) -> Result<u64, Fail> {
+    field(of, "salt")?.as_u64().ok_or_else(|| wrong(of, "salt"))
+}
+
+pub fn name_and_fields(event: &Value) -> Result<(&str, &Value), Fail> {
+    let entry = event
+        .as_object()
+        .filter(|o| o.len() == 1)
+        .and_then(|o| o.iter().next());
+    entry
+        .map(|(name, fields)| (name.as_str(), fields))
+        .ok_or_else(|| format!("odd event {}", brief(event)))
+}
+
+pub fn listing(entry: &Value) -> Result<Listing, Fail> {
+    let standing = match number(entry, "status")? as u64 {
+        0 => Standing::Ready,
+        2 => Standing::Draining,
+        _ => Standing::Gone,
+    };
+    let started = entry
+        .get("start_time")
+        .and_then(Value::as_f64)
+        .filter(|&at| at != 0.0);
+    Ok(Listing {
+        task: number(entry, "task")? as u32,
+        standing,
+        size: number(entry, "weight").unwrap_or(1.0),
+        started: started.map(Moment::from_secs),
+    })
+}
+
+pub fn facts(of: &Value) -> Result<Facts, Fail> {
+    let (own, rules) = (field(of, "specifics")?, field(of, "rules")?);
+    let writes = list(own, "class_writes")?;
+    let operations = list(of, "classes")?.iter().enumerate().map(|(k, class)| {
+        Ok(Operation {
+            name: text(class, "name")?.to_owned(),
+            billed_value: number(class, "credit")?,
+            latency_objective: span(class, "slo")?,
+            writes: writes.get(k).and_then(Value::as_bool).unwrap_or(false),
+        })
+    });
+    Ok(Facts {
+        operations: operations.collect::<Result<_, Fail>>()?,
+        slices: number(own, "shards")? as usize,
+        proxies: number(own, "proxy_count")? as usize,
+        list_on_request: text(of, "registry_mode")? == "on_request",
+        ask_within: span(rules, "ask_within")?,
+        throttle: match text(own, "throttle_by")? {
+            "share" => Throttle::Share,
+            "rate" => Throttle::Rate,
+            _ => Throttle::Ignored,
+        },
+        again: number(own, "retry_default")? as u8,
+        interval: span(own, "interval")?,
+        lease: span(own, "lease")?,
+        settle: span(own, "settle")?,
+        push_delay: span(own, "propagation")?,
+        push_delay_max: span(own, "push_delay_max")?,
+        overhead: number(own, "overhead")?,
+        most_waiting: number(own, "most_waiting")?,
+        pushes_allowed: number(own, "pushes_allowed")? as usize,
+        reload_span: span(own, "reload_span")?,
+        grace: span(rules, "stop_sending_within")?,
+        cold_from: number(rules, "cold_from")?,
+        warm_after: span(rules, "warm_after")?,
+    })
+}
--- /dev/null
+++ b/benchlink/src/writer.rs
@@ -0,0 +1,44 @@
+//! The module's decisions as the wire's actions.
+
+use lynxmill::{Orders, Span};
+use serde_json::{Value, json};
+
+#[derive(Default)]
+pub struct Reply {
+    pub orders: Vec<Value>,
+}
+
+impl Orders for Reply {
+    fn publish(&mut self, slice: usize, task: u32) {
+        self.orders
+            .push(json!({"line": {"tbl": slice, "weight": 1, "task": task}}));
+    }
+
+    fn shut(&mut self, slice: usize, task: u32) {
+        self.orders
+            .push(json!({"line": {"tbl": slice, "weight": 0, "task": task}}));
+    }
+
+    fn let_in(&mut self, slice: usize, mask: u64, level: f64, again: u8) {
+        self.orders
+            .push(json!({"ration": {"tbl": slice, "mask": mask, "let_in": level, "again": again}}));
+    }
+
+    fn mark(&mut self, number: u16) {
+        self.orders
+            .push(json!({"checkpoint": {"number": number, "on": true}}));
+    }
+
+    fn wake(&mut self, after: Span) {
+        self.orders
+            .push(json!({"wake_me": {"wait": after.secs(), "tag": 0}}));
+    }
+
+    fn subscribe(&mut self) {
+        self.orders.push(json!({"keep_informed": {"on": true}}));
+    }
+
+    fn note(&mut self, text: &str) {
+        self.orders.push(json!({"debug": {"line": text}}));
+    }
+}
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -4,6 +4,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Operation {
+    pub name: String,
     pub billed_value: f64,
     pub latency_objective: Span,
     pub writes: bool,
@@ -25,8 +26,6 @@
     pub ask_within: Span,
     pub throttle: Throttle,
     pub again: u8,
-    pub load_in_answers: bool,
-    pub load_fields: usize,
     pub interval: Span,
     pub lease: Span,
     pub settle: Span,
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -8,11 +8,10 @@
     /// Take the owner's line out of a slice's table.
     fn shut(&mut self, slice: usize, task: u32);
     /// Let in this much of the operations in `mask`.
-    fn let_in(&mut self, slice: usize, mask: u32, level: f64, again: u8);
+    fn let_in(&mut self, slice: usize, mask: u64, level: f64, again: u8);
     /// Ask every joined proxy to answer once it has applied what this round writes.
     fn mark(&mut self, number: u16);
     fn wake(&mut self, after: Span);
     fn subscribe(&mut self);
-    fn probe(&mut self, task: u32);
     fn note(&mut self, text: &str);
 }
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,710 @@
+//! Every decision of lynxmill. An adapter makes one `Assigner` per instance with `new` and calls `round` once
+//! for each batch: the feed it passes in calls the method of each event (`listed`, `heard`, `answered`, ...),
+//! which only takes note, and then the round decides and writes through the `Orders` it was given. The interface
+//! is `Orders` in orders.rs, `Facts` and `Listing` in facts.rs, `Moment` and `Span` in time.rs.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::chance::Pcg;
+use crate::facts::{Facts, Listing, Standing, Throttle};
+use crate::orders::Orders;
+use crate::time::{Moment, Span};
+
+/// A server is slow when its answers take this many times the median (the design's figure).
+const SLOW: f64 = 2.0;
+/// Lost tries in a row, without one success from any zone, that make a server suspect.
+const LOST_RUN: f64 = 8.0;
+/// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
+const NEAR: f64 = 1.1;
+/// Part of a fair share, times its warmth, that a cold server may hold.
+const COLD_SHARE: f64 = 1.2;
+/// Leases between two moves of the mover, intervals a server must stay slow, leases a moved slice rests.
+const MOVE_GAP: f64 = 0.5;
+const SLOW_FOR: f64 = 3.0;
+const REST: f64 = 4.0;
+/// Weight of the newest sum in a running mean.
+const FRESH: f64 = 0.5;
+
+/// What is known of the servers, in parallel arrays under a dense index.
+#[derive(Default)]
+struct Fleet {
+    index: BTreeMap<u32, usize>,
+    task: Vec<u32>,
+    standing: Vec<Standing>,
+    told: Vec<Moment>,
+    size: Vec<f64>,
+    started: Vec<Option<Moment>>,
+    elapsed: Vec<Option<f64>>,
+    lost_run: Vec<f64>,
+    suspect: Vec<Option<Moment>>,
+    slow_since: Vec<Option<Moment>>,
+}
+
+impl Fleet {
+    fn at(&mut self, task: u32, now: Moment) -> usize {
+        if let Some(&i) = self.index.get(&task) {
+            return i;
+        }
+        let i = self.task.len();
+        self.index.insert(task, i);
+        self.task.push(task);
+        self.standing.push(Standing::Gone);
+        self.told.push(now);
+        self.size.push(1.0);
+        self.started.push(None);
+        self.elapsed.push(None);
+        self.lost_run.push(0.0);
+        self.suspect.push(None);
+        self.slow_since.push(None);
+        i
+    }
+
+    fn forget_health(&mut self, i: usize) {
+        self.elapsed[i] = None;
+        self.lost_run[i] = 0.0;
+        self.suspect[i] = None;
+        self.slow_since[i] = None;
+    }
+}
+
+/// A slice on its way from one owner to the next.
+#[derive(Clone, Copy)]
+struct Handover {
+    mark: u64,
+    since: Moment,
+    fence: Moment,
+    hard: bool,
+}
+
+#[derive(Clone, Default)]
+struct Slice {
+    mine: bool,
+    owner: Option<usize>,
+    given: Moment,
+    republish: bool,
+    generation: u64,
+    handover: Option<Handover>,
+    moved: Option<Moment>,
+    rate: Option<Vec<f64>>,
+}
+
+/// A proxy's stream: the marks it has been asked and has answered count only from `since` on.
+#[derive(Clone, Copy)]
+struct Stream {
+    joined: bool,
+    parted: Moment,
+    since: u64,
+    asked: u64,
+    answered: u64,
+}
+
+struct Sent {
+    mark: u64,
+    at: Moment,
+    lines: f64,
+}
+
+pub struct Assigner {
+    facts: Facts,
+    chance: Pcg,
+    now: Moment,
+    fleet: Fleet,
+    slices: Vec<Slice>,
+    streams: Vec<Stream>,
+    mark: u64,
+    sent: VecDeque<Sent>,
+    lines: f64,
+    load: Vec<f64>,
+    last_move: Moment,
+    wake_at: Option<Moment>,
+    subscribed: bool,
+    ask_at: Moment,
+    ask_wait: Span,
+}
+
+impl Assigner {
+    pub fn new(seed: u64, now: Moment, facts: Facts) -> Self {
+        let absent = Stream {
+            joined: false,
+            parted: now,
+            since: 0,
+            asked: 0,
+            answered: 0,
+        };
+        Assigner {
+            chance: Pcg::new(seed),
+            now,
+            fleet: Fleet::default(),
+            slices: vec![Slice::default(); facts.slices],
+            streams: vec![absent; facts.proxies],
+            mark: 0,
+            sent: VecDeque::new(),
+            lines: 0.0,
+            load: Vec::new(),
+            last_move: now,
+            wake_at: None,
+            subscribed: !facts.list_on_request,
+            ask_at: now,
+            ask_wait: facts.interval,
+            facts,
+        }
+    }
+
+    /// One round: the feed notes all that came in, then the decisions go to `out`.
+    pub fn round<E>(
+        &mut self,
+        now: Moment,
+        feed: impl FnOnce(&mut Self) -> Result<(), E>,
+        out: &mut impl Orders,
+    ) -> Result<(), E> {
+        self.now = now;
+        feed(self)?;
+        self.decide(out);
+        Ok(())
+    }
+
+    pub fn operation(&self, name: &str) -> Option<usize> {
+        self.facts.operations.iter().position(|o| o.name == name)
+    }
+
+    /// The list, whole or only what changed; one `remembered` from before a start may be out of date.
+    pub fn listed(&mut self, complete: bool, remembered: bool, entries: &[Listing]) {
+        if !remembered {
+            self.subscribed = true;
+            self.ask_wait = self.facts.interval;
+        }
+        if complete {
+            for i in 0..self.fleet.task.len() {
+                if !entries.iter().any(|e| e.task == self.fleet.task[i]) {
+                    self.stand(i, Standing::Gone);
+                }
+            }
+        }
+        for entry in entries {
+            let i = self.fleet.at(entry.task, self.now);
+            self.stand(i, entry.standing);
+            self.fleet.size[i] = if entry.size > 0.0 { entry.size } else { 1.0 };
+            if entry.started != self.fleet.started[i] {
+                self.fleet.started[i] = entry.started;
+                self.fleet.forget_health(i);
+            }
+        }
+    }
+
+    fn stand(&mut self, i: usize, standing: Standing) {
+        let was = self.fleet.standing[i];
+        if was == Standing::Ready || standing == Standing::Ready {
+            self.fleet.told[i] = self.now;
+        }
+        if was == Standing::Gone && standing == Standing::Ready {
+            self.fleet.forget_health(i);
+        }
+        self.fleet.standing[i] = standing;
+    }
+
+    /// The subscription to the list failed or broke: ask again after a growing, jittered wait.
+    pub fn list_failed(&mut self) {
+        self.subscribed = false;
+        self.ask_at = self.now + self.ask_wait.times(0.5 + self.chance.unit());
+        let longest = self.facts.ask_within.times(0.25);
+        self.ask_wait = self.ask_wait.times(2.0).min(longest);
+    }
+
+    pub fn custody(&mut self, tbl: usize, on: bool) {
+        let slice = &mut self.slices[tbl];
+        let rate = slice.rate.take();
+        *slice = Slice {
+            mine: on,
+            given: self.now,
+            republish: on,
+            rate,
+            ..Slice::default()
+        };
+    }
+
+    pub fn stored(&mut self, tbl: usize, task: u32) {
+        let i = self.fleet.at(task, self.now);
+        self.slices[tbl].owner = Some(i);
+    }
+
+    pub fn joined(&mut self, px: usize) {
+        while self.streams.len() <= px {
+            let parted = self.now;
+            self.streams.push(Stream {
+                joined: false,
+                parted,
+                since: 0,
+                asked: 0,
+                answered: 0,
+            });
+        }
+        let stream = &mut self.streams[px];
+        *stream = Stream {
+            joined: true,
+            since: self.mark,
+            asked: 0,
+            answered: 0,
+            ..*stream
+        };
+    }
+
+    pub fn parted(&mut self, px: usize) {
+        if let Some(stream) = self.streams.get_mut(px) {
+            stream.joined = false;
+            stream.parted = self.now;
+        }
+    }
+
+    /// A proxy's answer to a mark. One to a mark from before its stream, or before a slice's shut, is nothing.
+    pub fn answered(&mut self, px: usize, number: u16, elapsed: Span) {
+        let mark = self.mark - (self.mark.wrapping_sub(u64::from(number)) & 0xffff).min(self.mark);
+        let Some(stream) = self.streams.get(px).copied() else {
+            return;
+        };
+        if !stream.joined || mark <= stream.since.max(stream.answered) {
+            return;
+        }
+        let applied = self
+            .sent
+            .iter()
+            .find(|s| s.mark == mark)
+            .map_or(self.now, |s| s.at + elapsed);
+        for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
+            let needed = handover.mark.max(stream.since + 1);
+            if stream.answered < needed && needed <= mark {
+                handover.fence = handover.fence.max(applied);
+            }
+        }
+        self.streams[px].answered = mark;
+    }
+
+    pub fn heard(&mut self, task: u32, tries: f64, lost: f64, elapsed: Span) {
+        let i = self.fleet.at(task, self.now);
+        if lost < tries {
+            self.fleet.lost_run[i] = 0.0;
+            let mean = self.fleet.elapsed[i].unwrap_or(elapsed.secs());
+            self.fleet.elapsed[i] = Some(mean + (elapsed.secs() - mean) * FRESH);
+        } else if self.slices.iter().any(|s| s.mine && s.owner == Some(i)) {
+            self.fleet.lost_run[i] += lost;
+        }
+    }
+
+    pub fn demand(&mut self, tbl: usize, operation: usize, tries: f64, over: Span) {
+        let kinds = self.facts.operations.len();
+        let rate = self.slices[tbl].rate.get_or_insert_with(|| vec![0.0; kinds]);
+        let seen = tries / over.secs().max(1e-3);
+        rate[operation] += (seen - rate[operation]) * if rate[operation] > 0.0 { FRESH } else { 1.0 };
+    }
+
+    fn decide(&mut self, out: &mut impl Orders) {
+        self.lines = 0.0;
+        self.keep_list(out);
+        self.suspect(out);
+        self.load = self.loads();
+        self.take_over(out);
+        self.finish(out);
+        self.evacuate(out);
+        self.balance(out);
+        self.ask_joiners(out);
+        if self.lines > 0.0 {
+            self.send(out);
+        }
+        self.sleep(out);
+    }
+
+    fn keep_list(&mut self, out: &mut impl Orders) {
+        if !self.subscribed && self.now >= self.ask_at {
+            self.ask_at = self.now + self.facts.ask_within;
+            out.subscribe();
+        }
+    }
+
+    // --- servers ---
+
+    fn usable(&self, i: usize) -> bool {
+        self.fleet.standing[i] == Standing::Ready && self.fleet.suspect[i].is_none()
+    }
+
+    /// Fraction of its capacity that a server surely has by now.
+    fn warmth(&self, i: usize) -> f64 {
+        let Some(started) = self.fleet.started[i] else {
+            return 1.0;
+        };
+        let age = (self.now - started).secs() / self.facts.warm_after.secs().max(1e-3);
+        (self.facts.cold_from + (1.0 - self.facts.cold_from) * age).clamp(self.facts.cold_from, 1.0)
+    }
+
+    /// Guards against servers that answer no one, long before the list tells; hurts if an overloaded server
+    /// fails every try. When half the fleet looks dead the servers are not the cause, and owners stay.
+    fn suspect(&mut self, out: &mut impl Orders) {
+        let trial = self.facts.lease.times(4.0);
+        let ready: Vec<usize> = (0..self.fleet.task.len())
+            .filter(|&i| self.fleet.standing[i] == Standing::Ready)
+            .collect();
+        let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] >= LOST_RUN;
+        let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
+        for i in ready.iter().copied() {
+            if self.fleet.suspect[i].is_some_and(|at| self.now - at > trial) {
+                self.fleet.forget_health(i);
+            } else if self.fleet.suspect[i].is_none() && silent(&self.fleet, i) && dead * 2 <= ready.len() {
+                self.fleet.suspect[i] = Some(self.now);
+                out.note(&format!(
+                    "server {} answers no one, moving its slices",
+                    self.fleet.task[i]
+                ));
+            }
+        }
+    }
+
+    /// Demand of a slice in seconds of latency objective asked for each second.
+    fn heat(&self, tbl: usize) -> Option<f64> {
+        let rate = self.slices[tbl].rate.as_ref()?;
+        let kinds = &self.facts.operations;
+        Some(
+            rate.iter()
+                .zip(kinds)
+                .map(|(r, k)| r * k.latency_objective.secs())
+                .sum(),
+        )
+    }
+
+    fn heat_or_typical(&self, tbl: usize) -> f64 {
+        self.heat(tbl).unwrap_or_else(|| {
+            let known: Vec<f64> = (0..self.slices.len()).filter_map(|t| self.heat(t)).collect();
+            if known.is_empty() {
+                1.0
+            } else {
+                known.iter().sum::<f64>() / known.len() as f64
+            }
+        })
+    }
+
+    /// Load of each server: its slices of this instance, and the same share again for other instances' slices.
+    fn loads(&self) -> Vec<f64> {
+        let mut load = vec![0.0; self.fleet.task.len()];
+        for tbl in 0..self.slices.len() {
+            if let (true, Some(i)) = (self.slices[tbl].mine, self.slices[tbl].owner) {
+                load[i] += self.heat_or_typical(tbl);
+            }
+        }
+        load
+    }
+
+    fn ratio(&self, i: usize, extra: f64) -> f64 {
+        let slow = match (self.fleet.elapsed[i], self.median_elapsed()) {
+            (Some(e), Some(m)) if e > m => (e / m).min(SLOW),
+            _ => 1.0,
+        };
+        (self.load[i] + extra) * slow / (self.fleet.size[i] * self.warmth(i))
+    }
+
+    fn median_elapsed(&self) -> Option<f64> {
+        let mut all: Vec<f64> = (0..self.fleet.task.len())
+            .filter(|&i| self.usable(i))
+            .filter_map(|i| self.fleet.elapsed[i])
+            .collect();
+        all.sort_by(f64::total_cmp);
+        all.get(all.len() / 2).copied()
+    }
+
+    /// Load per size if all of it lay evenly on the usable servers.
+    fn fair(&self) -> f64 {
+        let size: f64 = (0..self.fleet.task.len())
+            .filter(|&i| self.usable(i))
+            .map(|i| self.fleet.size[i])
+            .sum();
+        self.load.iter().sum::<f64>() / size.max(1e-9)
+    }
+
+    /// Guards cold servers: never more than half the tipping multiple of a fair share of what they can do by now.
+    fn fits(&self, i: usize, extra: f64) -> bool {
+        let warmth = self.warmth(i);
+        let most = self.fair() * self.fleet.size[i] * warmth * COLD_SHARE;
+        warmth >= 1.0 || self.load[i] + extra <= most
+    }
+
+    /// The roomiest usable server for a slice, by chance among near-equals.
+    fn roomiest(&mut self, heat: f64, not: Option<usize>) -> Option<usize> {
+        let ratios: Vec<(usize, f64)> = (0..self.fleet.task.len())
+            .filter(|&i| Some(i) != not && self.usable(i) && self.fits(i, heat))
+            .map(|i| (i, self.ratio(i, heat)))
+            .collect();
+        let best = ratios.iter().map(|r| r.1).min_by(f64::total_cmp)?;
+        let near: Vec<usize> = ratios
+            .iter()
+            .filter(|r| r.1 <= best * NEAR)
+            .map(|r| r.0)
+            .collect();
+        Some(near[(self.chance.unit() * near.len() as f64) as usize])
+    }
+
+    // --- moves ---
+
+    /// Take-over: what the store names is published again; a slice without owner counts as shut by who died.
+    fn take_over(&mut self, out: &mut impl Orders) {
+        for tbl in 0..self.slices.len() {
+            if !self.slices[tbl].republish || !self.may_write(1) {
+                continue;
+            }
+            self.slices[tbl].republish = false;
+            match self.slices[tbl].owner {
+                Some(i) if self.usable(i) => self.publish(tbl, i, out),
+                _ => self.shut(tbl, true, out),
+            }
+        }
+    }
+
+    /// Publishes what is fenced, hottest first, reopens what stays unresolved.
+    fn finish(&mut self, out: &mut impl Orders) {
+        if !self.may_write(1) {
+            return;
+        }
+        let mut open: Vec<usize> = (0..self.slices.len())
+            .filter(|&t| self.slices[t].handover.is_some())
+            .collect();
+        open.sort_by(|&a, &b| self.heat_or_typical(b).total_cmp(&self.heat_or_typical(a)));
+        for tbl in open {
+            let Some(handover) = self.slices[tbl].handover else {
+                continue;
+            };
+            let old = self.slices[tbl].owner;
+            let heat = self.heat_or_typical(tbl);
+            if self.fenced(tbl, handover) {
+                if let Some(i) = self.roomiest(heat, old) {
+                    if let Some(o) = old {
+                        self.load[o] -= heat;
+                    }
+                    self.load[i] += heat;
+                    self.publish(tbl, i, out);
+                }
+            } else if let Some(i) = old
+                && self.now - handover.since > self.facts.lease.times(4.0)
+                && self.usable(i)
+            {
+                out.note(&format!(
+                    "slice {tbl} stays with {}: a proxy keeps silent",
+                    self.fleet.task[i]
+                ));
+                self.publish(tbl, i, out);
+            } else if let Some(i) = old
+                && !handover.hard
+                && (!self.usable(i) && self.now - self.fleet.told[i] > self.facts.grace.times(0.5))
+            {
+                self.harden(tbl, out);
+            }
+        }
+    }
+
+    /// The fence: every joined proxy has answered the shut, every other has been gone for a lease, and what
+    /// they had in hand has settled.
+    fn fenced(&self, tbl: usize, handover: Handover) -> bool {
+        let mut fence = handover.fence;
+        for stream in &self.streams {
+            if !stream.joined {
+                fence = fence.max(stream.parted.max(self.slices[tbl].given) + self.facts.lease);
+            } else if stream.answered < handover.mark.max(stream.since + 1) {
+                return false;
+            }
+        }
+        self.now >= fence + self.facts.settle
+    }
+
+    /// Moves the slices of servers that drain, are gone or are suspect.
+    fn evacuate(&mut self, out: &mut impl Orders) {
+        if !self.may_write(2) {
+            return;
+        }
+        for tbl in 0..self.slices.len() {
+            let slice = &self.slices[tbl];
+            let Some(i) = slice.owner.filter(|_| slice.mine && slice.handover.is_none()) else {
+                continue;
+            };
+            if !self.usable(i) {
+                let serves = self.fleet.standing[i] == Standing::Draining && self.fleet.suspect[i].is_none();
+                self.shut(tbl, !serves, out);
+            } else if !self.fits(i, 0.0) {
+                self.load[i] -= self.heat_or_typical(tbl);
+                self.shut(tbl, true, out);
+            }
+        }
+    }
+
+    /// The mover: a slow server loaded above the mean hands its hottest rested slice to the roomiest.
+    fn balance(&mut self, out: &mut impl Orders) {
+        let Some(median) = self.median_elapsed() else {
+            return;
+        };
+        let fair = self.fair();
+        for i in 0..self.fleet.task.len() {
+            let slow = self.usable(i)
+                && self.fleet.elapsed[i].is_some_and(|e| e > median * SLOW)
+                && self.load[i] > fair * self.fleet.size[i];
+            let since = self.fleet.slow_since[i].unwrap_or(self.now);
+            self.fleet.slow_since[i] = slow.then_some(since);
+        }
+        if self.now - self.last_move < self.facts.lease.times(MOVE_GAP) || !self.may_write(4) {
+            return;
+        }
+        let hold = self.facts.interval.times(SLOW_FOR);
+        let worst = (0..self.fleet.task.len())
+            .filter(|&i| self.fleet.slow_since[i].is_some_and(|at| self.now - at >= hold))
+            .max_by(|&a, &b| self.ratio(a, 0.0).total_cmp(&self.ratio(b, 0.0)));
+        let Some(from) = worst else { return };
+        let rest = self.facts.lease.times(REST);
+        let hottest = (0..self.slices.len())
+            .filter(|&t| self.slices[t].mine && self.slices[t].owner == Some(from))
+            .filter(|&t| self.slices[t].handover.is_none())
+            .filter(|&t| self.slices[t].moved.is_none_or(|at| self.now - at > rest))
+            .max_by(|&a, &b| self.heat_or_typical(a).total_cmp(&self.heat_or_typical(b)));
+        let Some(tbl) = hottest else { return };
+        let heat = self.heat_or_typical(tbl);
+        if let Some(to) = self.roomiest(heat, Some(from))
+            && self.ratio(to, heat) < self.ratio(from, 0.0)
+        {
+            self.last_move = self.now;
+            self.shut(tbl, false, out);
+        }
+    }
+
+    /// A proxy that joined while slices are shut has unanswered marks: one fresh mark for all such.
+    fn ask_joiners(&mut self, out: &mut impl Orders) {
+        let open: Vec<usize> = (0..self.slices.len())
+            .filter(|&t| self.slices[t].handover.is_some())
+            .collect();
+        let unasked = self.streams.iter().any(|s| s.joined && s.asked <= s.since);
+        let pause = self
+            .sent
+            .back()
+            .is_none_or(|s| self.now - s.at > self.facts.push_delay);
+        if open.is_empty() || !unasked || !pause || !self.may_write(1) {
+            return;
+        }
+        for &tbl in &open {
+            self.write_shut(tbl, out);
+        }
+        self.lines += 1.0;
+    }
+
+    // --- writing ---
+
+    fn writes(&self) -> u64 {
+        let kinds = self.facts.operations.iter().enumerate();
+        kinds.filter(|(_, k)| k.writes).map(|(n, _)| 1 << n).sum()
+    }
+
+    fn full_level(&self) -> f64 {
+        if self.facts.throttle == Throttle::Rate {
+            1e6
+        } else {
+            1.0
+        }
+    }
+
+    /// Shuts a slice: where levels work and the owner still serves, for writes alone.
+    fn shut(&mut self, tbl: usize, hard: bool, out: &mut impl Orders) {
+        let hard = hard || self.facts.throttle == Throttle::Ignored || self.writes() == 0;
+        let (mark, since) = (self.mark + 1, self.now);
+        self.slices[tbl].handover = Some(Handover {
+            mark,
+            since,
+            fence: since,
+            hard,
+        });
+        self.write_shut(tbl, out);
+    }
+
+    fn write_shut(&mut self, tbl: usize, out: &mut impl Orders) {
+        let (Some(i), Some(handover)) = (self.slices[tbl].owner, self.slices[tbl].handover) else {
+            self.lines += 1.0;
+            return;
+        };
+        if handover.hard {
+            out.shut(tbl, self.fleet.task[i]);
+        } else {
+            out.let_in(tbl, self.writes(), 0.0, self.facts.again);
+        }
+        self.lines += 1.0;
+    }
+
+    fn harden(&mut self, tbl: usize, out: &mut impl Orders) {
+        if let Some(handover) = self.slices[tbl].handover.as_mut() {
+            handover.hard = true;
+        }
+        self.write_shut(tbl, out);
+    }
+
+    /// Raises the generation and publishes the owner, with its levels open.
+    fn publish(&mut self, tbl: usize, i: usize, out: &mut impl Orders) {
+        let slice = &mut self.slices[tbl];
+        slice.generation += 1;
+        if slice.owner != Some(i) {
+            slice.moved = Some(self.now);
+        }
+        let soft = slice.handover.take().is_some_and(|h| !h.hard);
+        slice.owner = Some(i);
+        out.publish(tbl, self.fleet.task[i]);
+        self.lines += 1.0;
+        if soft || self.facts.throttle != Throttle::Ignored {
+            out.let_in(tbl, self.writes(), self.full_level(), self.facts.again);
+            self.lines += 1.0;
+        }
+    }
+
+    /// The one account of messages per proxy and lines waiting; `messages` is how many must still fit.
+    fn may_write(&self, messages: usize) -> bool {
+        let span = self.facts.reload_span + self.facts.push_delay_max;
+        let recent = self.sent.iter().filter(|s| self.now - s.at < span).count();
+        let few = self.facts.pushes_allowed == 0 || recent + messages < self.facts.pushes_allowed;
+        let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
+        let waiting: f64 = self
+            .sent
+            .iter()
+            .filter(|s| s.mark > answered)
+            .map(|s| s.lines)
+            .sum();
+        few && waiting + self.cost(self.lines) < self.facts.most_waiting * 0.5
+    }
+
+    fn cost(&self, lines: f64) -> f64 {
+        let joined = self.streams.iter().filter(|s| s.joined).count();
+        joined as f64 * (self.facts.overhead + lines + 1.0)
+    }
+
+    fn send(&mut self, out: &mut impl Orders) {
+        self.mark += 1;
+        out.mark((self.mark & 0xffff) as u16);
+        for stream in self.streams.iter_mut().filter(|s| s.joined) {
+            stream.asked = self.mark;
+        }
+        let span = self.facts.reload_span + self.facts.push_delay_max;
+        while self.sent.front().is_some_and(|s| self.now - s.at > span) {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(Sent {
+            mark: self.mark,
+            at: self.now,
+            lines: self.cost(self.lines),
+        });
+    }
+
+    /// Wakes at the next fence, or after an interval.
+    fn sleep(&mut self, out: &mut impl Orders) {
+        let mut at = self.now + self.facts.interval;
+        for tbl in 0..self.slices.len() {
+            if let Some(handover) = self.slices[tbl].handover {
+                let mut due = handover.fence;
+                for stream in self.streams.iter().filter(|s| !s.joined) {
+                    due = due.max(stream.parted.max(self.slices[tbl].given) + self.facts.lease);
+                }
+                due += self.facts.settle;
+                if due > self.now {
+                    at = at.min(due);
+                }
+            }
+        }
+        if self.wake_at.is_none_or(|w| w <= self.now || at < w) {
+            self.wake_at = Some(at);
+            out.wake(at - self.now);
+        }
+    }
+}
