--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,6 +22,11 @@
 const MOVE_GAP: f64 = 0.5;
 const SLOW_FOR: f64 = 3.0;
 const REST: f64 = 4.0;
+/// Parts of the messages per proxy up to which each kind of order may be written.
+const FOR_DRAIN: f64 = 1.0;
+const FOR_OWNER: f64 = 0.85;
+const FOR_JOINER: f64 = 0.7;
+const FOR_MOVER: f64 = 0.5;
 /// Weight of the newest sum in a running mean.
 const FRESH: f64 = 0.5;
 
@@ -301,9 +306,9 @@
         self.keep_list(out);
         self.suspect(out);
         self.load = self.loads();
+        self.evacuate(out);
         self.take_over(out);
         self.finish(out);
-        self.evacuate(out);
         self.balance(out);
         self.ask_joiners(out);
         if self.lines > 0.0 {
@@ -443,7 +448,7 @@
     /// Take-over: what the store names is published again; a slice without owner counts as shut by who died.
     fn take_over(&mut self, out: &mut impl Orders) {
         for tbl in 0..self.slices.len() {
-            if !self.slices[tbl].republish || !self.may_write(1) {
+            if !self.slices[tbl].republish || !self.may_write(FOR_OWNER) {
                 continue;
             }
             self.slices[tbl].republish = false;
@@ -456,7 +461,7 @@
 
     /// Publishes what is fenced, hottest first, reopens what stays unresolved.
     fn finish(&mut self, out: &mut impl Orders) {
-        if !self.may_write(1) {
+        if !self.may_write(FOR_OWNER) {
             return;
         }
         let mut open: Vec<usize> = (0..self.slices.len())
@@ -486,11 +491,6 @@
                     self.fleet.task[i]
                 ));
                 self.publish(tbl, i, out);
-            } else if let Some(i) = old
-                && !handover.hard
-                && (!self.usable(i) && self.now - self.fleet.told[i] > self.facts.grace.times(0.5))
-            {
-                self.harden(tbl, out);
             }
         }
     }
@@ -511,7 +511,7 @@
 
     /// Moves the slices of servers that drain, are gone or are suspect.
     fn evacuate(&mut self, out: &mut impl Orders) {
-        if !self.may_write(2) {
+        if !self.may_write(FOR_DRAIN) {
             return;
         }
         for tbl in 0..self.slices.len() {
@@ -522,7 +522,7 @@
             if !self.usable(i) {
                 let serves = self.fleet.standing[i] == Standing::Draining && self.fleet.suspect[i].is_none();
                 self.shut(tbl, !serves, out);
-            } else if !self.fits(i, 0.0) {
+            } else if !self.fits(i, -0.5 * self.load[i]) {
                 self.load[i] -= self.heat_or_typical(tbl);
                 self.shut(tbl, true, out);
             }
@@ -542,7 +542,7 @@
             let since = self.fleet.slow_since[i].unwrap_or(self.now);
             self.fleet.slow_since[i] = slow.then_some(since);
         }
-        if self.now - self.last_move < self.facts.lease.times(MOVE_GAP) || !self.may_write(4) {
+        if self.now - self.last_move < self.facts.lease.times(MOVE_GAP) || !self.may_write(FOR_MOVER) {
             return;
         }
         let hold = self.facts.interval.times(SLOW_FOR);
@@ -576,7 +576,7 @@
             .sent
             .back()
             .is_none_or(|s| self.now - s.at > self.facts.push_delay);
-        if open.is_empty() || !unasked || !pause || !self.may_write(1) {
+        if open.is_empty() || !unasked || !pause || !self.may_write(FOR_JOINER) {
             return;
         }
         for &tbl in &open {
@@ -650,11 +650,18 @@
         }
     }
 
-    /// The one account of messages per proxy and lines waiting; `messages` is how many must still fit.
-    fn may_write(&self, messages: usize) -> bool {
+    /// The one account of messages per proxy and lines waiting. `part` of the allowance is for such orders; the
+    /// rest is kept for what may not wait (drains first). What joins a message already due costs none.
+    fn may_write(&self, part: f64) -> bool {
         let span = self.facts.reload_span + self.facts.push_delay_max;
         let recent = self.sent.iter().filter(|s| self.now - s.at < span).count();
-        let few = self.facts.pushes_allowed == 0 || recent + messages < self.facts.pushes_allowed;
+        let allowed = self.facts.pushes_allowed as f64 * part;
+        let even = self
+            .facts
+            .reload_span
+            .times(1.0 / self.facts.pushes_allowed.max(1) as f64);
+        let spaced = part >= FOR_DRAIN || self.sent.back().is_none_or(|s| self.now - s.at >= even);
+        let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (recent + 1) as f64 <= allowed);
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
         let waiting: f64 = self
             .sent
