--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -6,9 +6,7 @@
 pub type Fail = String;
 
 pub fn field<'a>(of: &'a Value, key: &str) -> Result<&'a Value, Fail> {
-    of.get(key)
-        .filter(|v| !v.is_null())
-        .ok_or_else(|| format!("no `{key}` in {}", brief(of)))
+    of.get(key).filter(|v| !v.is_null()).ok_or_else(|| format!("no `{key}` in {}", brief(of)))
 }
 
 fn wrong(of: &Value, key: &str) -> Fail {
@@ -36,10 +34,7 @@
 }
 
 pub fn list<'a>(of: &'a Value, key: &str) -> Result<&'a [Value], Fail> {
-    field(of, key)?
-        .as_array()
-        .map(Vec::as_slice)
-        .ok_or_else(|| wrong(of, key))
+    field(of, key)?.as_array().map(Vec::as_slice).ok_or_else(|| wrong(of, key))
 }
 
 pub fn seed(of: &Value) -> Result<u64, Fail> {
@@ -47,13 +42,8 @@
 }
 
 pub fn name_and_fields(event: &Value) -> Result<(&str, &Value), Fail> {
-    let entry = event
-        .as_object()
-        .filter(|o| o.len() == 1)
-        .and_then(|o| o.iter().next());
-    entry
-        .map(|(name, fields)| (name.as_str(), fields))
-        .ok_or_else(|| format!("odd event {}", brief(event)))
+    let entry = event.as_object().filter(|o| o.len() == 1).and_then(|o| o.iter().next());
+    entry.map(|(name, fields)| (name.as_str(), fields)).ok_or_else(|| format!("odd event {}", brief(event)))
 }
 
 pub fn listing(entry: &Value) -> Result<Listing, Fail> {
@@ -62,10 +52,7 @@
         2 => Standing::Draining,
         _ => Standing::Gone,
     };
-    let started = entry
-        .get("start_time")
-        .and_then(Value::as_f64)
-        .filter(|&at| at != 0.0);
+    let started = entry.get("start_time").and_then(Value::as_f64).filter(|&at| at != 0.0);
     Ok(Listing {
         task: number(entry, "task")? as u32,
         standing,
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -43,8 +43,7 @@
             match name {
                 "create" => {
                     let facts = decode::facts(decode::field(fields, "facts")?)?;
-                    self.assigners
-                        .insert(id, Assigner::new(decode::seed(fields)?, now, facts));
+                    self.assigners.insert(id, Assigner::new(decode::seed(fields)?, now, facts));
                     rest = at + 1;
                 }
                 "destroy" => {
@@ -71,9 +70,8 @@
             Ok(fed) => fed?,
             Err(panic) => {
                 let text = panic.downcast_ref::<String>().map(String::as_str);
-                let text = text
-                    .or(panic.downcast_ref::<&str>().copied())
-                    .unwrap_or("the decision code panicked");
+                let text =
+                    text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("the decision code panicked");
                 reply.orders.push(json!({"die": {"line": text}}));
             }
         }
@@ -83,10 +81,7 @@
 
     fn note_sheet(&mut self, event: &Value) -> Result<(), Fail> {
         if let ("sheet", fields) = name_and_fields(event)? {
-            let entries = list(fields, "entries")?
-                .iter()
-                .map(decode::listing)
-                .collect::<Result<_, _>>()?;
+            let entries = list(fields, "entries")?.iter().map(decode::listing).collect::<Result<_, _>>()?;
             self.sheets.insert(number(fields, "sheet")? as u64, entries);
         }
         Ok(())
@@ -102,10 +97,7 @@
                 3 => to.list_failed(),
                 scope => {
                     let sheet = number(fields, "sheet")? as u64;
-                    let entries = self
-                        .sheets
-                        .get(&sheet)
-                        .ok_or(format!("announce: no sheet {sheet}"))?;
+                    let entries = self.sheets.get(&sheet).ok_or(format!("announce: no sheet {sheet}"))?;
                     to.listed(scope != 0, scope == 2, entries);
                 }
             },
@@ -114,20 +106,11 @@
             "subscribed" => to.joined(index("px")?),
             "detached" => to.parted(index("px")?),
             "caught_up" => {
-                to.answered(
-                    index("px")?,
-                    number(fields, "number")? as u16,
-                    decode::span(fields, "elapsed")?,
-                );
+                to.answered(index("px")?, number(fields, "number")? as u16, decode::span(fields, "elapsed")?);
             }
             "heard" => {
                 let (tries, lost) = (number(fields, "tries_n")?, number(fields, "lost")?);
-                to.heard(
-                    number(fields, "task")? as u32,
-                    tries,
-                    lost,
-                    decode::span(fields, "elapsed")?,
-                );
+                to.heard(number(fields, "task")? as u32, tries, lost, decode::span(fields, "elapsed")?);
             }
             "key_load" => {
                 let operation = to.operation(decode::text(fields, "class")?);
@@ -151,9 +134,7 @@
     for line in io::stdin().lock().lines() {
         let reply = line.map_err(|e| e.to_string()).and_then(|line| host.batch(&line));
         let written = reply.and_then(|reply| {
-            writeln!(out, "{reply}")
-                .and_then(|()| out.flush())
-                .map_err(|e| format!("standard output: {e}"))
+            writeln!(out, "{reply}").and_then(|()| out.flush()).map_err(|e| format!("standard output: {e}"))
         });
         if let Err(fail) = written {
             eprintln!("lynxmill-benchlink: {fail}");
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -129,13 +129,7 @@
 
 impl Assigner {
     pub fn new(seed: u64, now: Moment, facts: Facts) -> Self {
-        let absent = Stream {
-            joined: false,
-            parted: now,
-            since: 0,
-            asked: 0,
-            answered: 0,
-        };
+        let absent = Stream { joined: false, parted: now, since: 0, asked: 0, answered: 0 };
         Assigner {
             chance: Pcg::new(seed),
             now,
@@ -218,13 +212,7 @@
     pub fn custody(&mut self, tbl: usize, on: bool) {
         let slice = &mut self.slices[tbl];
         let rate = slice.rate.take();
-        *slice = Slice {
-            mine: on,
-            given: self.now,
-            republish: on,
-            rate,
-            ..Slice::default()
-        };
+        *slice = Slice { mine: on, given: self.now, republish: on, rate, ..Slice::default() };
     }
 
     pub fn stored(&mut self, tbl: usize, task: u32) {
@@ -235,22 +223,10 @@
     pub fn joined(&mut self, px: usize) {
         while self.streams.len() <= px {
             let parted = self.now;
-            self.streams.push(Stream {
-                joined: false,
-                parted,
-                since: 0,
-                asked: 0,
-                answered: 0,
-            });
+            self.streams.push(Stream { joined: false, parted, since: 0, asked: 0, answered: 0 });
         }
         let stream = &mut self.streams[px];
-        *stream = Stream {
-            joined: true,
-            since: self.mark,
-            asked: 0,
-            answered: 0,
-            ..*stream
-        };
+        *stream = Stream { joined: true, since: self.mark, asked: 0, answered: 0, ..*stream };
     }
 
     pub fn parted(&mut self, px: usize) {
@@ -269,11 +245,7 @@
         if !stream.joined || mark <= stream.since.max(stream.answered) {
             return;
         }
-        let applied = self
-            .sent
-            .iter()
-            .find(|s| s.mark == mark)
-            .map_or(self.now, |s| s.at + elapsed);
+        let applied = self.sent.iter().find(|s| s.mark == mark).map_or(self.now, |s| s.at + elapsed);
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
             let needed = handover.mark.max(stream.since + 1);
             if stream.answered < needed && needed <= mark {
@@ -343,9 +315,8 @@
     /// fails every try. When half the fleet looks dead the servers are not the cause, and owners stay.
     fn suspect(&mut self, out: &mut impl Orders) {
         let trial = self.facts.lease.times(4.0);
-        let ready: Vec<usize> = (0..self.fleet.task.len())
-            .filter(|&i| self.fleet.standing[i] == Standing::Ready)
-            .collect();
+        let ready: Vec<usize> =
+            (0..self.fleet.task.len()).filter(|&i| self.fleet.standing[i] == Standing::Ready).collect();
         let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] >= LOST_RUN;
         let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
         for i in ready.iter().copied() {
@@ -353,10 +324,7 @@
                 self.fleet.forget_health(i);
             } else if self.fleet.suspect[i].is_none() && silent(&self.fleet, i) && dead * 2 <= ready.len() {
                 self.fleet.suspect[i] = Some(self.now);
-                out.note(&format!(
-                    "server {} answers no one, moving its slices",
-                    self.fleet.task[i]
-                ));
+                out.note(&format!("server {} answers no one, moving its slices", self.fleet.task[i]));
             }
         }
     }
@@ -365,22 +333,13 @@
     fn heat(&self, tbl: usize) -> Option<f64> {
         let rate = self.slices[tbl].rate.as_ref()?;
         let kinds = &self.facts.operations;
-        Some(
-            rate.iter()
-                .zip(kinds)
-                .map(|(r, k)| r * k.latency_objective.secs())
-                .sum(),
-        )
+        Some(rate.iter().zip(kinds).map(|(r, k)| r * k.latency_objective.secs()).sum())
     }
 
     fn heat_or_typical(&self, tbl: usize) -> f64 {
         self.heat(tbl).unwrap_or_else(|| {
             let known: Vec<f64> = (0..self.slices.len()).filter_map(|t| self.heat(t)).collect();
-            if known.is_empty() {
-                1.0
-            } else {
-                known.iter().sum::<f64>() / known.len() as f64
-            }
+            if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 }
         })
     }
 
@@ -414,10 +373,8 @@
 
     /// Load per size if all of it lay evenly on the usable servers.
     fn fair(&self) -> f64 {
-        let size: f64 = (0..self.fleet.task.len())
-            .filter(|&i| self.usable(i))
-            .map(|i| self.fleet.size[i])
-            .sum();
+        let size: f64 =
+            (0..self.fleet.task.len()).filter(|&i| self.usable(i)).map(|i| self.fleet.size[i]).sum();
         self.load.iter().sum::<f64>() / size.max(1e-9)
     }
 
@@ -435,11 +392,7 @@
             .map(|i| (i, self.ratio(i, heat)))
             .collect();
         let best = ratios.iter().map(|r| r.1).min_by(f64::total_cmp)?;
-        let near: Vec<usize> = ratios
-            .iter()
-            .filter(|r| r.1 <= best * NEAR)
-            .map(|r| r.0)
-            .collect();
+        let near: Vec<usize> = ratios.iter().filter(|r| r.1 <= best * NEAR).map(|r| r.0).collect();
         Some(near[(self.chance.unit() * near.len() as f64) as usize])
     }
 
@@ -464,9 +417,8 @@
         if !self.may_write(FOR_OWNER) {
             return;
         }
-        let mut open: Vec<usize> = (0..self.slices.len())
-            .filter(|&t| self.slices[t].handover.is_some())
-            .collect();
+        let mut open: Vec<usize> =
+            (0..self.slices.len()).filter(|&t| self.slices[t].handover.is_some()).collect();
         open.sort_by(|&a, &b| self.heat_or_typical(b).total_cmp(&self.heat_or_typical(a)));
         for tbl in open {
             let Some(handover) = self.slices[tbl].handover else {
@@ -486,10 +438,7 @@
                 && self.now - handover.since > self.facts.lease.times(4.0)
                 && self.usable(i)
             {
-                out.note(&format!(
-                    "slice {tbl} stays with {}: a proxy keeps silent",
-                    self.fleet.task[i]
-                ));
+                out.note(&format!("slice {tbl} stays with {}: a proxy keeps silent", self.fleet.task[i]));
                 self.publish(tbl, i, out);
             }
         }
@@ -516,9 +465,14 @@
         }
         for tbl in 0..self.slices.len() {
             let slice = &self.slices[tbl];
-            let Some(i) = slice.owner.filter(|_| slice.mine && slice.handover.is_none()) else {
+            let Some(i) = slice.owner.filter(|_| slice.mine) else { continue };
+            let late = self.now - self.fleet.told[i] > self.facts.grace.times(0.5);
+            if let Some(handover) = slice.handover {
+                if !handover.hard && !self.usable(i) && late {
+                    self.harden(tbl, out);
+                }
                 continue;
-            };
+            }
             if !self.usable(i) {
                 let serves = self.fleet.standing[i] == Standing::Draining && self.fleet.suspect[i].is_none();
                 self.shut(tbl, !serves, out);
@@ -568,14 +522,10 @@
 
     /// A proxy that joined while slices are shut has unanswered marks: one fresh mark for all such.
     fn ask_joiners(&mut self, out: &mut impl Orders) {
-        let open: Vec<usize> = (0..self.slices.len())
-            .filter(|&t| self.slices[t].handover.is_some())
-            .collect();
+        let open: Vec<usize> =
+            (0..self.slices.len()).filter(|&t| self.slices[t].handover.is_some()).collect();
         let unasked = self.streams.iter().any(|s| s.joined && s.asked <= s.since);
-        let pause = self
-            .sent
-            .back()
-            .is_none_or(|s| self.now - s.at > self.facts.push_delay);
+        let pause = self.sent.back().is_none_or(|s| self.now - s.at > self.facts.push_delay);
         if open.is_empty() || !unasked || !pause || !self.may_write(FOR_JOINER) {
             return;
         }
@@ -593,23 +543,14 @@
     }
 
     fn full_level(&self) -> f64 {
-        if self.facts.throttle == Throttle::Rate {
-            1e6
-        } else {
-            1.0
-        }
+        if self.facts.throttle == Throttle::Rate { 1e6 } else { 1.0 }
     }
 
     /// Shuts a slice: where levels work and the owner still serves, for writes alone.
     fn shut(&mut self, tbl: usize, hard: bool, out: &mut impl Orders) {
         let hard = hard || self.facts.throttle == Throttle::Ignored || self.writes() == 0;
         let (mark, since) = (self.mark + 1, self.now);
-        self.slices[tbl].handover = Some(Handover {
-            mark,
-            since,
-            fence: since,
-            hard,
-        });
+        self.slices[tbl].handover = Some(Handover { mark, since, fence: since, hard });
         self.write_shut(tbl, out);
     }
 
@@ -656,19 +597,11 @@
         let span = self.facts.reload_span + self.facts.push_delay_max;
         let recent = self.sent.iter().filter(|s| self.now - s.at < span).count();
         let allowed = self.facts.pushes_allowed as f64 * part;
-        let even = self
-            .facts
-            .reload_span
-            .times(1.0 / self.facts.pushes_allowed.max(1) as f64);
+        let even = self.facts.reload_span.times(1.0 / self.facts.pushes_allowed.max(1) as f64);
         let spaced = part >= FOR_DRAIN || self.sent.back().is_none_or(|s| self.now - s.at >= even);
         let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (recent + 1) as f64 <= allowed);
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
-        let waiting: f64 = self
-            .sent
-            .iter()
-            .filter(|s| s.mark > answered)
-            .map(|s| s.lines)
-            .sum();
+        let waiting: f64 = self.sent.iter().filter(|s| s.mark > answered).map(|s| s.lines).sum();
         few && waiting + self.cost(self.lines) < self.facts.most_waiting * 0.5
     }
 
@@ -687,11 +620,7 @@
         while self.sent.front().is_some_and(|s| self.now - s.at > span) {
             self.sent.pop_front();
         }
-        self.sent.push_back(Sent {
-            mark: self.mark,
-            at: self.now,
-            lines: self.cost(self.lines),
-        });
+        self.sent.push_back(Sent { mark: self.mark, at: self.now, lines: self.cost(self.lines) });
     }
 
     /// Wakes at the next fence, or after an interval.
