--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,7 +26,18 @@
 const FOR_DRAIN: f64 = 1.0;
 const FOR_OWNER: f64 = 0.85;
 const FOR_JOINER: f64 = 0.7;
+const FOR_LEVELS: f64 = 0.6;
 const FOR_MOVER: f64 = 0.5;
+/// A server is strained when its answers take this part of the shortest latency objective, or this part of its
+/// tries is lost, and calm under that part of either; then its admission is cut or lifted by so much a step.
+const LATE: f64 = 0.7;
+const LOST: f64 = 0.1;
+const CALM: f64 = 0.6;
+const CUT: f64 = 0.1;
+const LIFT: f64 = 0.05;
+const LEVEL_STEP: f64 = 0.05;
+/// A rate that lets everything in.
+const UNBOUND: f64 = 1e6;
 /// Weight of the newest sum in a running mean.
 const FRESH: f64 = 0.5;
 
@@ -43,6 +54,9 @@
     lost_run: Vec<f64>,
     suspect: Vec<Option<Moment>>,
     slow_since: Vec<Option<Moment>>,
+    lost_share: Vec<f64>,
+    fresh: Vec<bool>,
+    admit: Vec<f64>,
 }
 
 impl Fleet {
@@ -61,6 +75,9 @@
         self.lost_run.push(0.0);
         self.suspect.push(None);
         self.slow_since.push(None);
+        self.lost_share.push(0.0);
+        self.fresh.push(false);
+        self.admit.push(1.0);
         i
     }
 
@@ -69,6 +86,9 @@
         self.lost_run[i] = 0.0;
         self.suspect[i] = None;
         self.slow_since[i] = None;
+        self.lost_share[i] = 0.0;
+        self.fresh[i] = false;
+        self.admit[i] = 1.0;
     }
 }
 
@@ -91,6 +111,8 @@
     handover: Option<Handover>,
     moved: Option<Moment>,
     rate: Option<Vec<f64>>,
+    /// What its levels were last written for.
+    admitted: Option<f64>,
 }
 
 /// A proxy's stream: the marks it has been asked and has answered count only from `since` on.
@@ -109,6 +131,14 @@
     lines: f64,
 }
 
+/// Operations by billed value for their work, of which the latency objective is the best measure told.
+fn cheapest_first(facts: &Facts) -> Vec<usize> {
+    let worth = |k: usize| facts.operations[k].billed_value / facts.operations[k].latency_objective.secs();
+    let mut order: Vec<usize> = (0..facts.operations.len()).collect();
+    order.sort_by(|&a, &b| worth(a).total_cmp(&worth(b)));
+    order
+}
+
 pub struct Assigner {
     facts: Facts,
     chance: Pcg,
@@ -121,6 +151,8 @@
     lines: f64,
     load: Vec<f64>,
     last_move: Moment,
+    last_step: Moment,
+    cheapest_first: Vec<usize>,
     wake_at: Option<Moment>,
     subscribed: bool,
     ask_at: Moment,
@@ -141,6 +173,8 @@
             lines: 0.0,
             load: Vec::new(),
             last_move: now,
+            last_step: now,
+            cheapest_first: cheapest_first(&facts),
             wake_at: None,
             subscribed: !facts.list_on_request,
             ask_at: now,
@@ -257,6 +291,9 @@
 
     pub fn heard(&mut self, task: u32, tries: f64, lost: f64, elapsed: Span) {
         let i = self.fleet.at(task, self.now);
+        let share = self.fleet.lost_share[i];
+        self.fleet.lost_share[i] += (lost / tries.max(1.0) - share) * FRESH;
+        self.fleet.fresh[i] = true;
         if lost < tries {
             self.fleet.lost_run[i] = 0.0;
             let mean = self.fleet.elapsed[i].unwrap_or(elapsed.secs());
@@ -282,6 +319,7 @@
         self.take_over(out);
         self.finish(out);
         self.balance(out);
+        self.relieve(out);
         self.ask_joiners(out);
         if self.lines > 0.0 {
             self.send(out);
@@ -520,6 +558,75 @@
         }
     }
 
+    /// Guards against overload, whatever lies behind it: a strained server lets in less, the operation with the
+    /// least billed value for its work first, and more again as soon as it answers well. Hurts where losses have
+    /// another cause than load, so a server that answers no one is left to `suspect`.
+    fn relieve(&mut self, out: &mut impl Orders) {
+        if self.facts.throttle == Throttle::Ignored {
+            return;
+        }
+        if self.now - self.last_step >= self.facts.interval.max(self.facts.push_delay_max) {
+            self.last_step = self.now;
+            self.step_levels();
+        }
+        let stale: Vec<(usize, f64)> = (0..self.slices.len())
+            .filter(|&t| self.slices[t].mine && self.slices[t].handover.is_none())
+            .filter_map(|t| Some((t, self.fleet.admit[self.slices[t].owner?])))
+            .filter(|&(t, a)| {
+                let was = self.slices[t].admitted.unwrap_or(1.0);
+                (a - was).abs() >= LEVEL_STEP || (a != was && (a == 1.0 || a == 0.0))
+            })
+            .collect();
+        if !stale.is_empty() && self.may_write(FOR_LEVELS) {
+            for (tbl, admit) in stale {
+                self.write_levels(tbl, admit, out);
+            }
+        }
+    }
+
+    fn step_levels(&mut self) {
+        let kinds = &self.facts.operations;
+        let Some(aim) = kinds.iter().map(|k| k.latency_objective).min() else { return };
+        for i in 0..self.fleet.task.len() {
+            if !std::mem::take(&mut self.fleet.fresh[i]) || self.fleet.suspect[i].is_some() {
+                continue;
+            }
+            let late = self.fleet.elapsed[i].unwrap_or(0.0) / (aim.secs() * LATE);
+            let strain = late.max(self.fleet.lost_share[i] / LOST);
+            let admit = self.fleet.admit[i];
+            self.fleet.admit[i] = match strain {
+                s if s > 1.0 => (admit - CUT * s.min(2.0)).max(0.0),
+                s if s < CALM => (admit + LIFT).min(1.0),
+                _ => admit,
+            };
+        }
+    }
+
+    /// A server's admission as a level of one operation: the cheapest is down to nothing before the next gives.
+    fn level(&self, operation: usize, admit: f64) -> f64 {
+        let kinds = self.cheapest_first.len();
+        let rank = self.cheapest_first.iter().position(|&k| k == operation).unwrap_or(0);
+        (admit * kinds as f64 - (kinds - 1 - rank) as f64).clamp(0.0, 1.0)
+    }
+
+    fn write_levels(&mut self, tbl: usize, admit: f64, out: &mut impl Orders) {
+        let was = self.slices[tbl].admitted.replace(admit);
+        for k in 0..self.facts.operations.len() {
+            let level = self.level(k, admit);
+            if was.is_some_and(|w| self.level(k, w) == level) {
+                continue;
+            }
+            let rate = self.slices[tbl].rate.as_ref().map_or(0.0, |r| r[k]);
+            let level = match self.facts.throttle {
+                Throttle::Rate if level < 1.0 => level * rate / self.facts.proxies.max(1) as f64,
+                Throttle::Rate => UNBOUND,
+                _ => level,
+            };
+            out.let_in(tbl, 1 << k, level, self.facts.again);
+            self.lines += 1.0;
+        }
+    }
+
     /// A proxy that joined while slices are shut has unanswered marks: one fresh mark for all such.
     fn ask_joiners(&mut self, out: &mut impl Orders) {
         let open: Vec<usize> =
@@ -542,10 +649,6 @@
         kinds.filter(|(_, k)| k.writes).map(|(n, _)| 1 << n).sum()
     }
 
-    fn full_level(&self) -> f64 {
-        if self.facts.throttle == Throttle::Rate { 1e6 } else { 1.0 }
-    }
-
     /// Shuts a slice: where levels work and the owner still serves, for writes alone.
     fn shut(&mut self, tbl: usize, hard: bool, out: &mut impl Orders) {
         let hard = hard || self.facts.throttle == Throttle::Ignored || self.writes() == 0;
@@ -581,13 +684,13 @@
         if slice.owner != Some(i) {
             slice.moved = Some(self.now);
         }
-        let soft = slice.handover.take().is_some_and(|h| !h.hard);
+        slice.handover = None;
         slice.owner = Some(i);
         out.publish(tbl, self.fleet.task[i]);
         self.lines += 1.0;
-        if soft || self.facts.throttle != Throttle::Ignored {
-            out.let_in(tbl, self.writes(), self.full_level(), self.facts.again);
-            self.lines += 1.0;
+        if self.facts.throttle != Throttle::Ignored {
+            slice.admitted = None;
+            self.write_levels(tbl, self.fleet.admit[i], out);
         }
     }
 
