--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,9 +28,9 @@
 const FOR_JOINER: f64 = 0.7;
 const FOR_LEVELS: f64 = 0.6;
 const FOR_MOVER: f64 = 0.5;
-/// A server is strained when its answers take this part of the shortest latency objective, or this part of its
+/// A server is strained when its answers take this part of the usual latency objective, or this part of its
 /// tries is lost, and calm under that part of either; then its admission is cut or lifted by so much a step.
-const LATE: f64 = 0.7;
+const LATE: f64 = 0.6;
 const LOST: f64 = 0.1;
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.1;
@@ -585,13 +585,11 @@
     }
 
     fn step_levels(&mut self) {
-        let kinds = &self.facts.operations;
-        let Some(aim) = kinds.iter().map(|k| k.latency_objective).min() else { return };
         for i in 0..self.fleet.task.len() {
             if !std::mem::take(&mut self.fleet.fresh[i]) || self.fleet.suspect[i].is_some() {
                 continue;
             }
-            let late = self.fleet.elapsed[i].unwrap_or(0.0) / (aim.secs() * LATE);
+            let late = self.fleet.elapsed[i].unwrap_or(0.0) / (self.usual_objective(i) * LATE);
             let strain = late.max(self.fleet.lost_share[i] / LOST);
             let admit = self.fleet.admit[i];
             self.fleet.admit[i] = match strain {
@@ -602,6 +600,19 @@
         }
     }
 
+    /// Mean latency objective, in seconds, of what a server's slices let in.
+    fn usual_objective(&self, i: usize) -> f64 {
+        let (mut inv, mut aims) = (1e-9, 0.0);
+        for slice in self.slices.iter().filter(|s| s.mine && s.owner == Some(i)) {
+            for (k, operation) in self.facts.operations.iter().enumerate() {
+                let rate = slice.rate.as_ref().map_or(0.0, |r| r[k]) * self.level(k, self.fleet.admit[i]);
+                inv += rate;
+                aims += rate * operation.latency_objective.secs();
+            }
+        }
+        if aims > 0.0 { aims / inv } else { f64::INFINITY }
+    }
+
     /// A server's admission as a level of one operation: the cheapest is down to nothing before the next gives.
     fn level(&self, operation: usize, admit: f64) -> f64 {
         let kinds = self.cheapest_first.len();
