--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,6 +40,10 @@
 const UNBOUND: f64 = 1e6;
 /// Weight of the newest sum in a running mean.
 const FRESH: f64 = 0.5;
+/// Intervals after which a sum counts half, and after which it is too old; tries that make a mean worth having.
+const FADE: f64 = 2.0;
+const STALE: f64 = 8.0;
+const ENOUGH: f64 = 6.0;
 
 /// What is known of the servers, in parallel arrays under a dense index.
 #[derive(Default)]
@@ -50,11 +54,14 @@
     told: Vec<Moment>,
     size: Vec<f64>,
     started: Vec<Option<Moment>>,
-    elapsed: Vec<Option<f64>>,
+    /// Fading sums of what ended there: tries, those lost, and seconds that the others took.
+    tries: Vec<f64>,
+    lost: Vec<f64>,
+    seconds: Vec<f64>,
+    heard: Vec<Moment>,
     lost_run: Vec<f64>,
     suspect: Vec<Option<Moment>>,
     slow_since: Vec<Option<Moment>>,
-    lost_share: Vec<f64>,
     fresh: Vec<bool>,
     admit: Vec<f64>,
 }
@@ -71,22 +78,25 @@
         self.told.push(now);
         self.size.push(1.0);
         self.started.push(None);
-        self.elapsed.push(None);
+        self.tries.push(0.0);
+        self.lost.push(0.0);
+        self.seconds.push(0.0);
+        self.heard.push(now);
         self.lost_run.push(0.0);
         self.suspect.push(None);
         self.slow_since.push(None);
-        self.lost_share.push(0.0);
         self.fresh.push(false);
         self.admit.push(1.0);
         i
     }
 
     fn forget_health(&mut self, i: usize) {
-        self.elapsed[i] = None;
+        self.tries[i] = 0.0;
+        self.lost[i] = 0.0;
+        self.seconds[i] = 0.0;
         self.lost_run[i] = 0.0;
         self.suspect[i] = None;
         self.slow_since[i] = None;
-        self.lost_share[i] = 0.0;
         self.fresh[i] = false;
         self.admit[i] = 1.0;
     }
@@ -291,13 +301,15 @@
 
     pub fn heard(&mut self, task: u32, tries: f64, lost: f64, elapsed: Span) {
         let i = self.fleet.at(task, self.now);
-        let share = self.fleet.lost_share[i];
-        self.fleet.lost_share[i] += (lost / tries.max(1.0) - share) * FRESH;
-        self.fleet.fresh[i] = true;
+        let fleet = &mut self.fleet;
+        let faded = 0.5f64.powf((self.now - fleet.heard[i]).secs() / self.facts.interval.times(FADE).secs());
+        fleet.tries[i] = fleet.tries[i] * faded + tries;
+        fleet.lost[i] = fleet.lost[i] * faded + lost;
+        fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
+        fleet.heard[i] = self.now;
+        fleet.fresh[i] = true;
         if lost < tries {
-            self.fleet.lost_run[i] = 0.0;
-            let mean = self.fleet.elapsed[i].unwrap_or(elapsed.secs());
-            self.fleet.elapsed[i] = Some(mean + (elapsed.secs() - mean) * FRESH);
+            fleet.lost_run[i] = 0.0;
         } else if self.slices.iter().any(|s| s.mine && s.owner == Some(i)) {
             self.fleet.lost_run[i] += lost;
         }
@@ -393,18 +405,23 @@
     }
 
     fn ratio(&self, i: usize, extra: f64) -> f64 {
-        let slow = match (self.fleet.elapsed[i], self.median_elapsed()) {
+        let slow = match (self.elapsed(i), self.median_elapsed()) {
             (Some(e), Some(m)) if e > m => (e / m).min(SLOW),
             _ => 1.0,
         };
         (self.load[i] + extra) * slow / (self.fleet.size[i] * self.warmth(i))
     }
 
+    /// Mean seconds of a server's late successes, if enough of them are known and not long past.
+    fn elapsed(&self, i: usize) -> Option<f64> {
+        let succeeded = self.fleet.tries[i] - self.fleet.lost[i];
+        let known = succeeded >= ENOUGH && self.now - self.fleet.heard[i] < self.facts.interval.times(STALE);
+        known.then(|| self.fleet.seconds[i] / succeeded)
+    }
+
     fn median_elapsed(&self) -> Option<f64> {
-        let mut all: Vec<f64> = (0..self.fleet.task.len())
-            .filter(|&i| self.usable(i))
-            .filter_map(|i| self.fleet.elapsed[i])
-            .collect();
+        let mut all: Vec<f64> =
+            (0..self.fleet.task.len()).filter(|&i| self.usable(i)).filter_map(|i| self.elapsed(i)).collect();
         all.sort_by(f64::total_cmp);
         all.get(all.len() / 2).copied()
     }
@@ -529,7 +546,7 @@
         let fair = self.fair();
         for i in 0..self.fleet.task.len() {
             let slow = self.usable(i)
-                && self.fleet.elapsed[i].is_some_and(|e| e > median * SLOW)
+                && self.elapsed(i).is_some_and(|e| e > median * SLOW)
                 && self.load[i] > fair * self.fleet.size[i];
             let since = self.fleet.slow_since[i].unwrap_or(self.now);
             self.fleet.slow_since[i] = slow.then_some(since);
@@ -589,8 +606,8 @@
             if !std::mem::take(&mut self.fleet.fresh[i]) || self.fleet.suspect[i].is_some() {
                 continue;
             }
-            let late = self.fleet.elapsed[i].unwrap_or(0.0) / (self.usual_objective(i) * LATE);
-            let strain = late.max(self.fleet.lost_share[i] / LOST);
+            let late = self.elapsed(i).unwrap_or(0.0) / (self.usual_objective(i) * LATE);
+            let strain = late.max(self.fleet.lost[i] / self.fleet.tries[i].max(ENOUGH) / LOST);
             let admit = self.fleet.admit[i];
             self.fleet.admit[i] = match strain {
                 s if s > 1.0 => (admit - CUT * s.min(2.0)).max(0.0),
