--- a/src/rules.rs
+++ b/src/rules.rs
@@ -64,6 +64,7 @@
     slow_since: Vec<Option<Moment>>,
     fresh: Vec<bool>,
     admit: Vec<f64>,
+    cut: Vec<Moment>,
 }
 
 impl Fleet {
@@ -87,6 +88,7 @@
         self.slow_since.push(None);
         self.fresh.push(false);
         self.admit.push(1.0);
+        self.cut.push(now);
         i
     }
 
@@ -603,17 +605,25 @@
 
     fn step_levels(&mut self) {
         for i in 0..self.fleet.task.len() {
-            if !std::mem::take(&mut self.fleet.fresh[i]) || self.fleet.suspect[i].is_some() {
+            let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
+            if self.now - self.fleet.cut[i] < shows
+                || !std::mem::take(&mut self.fleet.fresh[i])
+                || self.fleet.suspect[i].is_some()
+            {
                 continue;
             }
             let late = self.elapsed(i).unwrap_or(0.0) / (self.usual_objective(i) * LATE);
             let strain = late.max(self.fleet.lost[i] / self.fleet.tries[i].max(ENOUGH) / LOST);
             let admit = self.fleet.admit[i];
-            self.fleet.admit[i] = match strain {
-                s if s > 1.0 => (admit - CUT * s.min(2.0)).max(0.0),
-                s if s < CALM => (admit + LIFT).min(1.0),
-                _ => admit,
-            };
+            if strain > 1.0 {
+                self.fleet.admit[i] = (admit - CUT * strain.min(2.0)).max(0.0);
+                self.fleet.cut[i] = self.now;
+                self.fleet.tries[i] = 0.0;
+                self.fleet.lost[i] = 0.0;
+                self.fleet.seconds[i] = 0.0;
+            } else if strain < CALM {
+                self.fleet.admit[i] = (admit + LIFT).min(1.0);
+            }
         }
     }
 
