--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,7 +17,7 @@
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
 /// Part of a fair share, times its warmth, that a cold server may hold.
-const COLD_SHARE: f64 = 1.2;
+const COLD_SHARE: f64 = 1.0;
 /// Leases between two moves of the mover, intervals a server must stay slow, leases a moved slice rests.
 const MOVE_GAP: f64 = 0.5;
 const SLOW_FOR: f64 = 3.0;
@@ -162,6 +162,7 @@
     sent: VecDeque<Sent>,
     lines: f64,
     load: Vec<f64>,
+    whole: f64,
     last_move: Moment,
     last_step: Moment,
     cheapest_first: Vec<usize>,
@@ -184,6 +185,7 @@
             sent: VecDeque::new(),
             lines: 0.0,
             load: Vec::new(),
+            whole: 0.0,
             last_move: now,
             last_step: now,
             cheapest_first: cheapest_first(&facts),
@@ -232,6 +234,7 @@
             if entry.started != self.fleet.started[i] {
                 self.fleet.started[i] = entry.started;
                 self.fleet.forget_health(i);
+                self.fleet.admit[i] = self.usual_admission();
             }
         }
     }
@@ -329,6 +332,7 @@
         self.keep_list(out);
         self.suspect(out);
         self.load = self.loads();
+        self.whole = self.whole.max(self.usable_size());
         self.evacuate(out);
         self.take_over(out);
         self.finish(out);
@@ -430,15 +434,19 @@
 
     /// Load per size if all of it lay evenly on the usable servers.
     fn fair(&self) -> f64 {
-        let size: f64 =
-            (0..self.fleet.task.len()).filter(|&i| self.usable(i)).map(|i| self.fleet.size[i]).sum();
-        self.load.iter().sum::<f64>() / size.max(1e-9)
+        self.load.iter().sum::<f64>() / self.usable_size().max(1e-9)
     }
 
-    /// Guards cold servers: never more than half the tipping multiple of a fair share of what they can do by now.
+    fn usable_size(&self) -> f64 {
+        (0..self.fleet.task.len()).filter(|&i| self.usable(i)).map(|i| self.fleet.size[i]).sum()
+    }
+
+    /// Guards cold servers: never more than a fair share, as it is when the fleet is whole, of what they can do
+    /// by now. The fleet at its largest counts, as in a smaller one a fair share may be more than anyone can do.
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
-        let most = self.fair() * self.fleet.size[i] * warmth * COLD_SHARE;
+        let fair = self.load.iter().sum::<f64>() / self.whole.max(1e-9);
+        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE;
         warmth >= 1.0 || self.load[i] + extra <= most
     }
 
@@ -627,6 +635,12 @@
         }
     }
 
+    /// A server that starts lets in what the others do on average, not all at once into an overload.
+    fn usual_admission(&self) -> f64 {
+        let others: Vec<usize> = (0..self.fleet.task.len()).filter(|&i| self.usable(i)).collect();
+        others.iter().map(|&i| self.fleet.admit[i]).sum::<f64>() / others.len().max(1) as f64
+    }
+
     /// Mean latency objective, in seconds, of what a server's slices let in.
     fn usual_objective(&self, i: usize) -> f64 {
         let (mut inv, mut aims) = (1e-9, 0.0);
