--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,7 +17,7 @@
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
 /// Part of a fair share, times its warmth, that a cold server may hold.
-const COLD_SHARE: f64 = 1.0;
+const COLD_SHARE: f64 = 1.4;
 /// Leases between two moves of the mover, intervals a server must stay slow, leases a moved slice rests.
 const MOVE_GAP: f64 = 0.5;
 const SLOW_FOR: f64 = 3.0;
@@ -446,7 +446,7 @@
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
         let fair = self.load.iter().sum::<f64>() / self.whole.max(1e-9);
-        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE;
+        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * self.usual_admission();
         warmth >= 1.0 || self.load[i] + extra <= most
     }
 
