--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,10 +28,9 @@
 const FOR_JOINER: f64 = 0.7;
 const FOR_LEVELS: f64 = 0.6;
 const FOR_MOVER: f64 = 0.5;
-/// A server is strained when its answers take this part of the usual latency objective, or this part of its
-/// tries is lost, and calm under that part of either; then its admission is cut or lifted by so much a step.
+/// A server is strained when its answers take this part of the usual latency objective, and calm under that
+/// part of it; then its admission is cut or lifted by so much a step.
 const LATE: f64 = 0.6;
-const LOST: f64 = 0.1;
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.1;
 const LIFT: f64 = 0.05;
@@ -586,8 +585,8 @@
     }
 
     /// Guards against overload, whatever lies behind it: a strained server lets in less, the operation with the
-    /// least billed value for its work first, and more again as soon as it answers well. Hurts where losses have
-    /// another cause than load, so a server that answers no one is left to `suspect`.
+    /// least billed value for its work first, and more again as soon as it answers well. Losses weigh only where
+    /// answers are slow as well: broken connections alone are no overload, and letting less in would not help.
     fn relieve(&mut self, out: &mut impl Orders) {
         if self.facts.throttle == Throttle::Ignored {
             return;
@@ -620,8 +619,9 @@
             {
                 continue;
             }
-            let late = self.elapsed(i).unwrap_or(0.0) / (self.usual_objective(i) * LATE);
-            let strain = late.max(self.fleet.lost[i] / self.fleet.tries[i].max(ENOUGH) / LOST);
+            let Some(elapsed) = self.elapsed(i) else { continue };
+            let lost = self.fleet.lost[i] / self.fleet.tries[i];
+            let strain = elapsed / (self.usual_objective(i) * LATE) * (1.0 + lost);
             let admit = self.fleet.admit[i];
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - CUT * strain.min(2.0)).max(0.0);
