--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,7 +61,6 @@
     lost_run: Vec<f64>,
     suspect: Vec<Option<Moment>>,
     slow_since: Vec<Option<Moment>>,
-    fresh: Vec<bool>,
     admit: Vec<f64>,
     cut: Vec<Moment>,
 }
@@ -85,7 +84,6 @@
         self.lost_run.push(0.0);
         self.suspect.push(None);
         self.slow_since.push(None);
-        self.fresh.push(false);
         self.admit.push(1.0);
         self.cut.push(now);
         i
@@ -98,7 +96,6 @@
         self.lost_run[i] = 0.0;
         self.suspect[i] = None;
         self.slow_since[i] = None;
-        self.fresh[i] = false;
         self.admit[i] = 1.0;
     }
 }
@@ -311,7 +308,6 @@
         fleet.lost[i] = fleet.lost[i] * faded + lost;
         fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
         fleet.heard[i] = self.now;
-        fleet.fresh[i] = true;
         if lost < tries {
             fleet.lost_run[i] = 0.0;
         } else if self.slices.iter().any(|s| s.mine && s.owner == Some(i)) {
@@ -613,15 +609,12 @@
     fn step_levels(&mut self) {
         for i in 0..self.fleet.task.len() {
             let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
-            if self.now - self.fleet.cut[i] < shows
-                || !std::mem::take(&mut self.fleet.fresh[i])
-                || self.fleet.suspect[i].is_some()
-            {
+            if self.now - self.fleet.cut[i] < shows || self.fleet.suspect[i].is_some() {
                 continue;
             }
-            let Some(elapsed) = self.elapsed(i) else { continue };
-            let lost = self.fleet.lost[i] / self.fleet.tries[i];
-            let strain = elapsed / (self.usual_objective(i) * LATE) * (1.0 + lost);
+            let (tries, lost) = (self.fleet.tries[i], self.fleet.lost[i]);
+            let late = self.fleet.seconds[i] / (tries - lost).max(1.0) / (self.usual_objective(i) * LATE);
+            let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
             let admit = self.fleet.admit[i];
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - CUT * strain.min(2.0)).max(0.0);
