--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,7 +19,7 @@
 /// Part of a fair share, times its warmth, that a cold server may hold.
 const COLD_SHARE: f64 = 1.4;
 /// Leases between two moves of the mover, intervals a server must stay slow, leases a moved slice rests.
-const MOVE_GAP: f64 = 0.5;
+const MOVE_GAP: f64 = 0.25;
 const SLOW_FOR: f64 = 3.0;
 const REST: f64 = 4.0;
 /// Parts of the messages per proxy up to which each kind of order may be written.
@@ -560,23 +560,34 @@
             return;
         }
         let hold = self.facts.interval.times(SLOW_FOR);
-        let worst = (0..self.fleet.task.len())
+        let mut slow: Vec<usize> = (0..self.fleet.task.len())
             .filter(|&i| self.fleet.slow_since[i].is_some_and(|at| self.now - at >= hold))
-            .max_by(|&a, &b| self.ratio(a, 0.0).total_cmp(&self.ratio(b, 0.0)));
-        let Some(from) = worst else { return };
+            .collect();
+        slow.sort_by(|&a, &b| self.ratio(b, 0.0).total_cmp(&self.ratio(a, 0.0)));
+        for from in slow {
+            self.hand_hottest(from, out);
+        }
+    }
+
+    /// Shuts the hottest rested slice that some other server can take without being worse off than `from` is.
+    fn hand_hottest(&mut self, from: usize, out: &mut impl Orders) {
         let rest = self.facts.lease.times(REST);
-        let hottest = (0..self.slices.len())
+        let mut rested: Vec<(usize, f64)> = (0..self.slices.len())
             .filter(|&t| self.slices[t].mine && self.slices[t].owner == Some(from))
             .filter(|&t| self.slices[t].handover.is_none())
             .filter(|&t| self.slices[t].moved.is_none_or(|at| self.now - at > rest))
-            .max_by(|&a, &b| self.heat_or_typical(a).total_cmp(&self.heat_or_typical(b)));
-        let Some(tbl) = hottest else { return };
-        let heat = self.heat_or_typical(tbl);
-        if let Some(to) = self.roomiest(heat, Some(from))
-            && self.ratio(to, heat) < self.ratio(from, 0.0)
-        {
-            self.last_move = self.now;
-            self.shut(tbl, false, out);
+            .map(|t| (t, self.heat_or_typical(t)))
+            .collect();
+        rested.sort_by(|a, b| b.1.total_cmp(&a.1));
+        for (tbl, heat) in rested {
+            if let Some(to) = self.roomiest(heat, Some(from))
+                && self.ratio(to, heat) * NEAR < self.ratio(from, 0.0)
+            {
+                self.load[from] -= heat;
+                self.load[to] += heat;
+                self.last_move = self.now;
+                return self.shut(tbl, false, out);
+            }
         }
     }
 
@@ -614,6 +625,9 @@
             }
             let (tries, lost) = (self.fleet.tries[i], self.fleet.lost[i]);
             let late = self.fleet.seconds[i] / (tries - lost).max(1.0) / (self.usual_objective(i) * LATE);
+            if tries >= ENOUGH && lost >= tries {
+                continue;
+            }
             let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
             let admit = self.fleet.admit[i];
             if strain > 1.0 {
