--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,7 +30,7 @@
 const FOR_MOVER: f64 = 0.5;
 /// A server is strained when its answers take this part of the usual latency objective, and calm under that
 /// part of it; then its admission is cut or lifted by so much a step.
-const LATE: f64 = 0.6;
+const LATE: f64 = 0.45;
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.1;
 const LIFT: f64 = 0.05;
