--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,7 +32,7 @@
 /// part of it; then its admission is cut or lifted by so much a step.
 const LATE: f64 = 0.45;
 const CALM: f64 = 0.6;
-const CUT: f64 = 0.1;
+const CUT: f64 = 0.2;
 const LIFT: f64 = 0.05;
 const LEVEL_STEP: f64 = 0.05;
 /// A rate that lets everything in.
@@ -631,7 +631,7 @@
             let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
             let admit = self.fleet.admit[i];
             if strain > 1.0 {
-                self.fleet.admit[i] = (admit - CUT * strain.min(2.0)).max(0.0);
+                self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(2.0)).max(0.0);
                 self.fleet.cut[i] = self.now;
                 self.fleet.tries[i] = 0.0;
                 self.fleet.lost[i] = 0.0;
