--- a/src/rules.rs
+++ b/src/rules.rs
@@ -631,7 +631,7 @@
             let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
             let admit = self.fleet.admit[i];
             if strain > 1.0 {
-                self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(2.0)).max(0.0);
+                self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(1.0)).max(0.0);
                 self.fleet.cut[i] = self.now;
                 self.fleet.tries[i] = 0.0;
                 self.fleet.lost[i] = 0.0;
