--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,7 @@
 const LATE: f64 = 0.45;
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.2;
-const LIFT: f64 = 0.05;
+const LIFT: f64 = 0.12;
 const LEVEL_STEP: f64 = 0.05;
 /// A rate that lets everything in.
 const UNBOUND: f64 = 1e6;
@@ -637,7 +637,7 @@
                 self.fleet.lost[i] = 0.0;
                 self.fleet.seconds[i] = 0.0;
             } else if strain < CALM {
-                self.fleet.admit[i] = (admit + LIFT).min(1.0);
+                self.fleet.admit[i] = (admit + LIFT * (1.0 - strain / CALM)).min(1.0);
             }
         }
     }
