--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,8 @@
 const LATE: f64 = 0.45;
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.2;
-const LIFT: f64 = 0.12;
+const LIFT: f64 = 0.05;
+const LEAST: f64 = 0.5;
 const LEVEL_STEP: f64 = 0.05;
 /// A rate that lets everything in.
 const UNBOUND: f64 = 1e6;
@@ -618,6 +619,7 @@
     }
 
     fn step_levels(&mut self) {
+        let least = LEAST / self.cheapest_first.len().max(1) as f64;
         for i in 0..self.fleet.task.len() {
             let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
             if self.now - self.fleet.cut[i] < shows || self.fleet.suspect[i].is_some() {
@@ -631,13 +633,13 @@
             let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
             let admit = self.fleet.admit[i];
             if strain > 1.0 {
-                self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(1.0)).max(0.0);
+                self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
                 self.fleet.tries[i] = 0.0;
                 self.fleet.lost[i] = 0.0;
                 self.fleet.seconds[i] = 0.0;
             } else if strain < CALM {
-                self.fleet.admit[i] = (admit + LIFT * (1.0 - strain / CALM)).min(1.0);
+                self.fleet.admit[i] = (admit + LIFT).min(1.0);
             }
         }
     }
