--- a/src/rules.rs
+++ b/src/rules.rs
@@ -158,6 +158,8 @@
     mark: u64,
     sent: VecDeque<Sent>,
     lines: f64,
+    /// How long orders have lately taken to take effect: a fading maximum of the answers' times.
+    order_delay: Span,
     load: Vec<f64>,
     whole: f64,
     last_move: Moment,
@@ -181,6 +183,7 @@
             mark: 0,
             sent: VecDeque::new(),
             lines: 0.0,
+            order_delay: facts.push_delay,
             load: Vec::new(),
             whole: 0.0,
             last_move: now,
@@ -291,6 +294,7 @@
         if !stream.joined || mark <= stream.since.max(stream.answered) {
             return;
         }
+        self.order_delay = elapsed.max(self.order_delay.times(0.9));
         let applied = self.sent.iter().find(|s| s.mark == mark).map_or(self.now, |s| s.at + elapsed);
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
             let needed = handover.mark.max(stream.since + 1);
@@ -621,7 +625,7 @@
     fn step_levels(&mut self) {
         let least = LEAST / self.cheapest_first.len().max(1) as f64;
         for i in 0..self.fleet.task.len() {
-            let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
+            let shows = self.order_delay.max(self.facts.push_delay_max) + self.facts.interval.times(2.0);
             if self.now - self.fleet.cut[i] < shows || self.fleet.suspect[i].is_some() {
                 continue;
             }
