--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -37,6 +37,12 @@
     field(of, key)?.as_array().map(Vec::as_slice).ok_or_else(|| wrong(of, key))
 }
 
+/// A load report; empty where none came along.
+pub fn report(of: &Value) -> Vec<f64> {
+    let values = of.get("report").and_then(Value::as_array);
+    values.map_or_else(Vec::new, |v| v.iter().filter_map(Value::as_f64).collect())
+}
+
 pub fn seed(of: &Value) -> Result<u64, Fail> {
     field(of, "salt")?.as_u64().ok_or_else(|| wrong(of, "salt"))
 }
@@ -84,7 +90,9 @@
             _ => Throttle::Ignored,
         },
         again: number(own, "retry_default")? as u8,
+        held_field: list(field(of, "feedback")?, "fields")?.iter().position(|f| f == "outstanding"),
         interval: span(own, "interval")?,
+        bare: span(own, "bare")?,
         lease: span(own, "lease")?,
         settle: span(own, "settle")?,
         push_delay: span(own, "propagation")?,
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -110,7 +110,8 @@
             }
             "heard" => {
                 let (tries, lost) = (number(fields, "tries_n")?, number(fields, "lost")?);
-                to.heard(number(fields, "task")? as u32, tries, lost, decode::span(fields, "elapsed")?);
+                let (elapsed, report) = (decode::span(fields, "elapsed")?, decode::report(fields));
+                to.heard(number(fields, "task")? as u32, tries, lost, elapsed, &report);
             }
             "key_load" => {
                 let operation = to.operation(decode::text(fields, "class")?);
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -26,7 +26,10 @@
     pub ask_within: Span,
     pub throttle: Throttle,
     pub again: u8,
+    /// Where load reports tell the invocations in hand.
+    pub held_field: Option<usize>,
     pub interval: Span,
+    pub bare: Span,
     pub lease: Span,
     pub settle: Span,
     pub push_delay: Span,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,7 +3,8 @@
 //! which only takes note, and then the round decides and writes through the `Orders` it was given. The interface
 //! is `Orders` in orders.rs, `Facts` and `Listing` in facts.rs, `Moment` and `Span` in time.rs.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
+use std::f64::consts::LN_2;
 
 use crate::chance::Pcg;
 use crate::facts::{Facts, Listing, Standing, Throttle};
@@ -59,6 +60,9 @@
     lost: Vec<f64>,
     seconds: Vec<f64>,
     heard: Vec<Moment>,
+    /// Fading sum of tries that cuts leave alone, and invocations last reported in hand.
+    ended: Vec<f64>,
+    held: Vec<f64>,
     lost_run: Vec<f64>,
     suspect: Vec<Option<Moment>>,
     slow_since: Vec<Option<Moment>>,
@@ -68,33 +72,31 @@
 
 impl Fleet {
     fn at(&mut self, task: u32, now: Moment) -> usize {
-        if let Some(&i) = self.index.get(&task) {
-            return i;
-        }
-        let i = self.task.len();
-        self.index.insert(task, i);
-        self.task.push(task);
-        self.standing.push(Standing::Gone);
-        self.told.push(now);
-        self.size.push(1.0);
-        self.started.push(None);
-        self.tries.push(0.0);
-        self.lost.push(0.0);
-        self.seconds.push(0.0);
-        self.heard.push(now);
-        self.lost_run.push(0.0);
-        self.suspect.push(None);
-        self.slow_since.push(None);
-        self.admit.push(1.0);
-        self.cut.push(now);
+        let next = self.task.len();
+        let i = *self.index.entry(task).or_insert(next);
+        if i == next {
+            self.task.push(task);
+            self.standing.push(Standing::Gone);
+            self.size.push(1.0);
+            self.started.push(None);
+            self.suspect.push(None);
+            self.slow_since.push(None);
+            self.admit.push(1.0);
+            self.told.push(now);
+            self.heard.push(now);
+            self.cut.push(now);
+            self.sums().into_iter().for_each(|sum| sum.push(0.0));
+        }
         i
     }
 
+    fn sums(&mut self) -> [&mut Vec<f64>; 6] {
+        let Fleet { tries, lost, seconds, ended, held, lost_run, .. } = self;
+        [tries, lost, seconds, ended, held, lost_run]
+    }
+
     fn forget_health(&mut self, i: usize) {
-        self.tries[i] = 0.0;
-        self.lost[i] = 0.0;
-        self.seconds[i] = 0.0;
-        self.lost_run[i] = 0.0;
+        self.sums().into_iter().for_each(|sum| sum[i] = 0.0);
         self.suspect[i] = None;
         self.slow_since[i] = None;
         self.admit[i] = 1.0;
@@ -156,7 +158,7 @@
     slices: Vec<Slice>,
     streams: Vec<Stream>,
     mark: u64,
-    sent: VecDeque<Sent>,
+    sent: Vec<Sent>,
     lines: f64,
     /// How long orders have lately taken to take effect: a fading maximum of the answers' times.
     order_delay: Span,
@@ -181,7 +183,7 @@
             slices: vec![Slice::default(); facts.slices],
             streams: vec![absent; facts.proxies],
             mark: 0,
-            sent: VecDeque::new(),
+            sent: Vec::new(),
             lines: 0.0,
             order_delay: facts.push_delay,
             load: Vec::new(),
@@ -305,14 +307,18 @@
         self.streams[px].answered = mark;
     }
 
-    pub fn heard(&mut self, task: u32, tries: f64, lost: f64, elapsed: Span) {
+    pub fn heard(&mut self, task: u32, tries: f64, lost: f64, elapsed: Span, report: &[f64]) {
         let i = self.fleet.at(task, self.now);
         let fleet = &mut self.fleet;
         let faded = 0.5f64.powf((self.now - fleet.heard[i]).secs() / self.facts.interval.times(FADE).secs());
         fleet.tries[i] = fleet.tries[i] * faded + tries;
         fleet.lost[i] = fleet.lost[i] * faded + lost;
         fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
+        fleet.ended[i] = fleet.ended[i] * faded + tries;
         fleet.heard[i] = self.now;
+        if let Some(&held) = self.facts.held_field.and_then(|k| report.get(k)) {
+            fleet.held[i] = held;
+        }
         if lost < tries {
             fleet.lost_run[i] = 0.0;
         } else if self.slices.iter().any(|s| s.mine && s.owner == Some(i)) {
@@ -354,6 +360,10 @@
 
     // --- servers ---
 
+    fn usables(&self) -> impl Iterator<Item = usize> {
+        (0..self.fleet.task.len()).filter(|&i| self.usable(i))
+    }
+
     fn usable(&self, i: usize) -> bool {
         self.fleet.standing[i] == Standing::Ready && self.fleet.suspect[i].is_none()
     }
@@ -425,9 +435,16 @@
         known.then(|| self.fleet.seconds[i] / succeeded)
     }
 
+    /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here well
+    /// before it shows in the times of what got through.
+    fn queue_time(&self, i: usize) -> f64 {
+        let mine = self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64;
+        let pace = self.fleet.ended[i] * LN_2 / self.facts.interval.times(FADE).secs();
+        if self.fleet.ended[i] < ENOUGH { 0.0 } else { self.fleet.held[i] * mine / pace }
+    }
+
     fn median_elapsed(&self) -> Option<f64> {
-        let mut all: Vec<f64> =
-            (0..self.fleet.task.len()).filter(|&i| self.usable(i)).filter_map(|i| self.elapsed(i)).collect();
+        let mut all: Vec<f64> = self.usables().filter_map(|i| self.elapsed(i)).collect();
         all.sort_by(f64::total_cmp);
         all.get(all.len() / 2).copied()
     }
@@ -438,7 +455,7 @@
     }
 
     fn usable_size(&self) -> f64 {
-        (0..self.fleet.task.len()).filter(|&i| self.usable(i)).map(|i| self.fleet.size[i]).sum()
+        self.usables().map(|i| self.fleet.size[i]).sum()
     }
 
     /// Guards cold servers: never more than a fair share, as it is when the fleet is whole, of what they can do
@@ -452,8 +469,9 @@
 
     /// The roomiest usable server for a slice, by chance among near-equals.
     fn roomiest(&mut self, heat: f64, not: Option<usize>) -> Option<usize> {
-        let ratios: Vec<(usize, f64)> = (0..self.fleet.task.len())
-            .filter(|&i| Some(i) != not && self.usable(i) && self.fits(i, heat))
+        let ratios: Vec<(usize, f64)> = self
+            .usables()
+            .filter(|&i| Some(i) != not && self.fits(i, heat))
             .map(|i| (i, self.ratio(i, heat)))
             .collect();
         let best = ratios.iter().map(|r| r.1).min_by(f64::total_cmp)?;
@@ -463,6 +481,10 @@
 
     // --- moves ---
 
+    fn open(&self) -> impl Iterator<Item = usize> {
+        (0..self.slices.len()).filter(|&t| self.slices[t].handover.is_some())
+    }
+
     /// Take-over: what the store names is published again; a slice without owner counts as shut by who died.
     fn take_over(&mut self, out: &mut impl Orders) {
         for tbl in 0..self.slices.len() {
@@ -482,8 +504,7 @@
         if !self.may_write(FOR_OWNER) {
             return;
         }
-        let mut open: Vec<usize> =
-            (0..self.slices.len()).filter(|&t| self.slices[t].handover.is_some()).collect();
+        let mut open: Vec<usize> = self.open().collect();
         open.sort_by(|&a, &b| self.heat_or_typical(b).total_cmp(&self.heat_or_typical(a)));
         for tbl in open {
             let Some(handover) = self.slices[tbl].handover else {
@@ -492,7 +513,7 @@
             let old = self.slices[tbl].owner;
             let heat = self.heat_or_typical(tbl);
             if self.fenced(tbl, handover) {
-                if let Some(i) = self.roomiest(heat, old) {
+                if let Some(i) = self.roomiest(heat, old).or_else(|| self.last_resort(handover)) {
                     if let Some(o) = old {
                         self.load[o] -= heat;
                     }
@@ -509,18 +530,25 @@
         }
     }
 
+    /// Guards against leaving a slice bare: when no server will do for long, the warmest that is listed ready.
+    fn last_resort(&self, handover: Handover) -> Option<usize> {
+        let ready = (0..self.fleet.task.len()).filter(|&i| self.fleet.standing[i] == Standing::Ready);
+        let warm = ready
+            .filter(|&i| self.warmth(i) >= 1.0 && self.now - handover.since > self.facts.bare.times(0.5));
+        warm.min_by(|&a, &b| self.load[a].total_cmp(&self.load[b]))
+    }
+
     /// The fence: every joined proxy has answered the shut, every other has been gone for a lease, and what
     /// they had in hand has settled.
     fn fenced(&self, tbl: usize, handover: Handover) -> bool {
-        let mut fence = handover.fence;
-        for stream in &self.streams {
-            if !stream.joined {
-                fence = fence.max(stream.parted.max(self.slices[tbl].given) + self.facts.lease);
-            } else if stream.answered < handover.mark.max(stream.since + 1) {
-                return false;
-            }
-        }
-        self.now >= fence + self.facts.settle
+        let answered = |s: &Stream| !s.joined || s.answered >= handover.mark.max(s.since + 1);
+        self.streams.iter().all(answered) && self.now >= self.fence_due(tbl, handover)
+    }
+
+    fn fence_due(&self, tbl: usize, handover: Handover) -> Moment {
+        let absent = self.streams.iter().filter(|s| !s.joined);
+        let leases = absent.map(|s| s.parted.max(self.slices[tbl].given) + self.facts.lease);
+        leases.fold(handover.fence, Moment::max) + self.facts.settle
     }
 
     /// Moves the slices of servers that drain, are gone or are suspect.
@@ -534,11 +562,10 @@
             let late = self.now - self.fleet.told[i] > self.facts.grace.times(0.5);
             if let Some(handover) = slice.handover {
                 if !handover.hard && !self.usable(i) && late {
-                    self.harden(tbl, out);
+                    self.slices[tbl].handover = Some(Handover { hard: true, ..handover });
+                    self.write_shut(tbl, out);
                 }
-                continue;
-            }
-            if !self.usable(i) {
+            } else if !self.usable(i) {
                 let serves = self.fleet.standing[i] == Standing::Draining && self.fleet.suspect[i].is_none();
                 self.shut(tbl, !serves, out);
             } else if !self.fits(i, -0.5 * self.load[i]) {
@@ -550,9 +577,7 @@
 
     /// The mover: a slow server loaded above the mean hands its hottest rested slice to the roomiest.
     fn balance(&mut self, out: &mut impl Orders) {
-        let Some(median) = self.median_elapsed() else {
-            return;
-        };
+        let Some(median) = self.median_elapsed() else { return };
         let fair = self.fair();
         for i in 0..self.fleet.task.len() {
             let slow = self.usable(i)
@@ -630,7 +655,8 @@
                 continue;
             }
             let (tries, lost) = (self.fleet.tries[i], self.fleet.lost[i]);
-            let late = self.fleet.seconds[i] / (tries - lost).max(1.0) / (self.usual_objective(i) * LATE);
+            let answer = (self.fleet.seconds[i] / (tries - lost).max(1.0)).max(self.queue_time(i));
+            let late = answer / (self.usual_objective(i) * LATE);
             if tries >= ENOUGH && lost >= tries {
                 continue;
             }
@@ -639,9 +665,7 @@
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
-                self.fleet.tries[i] = 0.0;
-                self.fleet.lost[i] = 0.0;
-                self.fleet.seconds[i] = 0.0;
+                self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
             } else if strain < CALM {
                 self.fleet.admit[i] = (admit + LIFT).min(1.0);
             }
@@ -650,8 +674,7 @@
 
     /// A server that starts lets in what the others do on average, not all at once into an overload.
     fn usual_admission(&self) -> f64 {
-        let others: Vec<usize> = (0..self.fleet.task.len()).filter(|&i| self.usable(i)).collect();
-        others.iter().map(|&i| self.fleet.admit[i]).sum::<f64>() / others.len().max(1) as f64
+        self.usables().map(|i| self.fleet.admit[i]).sum::<f64>() / self.usables().count().max(1) as f64
     }
 
     /// Mean latency objective, in seconds, of what a server's slices let in.
@@ -694,17 +717,13 @@
 
     /// A proxy that joined while slices are shut has unanswered marks: one fresh mark for all such.
     fn ask_joiners(&mut self, out: &mut impl Orders) {
-        let open: Vec<usize> =
-            (0..self.slices.len()).filter(|&t| self.slices[t].handover.is_some()).collect();
         let unasked = self.streams.iter().any(|s| s.joined && s.asked <= s.since);
-        let pause = self.sent.back().is_none_or(|s| self.now - s.at > self.facts.push_delay);
-        if open.is_empty() || !unasked || !pause || !self.may_write(FOR_JOINER) {
-            return;
-        }
-        for &tbl in &open {
-            self.write_shut(tbl, out);
+        let pause = self.sent.last().is_none_or(|s| self.now - s.at > self.facts.push_delay);
+        if unasked && pause && self.may_write(FOR_JOINER) {
+            for tbl in self.open().collect::<Vec<_>>() {
+                self.write_shut(tbl, out);
+            }
         }
-        self.lines += 1.0;
     }
 
     // --- writing ---
@@ -723,23 +742,12 @@
     }
 
     fn write_shut(&mut self, tbl: usize, out: &mut impl Orders) {
-        let (Some(i), Some(handover)) = (self.slices[tbl].owner, self.slices[tbl].handover) else {
-            self.lines += 1.0;
-            return;
-        };
-        if handover.hard {
-            out.shut(tbl, self.fleet.task[i]);
-        } else {
-            out.let_in(tbl, self.writes(), 0.0, self.facts.again);
-        }
         self.lines += 1.0;
-    }
-
-    fn harden(&mut self, tbl: usize, out: &mut impl Orders) {
-        if let Some(handover) = self.slices[tbl].handover.as_mut() {
-            handover.hard = true;
+        match (self.slices[tbl].owner, self.slices[tbl].handover) {
+            (Some(i), Some(Handover { hard: true, .. })) => out.shut(tbl, self.fleet.task[i]),
+            (Some(_), Some(_)) => out.let_in(tbl, self.writes(), 0.0, self.facts.again),
+            _ => {}
         }
-        self.write_shut(tbl, out);
     }
 
     /// Raises the generation and publishes the owner, with its levels open.
@@ -762,17 +770,21 @@
     /// The one account of messages per proxy and lines waiting. `part` of the allowance is for such orders; the
     /// rest is kept for what may not wait (drains first). What joins a message already due costs none.
     fn may_write(&self, part: f64) -> bool {
-        let span = self.facts.reload_span + self.facts.push_delay_max;
-        let recent = self.sent.iter().filter(|s| self.now - s.at < span).count();
+        let recent = self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count();
         let allowed = self.facts.pushes_allowed as f64 * part;
         let even = self.facts.reload_span.times(1.0 / self.facts.pushes_allowed.max(1) as f64);
-        let spaced = part >= FOR_DRAIN || self.sent.back().is_none_or(|s| self.now - s.at >= even);
+        let spaced = part >= FOR_DRAIN || self.sent.last().is_none_or(|s| self.now - s.at >= even);
         let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (recent + 1) as f64 <= allowed);
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
         let waiting: f64 = self.sent.iter().filter(|s| s.mark > answered).map(|s| s.lines).sum();
         few && waiting + self.cost(self.lines) < self.facts.most_waiting * 0.5
     }
 
+    /// Messages may bunch up on their way, so the span in which they are counted is that much longer.
+    fn push_span(&self) -> Span {
+        self.facts.reload_span + self.facts.push_delay_max
+    }
+
     fn cost(&self, lines: f64) -> f64 {
         let joined = self.streams.iter().filter(|s| s.joined).count();
         joined as f64 * (self.facts.overhead + lines + 1.0)
@@ -784,28 +796,15 @@
         for stream in self.streams.iter_mut().filter(|s| s.joined) {
             stream.asked = self.mark;
         }
-        let span = self.facts.reload_span + self.facts.push_delay_max;
-        while self.sent.front().is_some_and(|s| self.now - s.at > span) {
-            self.sent.pop_front();
-        }
-        self.sent.push_back(Sent { mark: self.mark, at: self.now, lines: self.cost(self.lines) });
+        let span = self.push_span();
+        self.sent.retain(|s| self.now - s.at <= span);
+        self.sent.push(Sent { mark: self.mark, at: self.now, lines: self.cost(self.lines) });
     }
 
     /// Wakes at the next fence, or after an interval.
     fn sleep(&mut self, out: &mut impl Orders) {
-        let mut at = self.now + self.facts.interval;
-        for tbl in 0..self.slices.len() {
-            if let Some(handover) = self.slices[tbl].handover {
-                let mut due = handover.fence;
-                for stream in self.streams.iter().filter(|s| !s.joined) {
-                    due = due.max(stream.parted.max(self.slices[tbl].given) + self.facts.lease);
-                }
-                due += self.facts.settle;
-                if due > self.now {
-                    at = at.min(due);
-                }
-            }
-        }
+        let dues = self.open().filter_map(|t| Some(self.fence_due(t, self.slices[t].handover?)));
+        let at = dues.filter(|&due| due > self.now).fold(self.now + self.facts.interval, Moment::min);
         if self.wake_at.is_none_or(|w| w <= self.now || at < w) {
             self.wake_at = Some(at);
             out.wake(at - self.now);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -59,7 +59,9 @@
         ask_within: secs("ask_within", 10.0),
         throttle: if given.contains_key("no_levels") { Throttle::Ignored } else { Throttle::Share },
         again: 0,
+        held_field: Some(0),
         interval: secs("interval", 1.0),
+        bare: secs("bare", 12.0),
         lease: secs("lease", 2.5),
         settle: secs("settle", 0.6),
         push_delay: secs("push_delay", 0.3),
@@ -106,7 +108,7 @@
         "answer" => {
             to.answered(num(1)? as usize, if words.len() > 2 { old } else { mark }, Span::from_secs(0.3))
         }
-        "heard" => to.heard(num(1)? as u32, num(2)?, num(3)?, Span::from_secs(num(4)?)),
+        "heard" => to.heard(num(1)? as u32, num(2)?, num(3)?, Span::from_secs(num(4)?), &[]),
         "demand" => to.demand(num(1)? as usize, num(2)? as usize, num(3)?, Span::from_secs(1.0)),
         other => return Err(format!("unknown event {other}")),
     }
