--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,7 +13,7 @@
 
 /// A server is slow when its answers take this many times the median (the design's figure).
 const SLOW: f64 = 2.0;
-/// Lost tries in a row, without one success from any zone, that make a server suspect.
+/// Successes in a row that must be missing, from all zones, before a server is suspect.
 const LOST_RUN: f64 = 8.0;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
@@ -64,6 +64,8 @@
     ended: Vec<f64>,
     held: Vec<f64>,
     lost_run: Vec<f64>,
+    /// Running share of successes, as it was before the present run of losses.
+    success: Vec<f64>,
     suspect: Vec<Option<Moment>>,
     slow_since: Vec<Option<Moment>>,
     admit: Vec<f64>,
@@ -82,6 +84,7 @@
             self.suspect.push(None);
             self.slow_since.push(None);
             self.admit.push(1.0);
+            self.success.push(1.0);
             self.told.push(now);
             self.heard.push(now);
             self.cut.push(now);
@@ -100,6 +103,7 @@
         self.suspect[i] = None;
         self.slow_since[i] = None;
         self.admit[i] = 1.0;
+        self.success[i] = 1.0;
     }
 }
 
@@ -321,6 +325,7 @@
         }
         if lost < tries {
             fleet.lost_run[i] = 0.0;
+            fleet.success[i] += ((tries - lost) / tries - fleet.success[i]) * FRESH;
         } else if self.slices.iter().any(|s| s.mine && s.owner == Some(i)) {
             self.fleet.lost_run[i] += lost;
         }
@@ -377,13 +382,14 @@
         (self.facts.cold_from + (1.0 - self.facts.cold_from) * age).clamp(self.facts.cold_from, 1.0)
     }
 
-    /// Guards against servers that answer no one, long before the list tells; hurts if an overloaded server
-    /// fails every try. When half the fleet looks dead the servers are not the cause, and owners stay.
+    /// Guards against servers that answer no one, long before the list tells. A jammed server loses many tries
+    /// too, but it did so before: what counts is how many successes should have come by its share of late.
+    /// When half the fleet looks dead the servers are not the cause, and owners stay.
     fn suspect(&mut self, out: &mut impl Orders) {
         let trial = self.facts.lease.times(4.0);
         let ready: Vec<usize> =
             (0..self.fleet.task.len()).filter(|&i| self.fleet.standing[i] == Standing::Ready).collect();
-        let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] >= LOST_RUN;
+        let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] * f.success[i] >= LOST_RUN;
         let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
         for i in ready.iter().copied() {
             if self.fleet.suspect[i].is_some_and(|at| self.now - at > trial) {
