--- a/src/rules.rs
+++ b/src/rules.rs
@@ -669,7 +669,7 @@
             let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
             let admit = self.fleet.admit[i];
             if strain > 1.0 {
-                self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(1.0)).max(least);
+                self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(1.5)).max(least);
                 self.fleet.cut[i] = self.now;
                 self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
             } else if strain < CALM {
