--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,7 @@
 /// part of it; then its admission is cut or lifted by so much a step.
 const LATE: f64 = 0.45;
 const CALM: f64 = 0.6;
-const CUT: f64 = 0.2;
+const CUT: f64 = 0.33;
 const LIFT: f64 = 0.05;
 const LEAST: f64 = 0.5;
 const LEVEL_STEP: f64 = 0.05;
@@ -146,12 +146,10 @@
     lines: f64,
 }
 
-/// Operations by billed value for their work, of which the latency objective is the best measure told.
-fn cheapest_first(facts: &Facts) -> Vec<usize> {
-    let worth = |k: usize| facts.operations[k].billed_value / facts.operations[k].latency_objective.secs();
-    let mut order: Vec<usize> = (0..facts.operations.len()).collect();
-    order.sort_by(|&a, &b| worth(a).total_cmp(&worth(b)));
-    order
+/// Billed value of an operation for its work, of which the latency objective is the best measure told.
+fn worth(facts: &Facts, operation: usize) -> f64 {
+    let kind = &facts.operations[operation];
+    kind.billed_value / kind.latency_objective.secs()
 }
 
 pub struct Assigner {
@@ -171,6 +169,8 @@
     last_move: Moment,
     last_step: Moment,
     cheapest_first: Vec<usize>,
+    /// Billed value for its work of the cheapest operation, as a part of the dearest's.
+    cheap_for_dear: f64,
     wake_at: Option<Moment>,
     subscribed: bool,
     ask_at: Moment,
@@ -180,6 +180,10 @@
 impl Assigner {
     pub fn new(seed: u64, now: Moment, facts: Facts) -> Self {
         let absent = Stream { joined: false, parted: now, since: 0, asked: 0, answered: 0 };
+        let mut cheapest_first: Vec<usize> = (0..facts.operations.len()).collect();
+        cheapest_first.sort_by(|&a, &b| worth(&facts, a).total_cmp(&worth(&facts, b)));
+        let ends = cheapest_first.first().zip(cheapest_first.last());
+        let cheap_for_dear = ends.map_or(1.0, |(&a, &b)| worth(&facts, a) / worth(&facts, b));
         Assigner {
             chance: Pcg::new(seed),
             now,
@@ -194,7 +198,8 @@
             whole: 0.0,
             last_move: now,
             last_step: now,
-            cheapest_first: cheapest_first(&facts),
+            cheapest_first,
+            cheap_for_dear,
             wake_at: None,
             subscribed: !facts.list_on_request,
             ask_at: now,
@@ -655,6 +660,7 @@
 
     fn step_levels(&mut self) {
         let least = LEAST / self.cheapest_first.len().max(1) as f64;
+        let deepest = CUT * (1.0 - self.cheap_for_dear);
         for i in 0..self.fleet.task.len() {
             let shows = self.order_delay.max(self.facts.push_delay_max) + self.facts.interval.times(2.0);
             if self.now - self.fleet.cut[i] < shows || self.fleet.suspect[i].is_some() {
@@ -669,7 +675,7 @@
             let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
             let admit = self.fleet.admit[i];
             if strain > 1.0 {
-                self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(1.5)).max(least);
+                self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
                 self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
             } else if strain < CALM {
