--- a/src/rules.rs
+++ b/src/rules.rs
@@ -447,11 +447,11 @@
     }
 
     /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here well
-    /// before it shows in the times of what got through.
+    /// before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
         let mine = self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64;
         let pace = self.fleet.ended[i] * LN_2 / self.facts.interval.times(FADE).secs();
-        if self.fleet.ended[i] < ENOUGH { 0.0 } else { self.fleet.held[i] * mine / pace }
+        if self.fleet.held[i] < ENOUGH { 0.0 } else { self.fleet.held[i] * mine / pace.max(1e-3) }
     }
 
     fn median_elapsed(&self) -> Option<f64> {
