--- a/src/rules.rs
+++ b/src/rules.rs
@@ -679,7 +679,8 @@
                 self.fleet.cut[i] = self.now;
                 self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
             } else if strain < CALM {
-                self.fleet.admit[i] = (admit + LIFT).min(1.0);
+                let dear = admit < 1.0 / self.cheapest_first.len() as f64;
+                self.fleet.admit[i] = (admit + if dear { 3.0 * LIFT } else { LIFT }).min(1.0);
             }
         }
     }
