--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,7 +35,7 @@
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.33;
 const LIFT: f64 = 0.05;
-const LEAST: f64 = 0.5;
+const LEAST: f64 = 0.8;
 const LEVEL_STEP: f64 = 0.05;
 /// A rate that lets everything in.
 const UNBOUND: f64 = 1e6;
@@ -679,8 +679,7 @@
                 self.fleet.cut[i] = self.now;
                 self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
             } else if strain < CALM {
-                let dear = admit < 1.0 / self.cheapest_first.len() as f64;
-                self.fleet.admit[i] = (admit + if dear { 3.0 * LIFT } else { LIFT }).min(1.0);
+                self.fleet.admit[i] = (admit + LIFT).min(1.0);
             }
         }
     }
