--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,7 +35,6 @@
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.33;
 const LIFT: f64 = 0.05;
-const LEAST: f64 = 0.8;
 const LEVEL_STEP: f64 = 0.05;
 /// A rate that lets everything in.
 const UNBOUND: f64 = 1e6;
@@ -659,8 +658,8 @@
     }
 
     fn step_levels(&mut self) {
-        let least = LEAST / self.cheapest_first.len().max(1) as f64;
-        let deepest = CUT * (1.0 - self.cheap_for_dear);
+        let spared = 1.0 - self.cheap_for_dear;
+        let (deepest, least) = (CUT * spared, spared / self.cheapest_first.len().max(1) as f64);
         for i in 0..self.fleet.task.len() {
             let shows = self.order_delay.max(self.facts.push_delay_max) + self.facts.interval.times(2.0);
             if self.now - self.fleet.cut[i] < shows || self.fleet.suspect[i].is_some() {
