--- a/src/rules.rs
+++ b/src/rules.rs
@@ -658,8 +658,8 @@
     }
 
     fn step_levels(&mut self) {
-        let spared = 1.0 - self.cheap_for_dear;
-        let (deepest, least) = (CUT * spared, spared / self.cheapest_first.len().max(1) as f64);
+        let deepest = CUT / (1.0 + self.cheap_for_dear);
+        let least = (1.0 - self.cheap_for_dear) / self.cheapest_first.len().max(1) as f64;
         for i in 0..self.fleet.task.len() {
             let shows = self.order_delay.max(self.facts.push_delay_max) + self.facts.interval.times(2.0);
             if self.now - self.fleet.cut[i] < shows || self.fleet.suspect[i].is_some() {
