--- a/src/rules.rs
+++ b/src/rules.rs
@@ -678,12 +678,14 @@
                 self.fleet.cut[i] = self.now;
                 self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
             } else if strain < CALM {
-                self.fleet.admit[i] = (admit + LIFT).min(1.0);
+                let most = if self.warmth(i) < 1.0 { self.usual_admission() } else { 1.0 };
+                self.fleet.admit[i] = (admit + LIFT).min(most);
             }
         }
     }
 
-    /// A server that starts lets in what the others do on average, not all at once into an overload.
+    /// Guards cold servers in an overload: as long as one is cold it lets in what all do on average, or clients
+    /// refused elsewhere come down on it at once.
     fn usual_admission(&self) -> f64 {
         self.usables().map(|i| self.fleet.admit[i]).sum::<f64>() / self.usables().count().max(1) as f64
     }
