--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -84,6 +84,7 @@
         proxies: number(own, "proxy_count")? as usize,
         list_on_request: text(of, "registry_mode")? == "on_request",
         ask_within: span(rules, "ask_within")?,
+        probes: flag(field(of, "policy_limits")?, "probes")?,
         throttle: match text(own, "throttle_by")? {
             "share" => Throttle::Share,
             "rate" => Throttle::Rate,
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -108,6 +108,7 @@
             "caught_up" => {
                 to.answered(index("px")?, number(fields, "number")? as u16, decode::span(fields, "elapsed")?);
             }
+            "checked" => to.probed(number(fields, "task")? as u32, number(fields, "outcome")? == 0.0),
             "heard" => {
                 let (tries, lost) = (number(fields, "tries_n")?, number(fields, "lost")?);
                 let (elapsed, report) = (decode::span(fields, "elapsed")?, decode::report(fields));
--- a/benchlink/src/writer.rs
+++ b/benchlink/src/writer.rs
@@ -33,6 +33,10 @@
         self.orders.push(json!({"keep_informed": {"on": true}}));
     }
 
+    fn probe(&mut self, task: u32) {
+        self.orders.push(json!({"health_check": {"task": task}}));
+    }
+
     fn note(&mut self, text: &str) {
         self.orders.push(json!({"debug": {"line": text}}));
     }
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -24,6 +24,7 @@
     pub proxies: usize,
     pub list_on_request: bool,
     pub ask_within: Span,
+    pub probes: bool,
     pub throttle: Throttle,
     pub again: u8,
     /// Where load reports tell the invocations in hand.
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -13,5 +13,7 @@
     fn mark(&mut self, number: u16);
     fn wake(&mut self, after: Span);
     fn subscribe(&mut self);
+    /// Ask a server whether it is there.
+    fn probe(&mut self, task: u32);
     fn note(&mut self, text: &str);
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -69,6 +69,7 @@
     slow_since: Vec<Option<Moment>>,
     admit: Vec<f64>,
     cut: Vec<Moment>,
+    probed: Vec<Moment>,
 }
 
 impl Fleet {
@@ -87,6 +88,7 @@
             self.told.push(now);
             self.heard.push(now);
             self.cut.push(now);
+            self.probed.push(now);
             self.sums().into_iter().for_each(|sum| sum.push(0.0));
         }
         i
@@ -295,6 +297,14 @@
         }
     }
 
+    /// A probe's result: a suspect that answers is none.
+    pub fn probed(&mut self, task: u32, answered: bool) {
+        let i = self.fleet.at(task, self.now);
+        if answered && self.fleet.suspect[i].is_some() {
+            self.fleet.forget_health(i);
+        }
+    }
+
     /// A proxy's answer to a mark. One to a mark from before its stream, or before a slice's shut, is nothing.
     pub fn answered(&mut self, px: usize, number: u16, elapsed: Span) {
         let mark = self.mark - (self.mark.wrapping_sub(u64::from(number)) & 0xffff).min(self.mark);
@@ -396,6 +406,11 @@
         let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] * f.success[i] >= LOST_RUN;
         let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
         for i in ready.iter().copied() {
+            let due = self.facts.probes && self.now - self.fleet.probed[i] >= self.facts.interval;
+            if due && self.fleet.suspect[i].is_some() {
+                self.fleet.probed[i] = self.now;
+                out.probe(self.fleet.task[i]);
+            }
             if self.fleet.suspect[i].is_some_and(|at| self.now - at > trial) {
                 self.fleet.forget_health(i);
             } else if self.fleet.suspect[i].is_none() && silent(&self.fleet, i) && dead * 2 <= ready.len() {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -38,6 +38,9 @@
     fn subscribe(&mut self) {
         self.orders.push("subscribe".into());
     }
+    fn probe(&mut self, task: u32) {
+        self.orders.push(format!("probe {task}"));
+    }
     fn note(&mut self, _: &str) {}
 }
 
@@ -57,6 +60,7 @@
         proxies: get("proxies", 2.0) as usize,
         list_on_request: given.contains_key("on_request"),
         ask_within: secs("ask_within", 10.0),
+        probes: given.contains_key("probes"),
         throttle: if given.contains_key("no_levels") { Throttle::Ignored } else { Throttle::Share },
         again: 0,
         held_field: Some(0),
@@ -95,6 +99,7 @@
             };
             to.listed(false, false, &words[1..].iter().map(entry).collect::<Vec<_>>());
         }
+        "alive" => to.probed(num(1)? as u32, true),
         "list_failed" => to.list_failed(),
         "custody" => {
             to.custody(num(1)? as usize, true);
