--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,8 +19,9 @@
 const NEAR: f64 = 1.1;
 /// Part of a fair share, times its warmth, that a cold server may hold.
 const COLD_SHARE: f64 = 1.4;
-/// Leases between two moves of the mover, and that a moved slice rests.
+/// Leases between two moves of the mover, intervals a server must stay slow, leases a moved slice rests.
 const MOVE_GAP: f64 = 0.25;
+const SLOW_FOR: f64 = 5.0;
 const REST: f64 = 4.0;
 /// Parts of the messages per proxy up to which each kind of order may be written.
 const FOR_DRAIN: f64 = 1.0;
@@ -65,6 +66,7 @@
     /// Running share of successes, as it was before the present run of losses.
     success: Vec<f64>,
     suspect: Vec<Option<Moment>>,
+    slow_since: Vec<Option<Moment>>,
     admit: Vec<f64>,
     cut: Vec<Moment>,
     probed: Vec<Moment>,
@@ -80,6 +82,7 @@
             self.size.push(1.0);
             self.started.push(None);
             self.suspect.push(None);
+            self.slow_since.push(None);
             self.admit.push(1.0);
             self.success.push(1.0);
             self.told.push(now);
@@ -99,6 +102,7 @@
     fn forget_health(&mut self, i: usize) {
         self.sums().into_iter().for_each(|sum| sum[i] = 0.0);
         self.suspect[i] = None;
+        self.slow_since[i] = None;
         self.admit[i] = 1.0;
         self.success[i] = 1.0;
     }
@@ -600,12 +604,20 @@
     fn balance(&mut self, out: &mut impl Orders) {
         let Some(median) = self.median_elapsed() else { return };
         let fair = self.fair();
+        for i in 0..self.fleet.task.len() {
+            let slow = self.usable(i)
+                && self.elapsed(i).is_some_and(|e| e > median * SLOW)
+                && self.load[i] > fair * self.fleet.size[i];
+            let since = self.fleet.slow_since[i].unwrap_or(self.now);
+            self.fleet.slow_since[i] = slow.then_some(since);
+        }
         if self.now - self.last_move < self.facts.lease.times(MOVE_GAP) || !self.may_write(FOR_MOVER) {
             return;
         }
-        let loaded = |&i: &usize| self.load[i] > fair * self.fleet.size[i];
-        let late = |&i: &usize| self.elapsed(i).is_some_and(|e| e > median * SLOW);
-        let mut slow: Vec<usize> = self.usables().filter(late).filter(loaded).collect();
+        let hold = self.facts.interval.times(SLOW_FOR);
+        let mut slow: Vec<usize> = (0..self.fleet.task.len())
+            .filter(|&i| self.fleet.slow_since[i].is_some_and(|at| self.now - at >= hold))
+            .collect();
         slow.sort_by(|&a, &b| self.ratio(b, 0.0).total_cmp(&self.ratio(a, 0.0)));
         for from in slow {
             self.hand_hottest(from, out);
