--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,7 +21,7 @@
 const COLD_SHARE: f64 = 1.4;
 /// Leases between two moves of the mover, intervals a server must stay slow, leases a moved slice rests.
 const MOVE_GAP: f64 = 0.25;
-const SLOW_FOR: f64 = 5.0;
+const SLOW_FOR: f64 = 8.0;
 const REST: f64 = 4.0;
 /// Parts of the messages per proxy up to which each kind of order may be written.
 const FOR_DRAIN: f64 = 1.0;
