--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,7 +21,7 @@
 const COLD_SHARE: f64 = 1.4;
 /// Leases between two moves of the mover, intervals a server must stay slow, leases a moved slice rests.
 const MOVE_GAP: f64 = 0.25;
-const SLOW_FOR: f64 = 8.0;
+const SLOW_FOR: f64 = 4.0;
 const REST: f64 = 4.0;
 /// Parts of the messages per proxy up to which each kind of order may be written.
 const FOR_DRAIN: f64 = 1.0;
@@ -614,7 +614,8 @@
         if self.now - self.last_move < self.facts.lease.times(MOVE_GAP) || !self.may_write(FOR_MOVER) {
             return;
         }
-        let hold = self.facts.interval.times(SLOW_FOR);
+        let levels = if self.facts.throttle == Throttle::Ignored { 1.0 } else { 2.0 };
+        let hold = self.facts.interval.times(SLOW_FOR * levels);
         let mut slow: Vec<usize> = (0..self.fleet.task.len())
             .filter(|&i| self.fleet.slow_since[i].is_some_and(|at| self.now - at >= hold))
             .collect();
