--- a/src/rules.rs
+++ b/src/rules.rs
@@ -446,11 +446,7 @@
     }
 
     fn ratio(&self, i: usize, extra: f64) -> f64 {
-        let slow = match (self.elapsed(i), self.median_elapsed()) {
-            (Some(e), Some(m)) if e > m => (e / m).min(SLOW),
-            _ => 1.0,
-        };
-        (self.load[i] + extra) * slow / (self.fleet.size[i] * self.warmth(i))
+        (self.load[i] + extra) / (self.fleet.size[i] * self.warmth(i))
     }
 
     /// Mean seconds of a server's late successes, if enough of them are known and not long past.
