--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -78,6 +78,8 @@
             writes: writes.get(k).and_then(Value::as_bool).unwrap_or(false),
         })
     });
+    let fields = list(field(of, "feedback")?, "fields")?;
+    let report_field = |name| fields.iter().position(|f| f == name);
     Ok(Facts {
         operations: operations.collect::<Result<_, Fail>>()?,
         slices: number(own, "shards")? as usize,
@@ -91,7 +93,8 @@
             _ => Throttle::Ignored,
         },
         again: number(own, "retry_default")? as u8,
-        held_field: list(field(of, "feedback")?, "fields")?.iter().position(|f| f == "outstanding"),
+        held_field: report_field("outstanding"),
+        load_field: report_field("utilization").or(report_field("outstanding")),
         interval: span(own, "interval")?,
         bare: span(own, "bare")?,
         lease: span(own, "lease")?,
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -29,6 +29,8 @@
     pub again: u8,
     /// Where load reports tell the invocations in hand.
     pub held_field: Option<usize>,
+    /// A field of load reports that tells a server's whole load.
+    pub load_field: Option<usize>,
     pub interval: Span,
     pub bare: Span,
     pub lease: Span,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,6 +62,8 @@
     /// Fading sum of tries that cuts leave alone, and invocations last reported in hand.
     ended: Vec<f64>,
     held: Vec<f64>,
+    /// Running mean of the load report, whichever field the site has.
+    seen: Vec<Option<f64>>,
     lost_run: Vec<f64>,
     /// Running share of successes, as it was before the present run of losses.
     success: Vec<f64>,
@@ -81,6 +83,7 @@
             self.standing.push(Standing::Gone);
             self.size.push(1.0);
             self.started.push(None);
+            self.seen.push(None);
             self.suspect.push(None);
             self.slow_since.push(None);
             self.admit.push(1.0);
@@ -103,6 +106,7 @@
         self.sums().into_iter().for_each(|sum| sum[i] = 0.0);
         self.suspect[i] = None;
         self.slow_since[i] = None;
+        self.seen[i] = None;
         self.admit[i] = 1.0;
         self.success[i] = 1.0;
     }
@@ -337,6 +341,10 @@
         if let Some(&held) = self.facts.held_field.and_then(|k| report.get(k)) {
             fleet.held[i] = held;
         }
+        if let Some(&value) = self.facts.load_field.and_then(|k| report.get(k)) {
+            let mean = fleet.seen[i].unwrap_or(value);
+            fleet.seen[i] = Some(mean + (value - mean) * FRESH);
+        }
         if lost < tries {
             fleet.lost_run[i] = 0.0;
             fleet.success[i] += ((tries - lost) / tries - fleet.success[i]) * FRESH;
@@ -434,7 +442,8 @@
         })
     }
 
-    /// Load of each server: its slices of this instance, and the same share again for other instances' slices.
+    /// Load of each server: its slices of this instance, and what the load reports show beyond these where
+    /// other instances have slices as well (an even part where no report came).
     fn loads(&self) -> Vec<f64> {
         let mut load = vec![0.0; self.fleet.task.len()];
         for tbl in 0..self.slices.len() {
@@ -442,9 +451,21 @@
                 load[i] += self.heat_or_typical(tbl);
             }
         }
+        let all = load.iter().sum::<f64>() / self.share().max(1e-9);
+        let seen: f64 = self.usables().filter_map(|i| self.fleet.seen[i]).sum();
+        let count = self.usables().count().max(1) as f64;
+        for i in self.usables() {
+            let part = self.fleet.seen[i].filter(|_| seen > 0.0).map_or(self.warmth(i) / count, |s| s / seen);
+            load[i] += (part * all - load[i]).max(0.0) * (1.0 - self.share());
+        }
         load
     }
 
+    /// Part of all slices that is in this instance's charge.
+    fn share(&self) -> f64 {
+        self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64
+    }
+
     fn ratio(&self, i: usize, extra: f64) -> f64 {
         (self.load[i] + extra) / (self.fleet.size[i] * self.warmth(i))
     }
@@ -459,9 +480,8 @@
     /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here well
     /// before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
-        let mine = self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64;
         let pace = self.fleet.ended[i] * LN_2 / self.facts.interval.times(FADE).secs();
-        if self.fleet.held[i] < ENOUGH { 0.0 } else { self.fleet.held[i] * mine / pace.max(1e-3) }
+        if self.fleet.held[i] < ENOUGH { 0.0 } else { self.fleet.held[i] * self.share() / pace.max(1e-3) }
     }
 
     fn median_elapsed(&self) -> Option<f64> {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -64,6 +64,7 @@
         throttle: if given.contains_key("no_levels") { Throttle::Ignored } else { Throttle::Share },
         again: 0,
         held_field: Some(0),
+        load_field: Some(0),
         interval: secs("interval", 1.0),
         bare: secs("bare", 12.0),
         lease: secs("lease", 2.5),
