--- a/src/rules.rs
+++ b/src/rules.rs
@@ -443,7 +443,7 @@
     }
 
     /// Load of each server: its slices of this instance, and what the load reports show beyond these where
-    /// other instances have slices as well (an even part where no report came).
+    /// other instances have slices as well.
     fn loads(&self) -> Vec<f64> {
         let mut load = vec![0.0; self.fleet.task.len()];
         for tbl in 0..self.slices.len() {
@@ -453,9 +453,8 @@
         }
         let all = load.iter().sum::<f64>() / self.share().max(1e-9);
         let seen: f64 = self.usables().filter_map(|i| self.fleet.seen[i]).sum();
-        let count = self.usables().count().max(1) as f64;
         for i in self.usables() {
-            let part = self.fleet.seen[i].filter(|_| seen > 0.0).map_or(self.warmth(i) / count, |s| s / seen);
+            let part = self.fleet.seen[i].unwrap_or(0.0) / seen.max(1e-9);
             load[i] += (part * all - load[i]).max(0.0) * (1.0 - self.share());
         }
         load
