--- a/src/facts.rs
+++ b/src/facts.rs
@@ -27,10 +27,9 @@
     pub probes: bool,
     pub throttle: Throttle,
     pub again: u8,
-    /// Where load reports tell the invocations in hand.
-    pub held_field: Option<usize>,
-    /// A field of load reports that tells a server's whole load.
+    /// The field of load reports that tells a server's whole load, and whether it counts invocations in hand.
     pub load_field: Option<usize>,
+    pub load_is_held: bool,
     pub interval: Span,
     pub bare: Span,
     pub lease: Span,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -59,11 +59,9 @@
     lost: Vec<f64>,
     seconds: Vec<f64>,
     heard: Vec<Moment>,
-    /// Fading sum of tries that cuts leave alone, and invocations last reported in hand.
+    /// Fading sum of tries that cuts leave alone, and running mean of the load reports.
     ended: Vec<f64>,
-    held: Vec<f64>,
-    /// Running mean of the load report, whichever field the site has.
-    seen: Vec<Option<f64>>,
+    seen: Vec<f64>,
     lost_run: Vec<f64>,
     /// Running share of successes, as it was before the present run of losses.
     success: Vec<f64>,
@@ -83,7 +81,6 @@
             self.standing.push(Standing::Gone);
             self.size.push(1.0);
             self.started.push(None);
-            self.seen.push(None);
             self.suspect.push(None);
             self.slow_since.push(None);
             self.admit.push(1.0);
@@ -98,15 +95,14 @@
     }
 
     fn sums(&mut self) -> [&mut Vec<f64>; 6] {
-        let Fleet { tries, lost, seconds, ended, held, lost_run, .. } = self;
-        [tries, lost, seconds, ended, held, lost_run]
+        let Fleet { tries, lost, seconds, ended, seen, lost_run, .. } = self;
+        [tries, lost, seconds, ended, seen, lost_run]
     }
 
     fn forget_health(&mut self, i: usize) {
         self.sums().into_iter().for_each(|sum| sum[i] = 0.0);
         self.suspect[i] = None;
         self.slow_since[i] = None;
-        self.seen[i] = None;
         self.admit[i] = 1.0;
         self.success[i] = 1.0;
     }
@@ -167,8 +163,6 @@
     mark: u64,
     sent: Vec<Sent>,
     lines: f64,
-    /// How long orders have lately taken to take effect: a fading maximum of the answers' times.
-    order_delay: Span,
     load: Vec<f64>,
     whole: f64,
     last_move: Moment,
@@ -198,7 +192,6 @@
             mark: 0,
             sent: Vec::new(),
             lines: 0.0,
-            order_delay: facts.push_delay,
             load: Vec::new(),
             whole: 0.0,
             last_move: now,
@@ -318,7 +311,6 @@
         if !stream.joined || mark <= stream.since.max(stream.answered) {
             return;
         }
-        self.order_delay = elapsed.max(self.order_delay.times(0.9));
         let applied = self.sent.iter().find(|s| s.mark == mark).map_or(self.now, |s| s.at + elapsed);
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
             let needed = handover.mark.max(stream.since + 1);
@@ -338,12 +330,8 @@
         fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
         fleet.ended[i] = fleet.ended[i] * faded + tries;
         fleet.heard[i] = self.now;
-        if let Some(&held) = self.facts.held_field.and_then(|k| report.get(k)) {
-            fleet.held[i] = held;
-        }
-        if let Some(&value) = self.facts.load_field.and_then(|k| report.get(k)) {
-            let mean = fleet.seen[i].unwrap_or(value);
-            fleet.seen[i] = Some(mean + (value - mean) * FRESH);
+        if let Some(value) = self.facts.load_field.and_then(|k| report.get(k)) {
+            fleet.seen[i] += (value - fleet.seen[i]) * FRESH;
         }
         if lost < tries {
             fleet.lost_run[i] = 0.0;
@@ -452,9 +440,9 @@
             }
         }
         let all = load.iter().sum::<f64>() / self.share().max(1e-9);
-        let seen: f64 = self.usables().filter_map(|i| self.fleet.seen[i]).sum();
+        let seen: f64 = self.usables().map(|i| self.fleet.seen[i]).sum();
         for i in self.usables() {
-            let part = self.fleet.seen[i].unwrap_or(0.0) / seen.max(1e-9);
+            let part = self.fleet.seen[i] / seen.max(1e-9);
             load[i] += (part * all - load[i]).max(0.0) * (1.0 - self.share());
         }
         load
@@ -480,7 +468,8 @@
     /// before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
         let pace = self.fleet.ended[i] * LN_2 / self.facts.interval.times(FADE).secs();
-        if self.fleet.held[i] < ENOUGH { 0.0 } else { self.fleet.held[i] * self.share() / pace.max(1e-3) }
+        let queues = self.facts.load_is_held && self.fleet.seen[i] >= ENOUGH;
+        if queues { self.fleet.seen[i] * self.share() / pace.max(1e-3) } else { 0.0 }
     }
 
     fn median_elapsed(&self) -> Option<f64> {
@@ -692,7 +681,7 @@
         let deepest = CUT / (1.0 + self.cheap_for_dear);
         let least = (1.0 - self.cheap_for_dear) / self.cheapest_first.len().max(1) as f64;
         for i in 0..self.fleet.task.len() {
-            let shows = self.order_delay.max(self.facts.push_delay_max) + self.facts.interval.times(2.0);
+            let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
             if self.now - self.fleet.cut[i] < shows || self.fleet.suspect[i].is_some() {
                 continue;
             }
