--- a/src/rules.rs
+++ b/src/rules.rs
@@ -59,8 +59,7 @@
     lost: Vec<f64>,
     seconds: Vec<f64>,
     heard: Vec<Moment>,
-    /// Fading sum of tries that cuts leave alone, and running mean of the load reports.
-    ended: Vec<f64>,
+    /// Running mean of the load reports.
     seen: Vec<f64>,
     lost_run: Vec<f64>,
     /// Running share of successes, as it was before the present run of losses.
@@ -94,9 +93,9 @@
         i
     }
 
-    fn sums(&mut self) -> [&mut Vec<f64>; 6] {
-        let Fleet { tries, lost, seconds, ended, seen, lost_run, .. } = self;
-        [tries, lost, seconds, ended, seen, lost_run]
+    fn sums(&mut self) -> [&mut Vec<f64>; 5] {
+        let Fleet { tries, lost, seconds, seen, lost_run, .. } = self;
+        [tries, lost, seconds, seen, lost_run]
     }
 
     fn forget_health(&mut self, i: usize) {
@@ -328,7 +327,6 @@
         fleet.tries[i] = fleet.tries[i] * faded + tries;
         fleet.lost[i] = fleet.lost[i] * faded + lost;
         fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
-        fleet.ended[i] = fleet.ended[i] * faded + tries;
         fleet.heard[i] = self.now;
         if let Some(value) = self.facts.load_field.and_then(|k| report.get(k)) {
             fleet.seen[i] += (value - fleet.seen[i]) * FRESH;
@@ -467,7 +465,7 @@
     /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here well
     /// before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
-        let pace = self.fleet.ended[i] * LN_2 / self.facts.interval.times(FADE).secs();
+        let pace = self.fleet.tries[i] * LN_2 / self.facts.interval.times(FADE).secs();
         let queues = self.facts.load_is_held && self.fleet.seen[i] >= ENOUGH;
         if queues { self.fleet.seen[i] * self.share() / pace.max(1e-3) } else { 0.0 }
     }
@@ -696,7 +694,6 @@
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
-                self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
             } else if strain < CALM {
                 let most = if self.warmth(i) < 1.0 { self.usual_admission() } else { 1.0 };
                 self.fleet.admit[i] = (admit + LIFT).min(most);
