--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,12 +23,10 @@
 const MOVE_GAP: f64 = 0.25;
 const SLOW_FOR: f64 = 4.0;
 const REST: f64 = 4.0;
-/// Parts of the messages per proxy up to which each kind of order may be written.
+/// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
 const FOR_DRAIN: f64 = 1.0;
 const FOR_OWNER: f64 = 0.85;
-const FOR_JOINER: f64 = 0.7;
-const FOR_LEVELS: f64 = 0.6;
-const FOR_MOVER: f64 = 0.5;
+const FOR_REST: f64 = 0.6;
 /// A server is strained when its answers take this part of the usual latency objective, and calm under that
 /// part of it; then its admission is cut or lifted by so much a step.
 const LATE: f64 = 0.45;
@@ -59,7 +57,8 @@
     lost: Vec<f64>,
     seconds: Vec<f64>,
     heard: Vec<Moment>,
-    /// Running mean of the load reports.
+    /// Fading sum of tries that cuts leave alone, and running mean of the load reports.
+    ended: Vec<f64>,
     seen: Vec<f64>,
     lost_run: Vec<f64>,
     /// Running share of successes, as it was before the present run of losses.
@@ -93,9 +92,9 @@
         i
     }
 
-    fn sums(&mut self) -> [&mut Vec<f64>; 5] {
-        let Fleet { tries, lost, seconds, seen, lost_run, .. } = self;
-        [tries, lost, seconds, seen, lost_run]
+    fn sums(&mut self) -> [&mut Vec<f64>; 6] {
+        let Fleet { tries, lost, seconds, ended, seen, lost_run, .. } = self;
+        [tries, lost, seconds, ended, seen, lost_run]
     }
 
     fn forget_health(&mut self, i: usize) {
@@ -146,12 +145,6 @@
     lines: f64,
 }
 
-/// Billed value of an operation for its work, of which the latency objective is the best measure told.
-fn worth(facts: &Facts, operation: usize) -> f64 {
-    let kind = &facts.operations[operation];
-    kind.billed_value / kind.latency_objective.secs()
-}
-
 pub struct Assigner {
     facts: Facts,
     chance: Pcg,
@@ -178,10 +171,13 @@
 impl Assigner {
     pub fn new(seed: u64, now: Moment, facts: Facts) -> Self {
         let absent = Stream { joined: false, parted: now, since: 0, asked: 0, answered: 0 };
+        // Billed value for the work, of which the latency objective is the best measure told.
+        let worth =
+            |k: usize| facts.operations[k].billed_value / facts.operations[k].latency_objective.secs();
         let mut cheapest_first: Vec<usize> = (0..facts.operations.len()).collect();
-        cheapest_first.sort_by(|&a, &b| worth(&facts, a).total_cmp(&worth(&facts, b)));
+        cheapest_first.sort_by(|&a, &b| worth(a).total_cmp(&worth(b)));
         let ends = cheapest_first.first().zip(cheapest_first.last());
-        let cheap_for_dear = ends.map_or(1.0, |(&a, &b)| worth(&facts, a) / worth(&facts, b));
+        let cheap_for_dear = ends.map_or(1.0, |(&a, &b)| worth(a) / worth(b));
         Assigner {
             chance: Pcg::new(seed),
             now,
@@ -327,6 +323,7 @@
         fleet.tries[i] = fleet.tries[i] * faded + tries;
         fleet.lost[i] = fleet.lost[i] * faded + lost;
         fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
+        fleet.ended[i] = fleet.ended[i] * faded + tries;
         fleet.heard[i] = self.now;
         if let Some(value) = self.facts.load_field.and_then(|k| report.get(k)) {
             fleet.seen[i] += (value - fleet.seen[i]) * FRESH;
@@ -465,7 +462,7 @@
     /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here well
     /// before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
-        let pace = self.fleet.tries[i] * LN_2 / self.facts.interval.times(FADE).secs();
+        let pace = self.fleet.ended[i] * LN_2 / self.facts.interval.times(FADE).secs();
         let queues = self.facts.load_is_held && self.fleet.seen[i] >= ENOUGH;
         if queues { self.fleet.seen[i] * self.share() / pace.max(1e-3) } else { 0.0 }
     }
@@ -613,7 +610,7 @@
             let since = self.fleet.slow_since[i].unwrap_or(self.now);
             self.fleet.slow_since[i] = slow.then_some(since);
         }
-        if self.now - self.last_move < self.facts.lease.times(MOVE_GAP) || !self.may_write(FOR_MOVER) {
+        if self.now - self.last_move < self.facts.lease.times(MOVE_GAP) || !self.may_write(FOR_REST) {
             return;
         }
         let levels = if self.facts.throttle == Throttle::Ignored { 1.0 } else { 2.0 };
@@ -668,7 +665,7 @@
                 (a - was).abs() >= LEVEL_STEP || (a != was && (a == 1.0 || a == 0.0))
             })
             .collect();
-        if !stale.is_empty() && self.may_write(FOR_LEVELS) {
+        if !stale.is_empty() && self.may_write(FOR_REST) {
             for (tbl, admit) in stale {
                 self.write_levels(tbl, admit, out);
             }
@@ -694,6 +691,7 @@
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
+                self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
             } else if strain < CALM {
                 let most = if self.warmth(i) < 1.0 { self.usual_admission() } else { 1.0 };
                 self.fleet.admit[i] = (admit + LIFT).min(most);
@@ -749,7 +747,7 @@
     fn ask_joiners(&mut self, out: &mut impl Orders) {
         let unasked = self.streams.iter().any(|s| s.joined && s.asked <= s.since);
         let pause = self.sent.last().is_none_or(|s| self.now - s.at > self.facts.push_delay);
-        if unasked && pause && self.may_write(FOR_JOINER) {
+        if unasked && pause && self.may_write(FOR_REST) {
             for tbl in self.open().collect::<Vec<_>>() {
                 self.write_shut(tbl, out);
             }
