--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,7 +20,6 @@
 /// Part of a fair share, times its warmth, that a cold server may hold.
 const COLD_SHARE: f64 = 1.4;
 /// Leases between two moves of the mover, intervals a server must stay slow, leases a moved slice rests.
-const MOVE_GAP: f64 = 0.25;
 const SLOW_FOR: f64 = 4.0;
 const REST: f64 = 4.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
@@ -157,7 +156,6 @@
     lines: f64,
     load: Vec<f64>,
     whole: f64,
-    last_move: Moment,
     last_step: Moment,
     cheapest_first: Vec<usize>,
     /// Billed value for its work of the cheapest operation, as a part of the dearest's.
@@ -189,7 +187,6 @@
             lines: 0.0,
             load: Vec::new(),
             whole: 0.0,
-            last_move: now,
             last_step: now,
             cheapest_first,
             cheap_for_dear,
@@ -610,7 +607,7 @@
             let since = self.fleet.slow_since[i].unwrap_or(self.now);
             self.fleet.slow_since[i] = slow.then_some(since);
         }
-        if self.now - self.last_move < self.facts.lease.times(MOVE_GAP) || !self.may_write(FOR_REST) {
+        if !self.may_write(FOR_REST) {
             return;
         }
         let levels = if self.facts.throttle == Throttle::Ignored { 1.0 } else { 2.0 };
@@ -640,7 +637,7 @@
             {
                 self.load[from] -= heat;
                 self.load[to] += heat;
-                self.last_move = self.now;
+                self.fleet.slow_since[from] = None;
                 return self.shut(tbl, false, out);
             }
         }
