--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,9 +19,8 @@
 const NEAR: f64 = 1.1;
 /// Part of a fair share, times its warmth, that a cold server may hold.
 const COLD_SHARE: f64 = 1.4;
-/// Leases between two moves of the mover, intervals a server must stay slow, leases a moved slice rests.
+/// Intervals that a server must stay slow before the mover acts, twice that where levels give relief first.
 const SLOW_FOR: f64 = 4.0;
-const REST: f64 = 4.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
 const FOR_DRAIN: f64 = 1.0;
 const FOR_OWNER: f64 = 0.85;
@@ -122,7 +121,6 @@
     republish: bool,
     generation: u64,
     handover: Option<Handover>,
-    moved: Option<Moment>,
     rate: Option<Vec<f64>>,
     /// What its levels were last written for.
     admitted: Option<f64>,
@@ -610,8 +608,8 @@
         if !self.may_write(FOR_REST) {
             return;
         }
-        let levels = if self.facts.throttle == Throttle::Ignored { 1.0 } else { 2.0 };
-        let hold = self.facts.interval.times(SLOW_FOR * levels);
+        let relief = if self.facts.throttle == Throttle::Ignored { 1.0 } else { 2.0 };
+        let hold = self.facts.interval.times(SLOW_FOR * relief);
         let mut slow: Vec<usize> = (0..self.fleet.task.len())
             .filter(|&i| self.fleet.slow_since[i].is_some_and(|at| self.now - at >= hold))
             .collect();
@@ -623,11 +621,9 @@
 
     /// Shuts the hottest rested slice that some other server can take without being worse off than `from` is.
     fn hand_hottest(&mut self, from: usize, out: &mut impl Orders) {
-        let rest = self.facts.lease.times(REST);
         let mut rested: Vec<(usize, f64)> = (0..self.slices.len())
             .filter(|&t| self.slices[t].mine && self.slices[t].owner == Some(from))
             .filter(|&t| self.slices[t].handover.is_none())
-            .filter(|&t| self.slices[t].moved.is_none_or(|at| self.now - at > rest))
             .map(|t| (t, self.heat_or_typical(t)))
             .collect();
         rested.sort_by(|a, b| b.1.total_cmp(&a.1));
@@ -659,7 +655,7 @@
             .filter_map(|t| Some((t, self.fleet.admit[self.slices[t].owner?])))
             .filter(|&(t, a)| {
                 let was = self.slices[t].admitted.unwrap_or(1.0);
-                (a - was).abs() >= LEVEL_STEP || (a != was && (a == 1.0 || a == 0.0))
+                (a - was).abs() >= LEVEL_STEP || (a == 1.0 && a != was)
             })
             .collect();
         if !stale.is_empty() && self.may_write(FOR_REST) {
@@ -779,9 +775,6 @@
     fn publish(&mut self, tbl: usize, i: usize, out: &mut impl Orders) {
         let slice = &mut self.slices[tbl];
         slice.generation += 1;
-        if slice.owner != Some(i) {
-            slice.moved = Some(self.now);
-        }
         slice.handover = None;
         slice.owner = Some(i);
         out.publish(tbl, self.fleet.task[i]);
