--- a/src/rules.rs
+++ b/src/rules.rs
@@ -152,6 +152,7 @@
     mark: u64,
     sent: Vec<Sent>,
     lines: f64,
+    heat: Vec<f64>,
     load: Vec<f64>,
     whole: f64,
     last_step: Moment,
@@ -183,6 +184,7 @@
             mark: 0,
             sent: Vec::new(),
             lines: 0.0,
+            heat: Vec::new(),
             load: Vec::new(),
             whole: 0.0,
             last_step: now,
@@ -342,10 +344,10 @@
         self.lines = 0.0;
         self.keep_list(out);
         self.suspect(out);
+        self.heat = self.heats();
         self.load = self.loads();
         self.whole = self.whole.max(self.usable_size());
         self.evacuate(out);
-        self.take_over(out);
         self.finish(out);
         self.balance(out);
         self.relieve(out);
@@ -406,18 +408,14 @@
         }
     }
 
-    /// Demand of a slice in seconds of latency objective asked for each second.
-    fn heat(&self, tbl: usize) -> Option<f64> {
-        let rate = self.slices[tbl].rate.as_ref()?;
-        let kinds = &self.facts.operations;
-        Some(rate.iter().zip(kinds).map(|(r, k)| r * k.latency_objective.secs()).sum())
-    }
-
-    fn heat_or_typical(&self, tbl: usize) -> f64 {
-        self.heat(tbl).unwrap_or_else(|| {
-            let known: Vec<f64> = (0..self.slices.len()).filter_map(|t| self.heat(t)).collect();
-            if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 }
-        })
+    /// Demand of each slice in seconds of latency objective asked for each second; the mean where none is known.
+    fn heats(&self) -> Vec<f64> {
+        let aims = self.facts.operations.iter().map(|k| k.latency_objective.secs());
+        let heat = |rate: &Vec<f64>| rate.iter().zip(aims.clone()).map(|(r, aim)| r * aim).sum::<f64>();
+        let known: Vec<Option<f64>> = self.slices.iter().map(|s| s.rate.as_ref().map(heat)).collect();
+        let count = known.iter().flatten().count();
+        let typical = if count > 0 { known.iter().flatten().sum::<f64>() / count as f64 } else { 1.0 };
+        known.into_iter().map(|heat| heat.unwrap_or(typical)).collect()
     }
 
     /// Load of each server: its slices of this instance, and what the load reports show beyond these where
@@ -426,7 +424,7 @@
         let mut load = vec![0.0; self.fleet.task.len()];
         for tbl in 0..self.slices.len() {
             if let (true, Some(i)) = (self.slices[tbl].mine, self.slices[tbl].owner) {
-                load[i] += self.heat_or_typical(tbl);
+                load[i] += self.heat[tbl];
             }
         }
         let all = load.iter().sum::<f64>() / self.share().max(1e-9);
@@ -468,11 +466,6 @@
         all.get(all.len() / 2).copied()
     }
 
-    /// Load per size if all of it lay evenly on the usable servers.
-    fn fair(&self) -> f64 {
-        self.load.iter().sum::<f64>() / self.usable_size().max(1e-9)
-    }
-
     fn usable_size(&self) -> f64 {
         self.usables().map(|i| self.fleet.size[i]).sum()
     }
@@ -504,33 +497,19 @@
         (0..self.slices.len()).filter(|&t| self.slices[t].handover.is_some())
     }
 
-    /// Take-over: what the store names is published again; a slice without owner counts as shut by who died.
-    fn take_over(&mut self, out: &mut impl Orders) {
-        for tbl in 0..self.slices.len() {
-            if !self.slices[tbl].republish || !self.may_write(FOR_OWNER) {
-                continue;
-            }
-            self.slices[tbl].republish = false;
-            match self.slices[tbl].owner {
-                Some(i) if self.usable(i) => self.publish(tbl, i, out),
-                _ => self.shut(tbl, true, out),
-            }
-        }
-    }
-
     /// Publishes what is fenced, hottest first, reopens what stays unresolved.
     fn finish(&mut self, out: &mut impl Orders) {
         if !self.may_write(FOR_OWNER) {
             return;
         }
         let mut open: Vec<usize> = self.open().collect();
-        open.sort_by(|&a, &b| self.heat_or_typical(b).total_cmp(&self.heat_or_typical(a)));
+        open.sort_by(|&a, &b| self.heat[b].total_cmp(&self.heat[a]));
         for tbl in open {
             let Some(handover) = self.slices[tbl].handover else {
                 continue;
             };
             let old = self.slices[tbl].owner;
-            let heat = self.heat_or_typical(tbl);
+            let heat = self.heat[tbl];
             if self.fenced(tbl, handover) {
                 if let Some(i) = self.roomiest(heat, old).or_else(|| self.last_resort(handover)) {
                     if let Some(o) = old {
@@ -570,26 +549,34 @@
         leases.fold(handover.fence, Moment::max) + self.facts.settle
     }
 
-    /// Moves the slices of servers that drain, are gone or are suspect.
+    /// Moves the slices of servers that drain, are gone or are suspect, and those too many for a cold one. On a
+    /// take-over the stored owner is published again; a slice without one counts as shut by who died.
     fn evacuate(&mut self, out: &mut impl Orders) {
-        if !self.may_write(FOR_DRAIN) {
-            return;
-        }
-        for tbl in 0..self.slices.len() {
-            let slice = &self.slices[tbl];
-            let Some(i) = slice.owner.filter(|_| slice.mine) else { continue };
-            let late = self.now - self.fleet.told[i] > self.facts.grace.times(0.5);
-            if let Some(handover) = slice.handover {
-                if !handover.hard && !self.usable(i) && late {
-                    self.slices[tbl].handover = Some(Handover { hard: true, ..handover });
-                    self.write_shut(tbl, out);
+        for tbl in (0..self.slices.len()).filter(|&t| self.slices[t].mine).collect::<Vec<_>>() {
+            let Slice { owner, handover, republish, .. } = self.slices[tbl];
+            let fit = owner.is_some_and(|i| self.usable(i));
+            if !self.may_write(FOR_DRAIN) {
+                return;
+            }
+            match (owner, handover) {
+                (Some(i), Some(handover)) => {
+                    let late = self.now - self.fleet.told[i] > self.facts.grace.times(0.5);
+                    if !handover.hard && !fit && late {
+                        self.slices[tbl].handover = Some(Handover { hard: true, ..handover });
+                        self.write_shut(tbl, out);
+                    }
+                }
+                (Some(i), None) if !fit => {
+                    let draining = self.fleet.standing[i] == Standing::Draining;
+                    self.shut(tbl, !draining || self.fleet.suspect[i].is_some(), out);
+                }
+                (Some(i), None) if !self.fits(i, -0.5 * self.load[i]) => {
+                    self.load[i] -= self.heat[tbl];
+                    self.shut(tbl, true, out);
                 }
-            } else if !self.usable(i) {
-                let serves = self.fleet.standing[i] == Standing::Draining && self.fleet.suspect[i].is_none();
-                self.shut(tbl, !serves, out);
-            } else if !self.fits(i, -0.5 * self.load[i]) {
-                self.load[i] -= self.heat_or_typical(tbl);
-                self.shut(tbl, true, out);
+                (Some(i), None) if republish && self.may_write(FOR_OWNER) => self.publish(tbl, i, out),
+                (None, None) => self.shut(tbl, true, out),
+                _ => {}
             }
         }
     }
@@ -597,7 +584,7 @@
     /// The mover: a slow server loaded above the mean hands its hottest rested slice to the roomiest.
     fn balance(&mut self, out: &mut impl Orders) {
         let Some(median) = self.median_elapsed() else { return };
-        let fair = self.fair();
+        let fair = self.load.iter().sum::<f64>() / self.usable_size().max(1e-9);
         for i in 0..self.fleet.task.len() {
             let slow = self.usable(i)
                 && self.elapsed(i).is_some_and(|e| e > median * SLOW)
@@ -624,7 +611,7 @@
         let mut rested: Vec<(usize, f64)> = (0..self.slices.len())
             .filter(|&t| self.slices[t].mine && self.slices[t].owner == Some(from))
             .filter(|&t| self.slices[t].handover.is_none())
-            .map(|t| (t, self.heat_or_typical(t)))
+            .map(|t| (t, self.heat[t]))
             .collect();
         rested.sort_by(|a, b| b.1.total_cmp(&a.1));
         for (tbl, heat) in rested {
@@ -775,7 +762,7 @@
     fn publish(&mut self, tbl: usize, i: usize, out: &mut impl Orders) {
         let slice = &mut self.slices[tbl];
         slice.generation += 1;
-        slice.handover = None;
+        (slice.handover, slice.republish) = (None, false);
         slice.owner = Some(i);
         out.publish(tbl, self.fleet.task[i]);
         self.lines += 1.0;
