--- a/src/rules.rs
+++ b/src/rules.rs
@@ -570,7 +570,7 @@
                     let draining = self.fleet.standing[i] == Standing::Draining;
                     self.shut(tbl, !draining || self.fleet.suspect[i].is_some(), out);
                 }
-                (Some(i), None) if !self.fits(i, -0.5 * self.load[i]) => {
+                (Some(i), None) if !self.fits(i, -0.25 * self.load[i]) => {
                     self.load[i] -= self.heat[tbl];
                     self.shut(tbl, true, out);
                 }
@@ -581,17 +581,14 @@
         }
     }
 
-    /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. A cold one that
-    /// is slow, be it by its objective alone, is on its way to be pushed over and does so at once.
+    /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest.
     fn balance(&mut self, out: &mut impl Orders) {
         let Some(median) = self.median_elapsed() else { return };
         let fair = self.load.iter().sum::<f64>() / self.usable_size().max(1e-9);
         for i in 0..self.fleet.task.len() {
             let slow = self.usable(i)
-                && self.elapsed(i).is_some_and(|e| {
-                    e > median * SLOW || (self.warmth(i) < 1.0 && e > self.usual_objective(i))
-                })
-                && self.load[i] > fair * self.fleet.size[i] * self.warmth(i);
+                && self.elapsed(i).is_some_and(|e| e > median * SLOW)
+                && self.load[i] > fair * self.fleet.size[i];
             let since = self.fleet.slow_since[i].unwrap_or(self.now);
             self.fleet.slow_since[i] = slow.then_some(since);
         }
@@ -601,9 +598,7 @@
         let relief = if self.facts.throttle == Throttle::Ignored { 1.0 } else { 2.0 };
         let hold = self.facts.interval.times(SLOW_FOR * relief);
         let mut slow: Vec<usize> = (0..self.fleet.task.len())
-            .filter(|&i| {
-                self.fleet.slow_since[i].is_some_and(|at| self.warmth(i) < 1.0 || self.now - at >= hold)
-            })
+            .filter(|&i| self.fleet.slow_since[i].is_some_and(|at| self.now - at >= hold))
             .collect();
         slow.sort_by(|&a, &b| self.ratio(b, 0.0).total_cmp(&self.ratio(a, 0.0)));
         for from in slow {
@@ -626,7 +621,7 @@
                 self.load[from] -= heat;
                 self.load[to] += heat;
                 self.fleet.slow_since[from] = None;
-                return self.shut(tbl, self.warmth(from) < 1.0, out);
+                return self.shut(tbl, false, out);
             }
         }
     }
