--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,7 +19,9 @@
 const NEAR: f64 = 1.1;
 /// Part of a fair share, times its warmth, that a cold server may hold.
 const COLD_SHARE: f64 = 1.4;
-/// Intervals that a server must stay slow before the mover acts, twice that where levels give relief first.
+/// Part of its load that a cold server may have beyond that before it gives slices up, twice that with levels.
+const COLD_SLACK: f64 = 0.25;
+/// Intervals that a server must stay slow before the mover acts, twice that with levels.
 const SLOW_FOR: f64 = 4.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
 const FOR_DRAIN: f64 = 1.0;
@@ -570,7 +572,7 @@
                     let draining = self.fleet.standing[i] == Standing::Draining;
                     self.shut(tbl, !draining || self.fleet.suspect[i].is_some(), out);
                 }
-                (Some(i), None) if !self.fits(i, -0.25 * self.load[i]) => {
+                (Some(i), None) if !self.fits(i, -COLD_SLACK * self.relief() * self.load[i]) => {
                     self.load[i] -= self.heat[tbl];
                     self.shut(tbl, true, out);
                 }
@@ -595,8 +597,7 @@
         if !self.may_write(FOR_REST) {
             return;
         }
-        let relief = if self.facts.throttle == Throttle::Ignored { 1.0 } else { 2.0 };
-        let hold = self.facts.interval.times(SLOW_FOR * relief);
+        let hold = self.facts.interval.times(SLOW_FOR * self.relief());
         let mut slow: Vec<usize> = (0..self.fleet.task.len())
             .filter(|&i| self.fleet.slow_since[i].is_some_and(|at| self.now - at >= hold))
             .collect();
@@ -606,7 +607,12 @@
         }
     }
 
-    /// Shuts the hottest rested slice that some other server can take without being worse off than `from` is.
+    /// Where levels work they give relief first, and moves may wait twice as long.
+    fn relief(&self) -> f64 {
+        if self.facts.throttle == Throttle::Ignored { 1.0 } else { 2.0 }
+    }
+
+    /// Shuts the hottest slice that some other server can take without being worse off than `from` is.
     fn hand_hottest(&mut self, from: usize, out: &mut impl Orders) {
         let mut rested: Vec<(usize, f64)> = (0..self.slices.len())
             .filter(|&t| self.slices[t].mine && self.slices[t].owner == Some(from))
