--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,10 +17,9 @@
 const LOST_RUN: f64 = 8.0;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
-/// Part of a fair share, times its warmth, that a cold server may hold.
-const COLD_SHARE: f64 = 1.4;
-/// Part of its load that a cold server may have beyond that before it gives slices up, twice that with levels.
-const COLD_SLACK: f64 = 0.25;
+/// Part of a fair share, times its warmth, that a cold server may be given, twice that with levels; with double
+/// the load it gives slices up.
+const COLD_SHARE: f64 = 0.7;
 /// Intervals that a server must stay slow before the mover acts, twice that with levels.
 const SLOW_FOR: f64 = 4.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
@@ -477,7 +476,7 @@
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
         let fair = self.load.iter().sum::<f64>() / self.whole.max(1e-9);
-        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * self.usual_admission();
+        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * self.relief() * self.usual_admission();
         warmth >= 1.0 || self.load[i] + extra <= most
     }
 
@@ -572,7 +571,7 @@
                     let draining = self.fleet.standing[i] == Standing::Draining;
                     self.shut(tbl, !draining || self.fleet.suspect[i].is_some(), out);
                 }
-                (Some(i), None) if !self.fits(i, -COLD_SLACK * self.relief() * self.load[i]) => {
+                (Some(i), None) if !self.fits(i, -0.5 * self.load[i]) => {
                     self.load[i] -= self.heat[tbl];
                     self.shut(tbl, true, out);
                 }
