--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -1,6 +1,6 @@
 //! The wire's values, read into the module's own.
 
-use lynxmill::{Facts, Listing, Moment, Operation, Span, Standing, Throttle};
+use lynxmill::{Facts, Listing, Moment, Operation, Span, Standing};
 use serde_json::Value;
 
 pub type Fail = String;
@@ -87,11 +87,7 @@
         list_on_request: text(of, "registry_mode")? == "on_request",
         ask_within: span(rules, "ask_within")?,
         probes: flag(field(of, "policy_limits")?, "probes")?,
-        throttle: match text(own, "throttle_by")? {
-            "share" => Throttle::Share,
-            "rate" => Throttle::Rate,
-            _ => Throttle::Ignored,
-        },
+        levels_work: text(own, "throttle_by")? == "share",
         again: number(own, "retry_default")? as u8,
         load_field: report_field("outstanding").or(report_field("utilization")),
         load_is_held: report_field("outstanding").is_some(),
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -10,13 +10,6 @@
     pub writes: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Throttle {
-    Share,
-    Rate,
-    Ignored,
-}
-
 #[derive(Clone, Debug)]
 pub struct Facts {
     pub operations: Vec<Operation>,
@@ -25,7 +18,7 @@
     pub list_on_request: bool,
     pub ask_within: Span,
     pub probes: bool,
-    pub throttle: Throttle,
+    pub levels_work: bool,
     pub again: u8,
     /// The field of load reports that tells a server's whole load, and whether it counts invocations in hand.
     pub load_field: Option<usize>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 mod rules;
 mod time;
 
-pub use facts::{Facts, Listing, Operation, Standing, Throttle};
+pub use facts::{Facts, Listing, Operation, Standing};
 pub use orders::Orders;
 pub use rules::Assigner;
 pub use time::{Moment, Span};
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 use std::f64::consts::LN_2;
 
 use crate::chance::Pcg;
-use crate::facts::{Facts, Listing, Standing, Throttle};
+use crate::facts::{Facts, Listing, Standing};
 use crate::orders::Orders;
 use crate::time::{Moment, Span};
 
@@ -33,8 +33,6 @@
 const CUT: f64 = 0.33;
 const LIFT: f64 = 0.05;
 const LEVEL_STEP: f64 = 0.05;
-/// A rate that lets everything in.
-const UNBOUND: f64 = 1e6;
 /// Weight of the newest sum in a running mean.
 const FRESH: f64 = 0.5;
 /// Intervals after which a sum counts half, and after which it is too old; tries that make a mean worth having.
@@ -608,7 +606,7 @@
 
     /// Where levels work they give relief first, and moves may wait twice as long.
     fn relief(&self) -> f64 {
-        if self.facts.throttle == Throttle::Ignored { 1.0 } else { 2.0 }
+        if self.facts.levels_work { 2.0 } else { 1.0 }
     }
 
     /// Shuts the hottest slice that some other server can take without being worse off than `from` is.
@@ -635,7 +633,7 @@
     /// least billed value for its work first, and more again as soon as it answers well. Losses weigh only where
     /// answers are slow as well: broken connections alone are no overload, and letting less in would not help.
     fn relieve(&mut self, out: &mut impl Orders) {
-        if self.facts.throttle == Throttle::Ignored {
+        if !self.facts.levels_work {
             return;
         }
         if self.now - self.last_step >= self.facts.interval.max(self.facts.push_delay_max) {
@@ -717,12 +715,6 @@
             if was.is_some_and(|w| self.level(k, w) == level) {
                 continue;
             }
-            let rate = self.slices[tbl].rate.as_ref().map_or(0.0, |r| r[k]);
-            let level = match self.facts.throttle {
-                Throttle::Rate if level < 1.0 => level * rate / self.facts.proxies.max(1) as f64,
-                Throttle::Rate => UNBOUND,
-                _ => level,
-            };
             out.let_in(tbl, 1 << k, level, self.facts.again);
             self.lines += 1.0;
         }
@@ -748,7 +740,7 @@
 
     /// Shuts a slice: where levels work and the owner still serves, for writes alone.
     fn shut(&mut self, tbl: usize, hard: bool, out: &mut impl Orders) {
-        let hard = hard || self.facts.throttle == Throttle::Ignored || self.writes() == 0;
+        let hard = hard || !self.facts.levels_work || self.writes() == 0;
         let (mark, since) = (self.mark + 1, self.now);
         self.slices[tbl].handover = Some(Handover { mark, since, fence: since, hard });
         self.write_shut(tbl, out);
@@ -771,7 +763,7 @@
         slice.owner = Some(i);
         out.publish(tbl, self.fleet.task[i]);
         self.lines += 1.0;
-        if self.facts.throttle != Throttle::Ignored {
+        if self.facts.levels_work {
             slice.admitted = None;
             self.write_levels(tbl, self.fleet.admit[i], out);
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 
-use lynxmill::{Assigner, Facts, Listing, Moment, Operation, Orders, Span, Standing, Throttle};
+use lynxmill::{Assigner, Facts, Listing, Moment, Operation, Orders, Span, Standing};
 use rstest::rstest;
 
 #[derive(Default)]
@@ -61,7 +61,7 @@
         list_on_request: given.contains_key("on_request"),
         ask_within: secs("ask_within", 10.0),
         probes: given.contains_key("probes"),
-        throttle: if given.contains_key("no_levels") { Throttle::Ignored } else { Throttle::Share },
+        levels_work: !given.contains_key("no_levels"),
         again: 0,
         load_field: Some(0),
         load_is_held: true,
