--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,9 +17,8 @@
 const LOST_RUN: f64 = 8.0;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
-/// Part of a fair share, times its warmth, that a cold server may be given, twice that with levels; with double
-/// the load it gives slices up.
-const COLD_SHARE: f64 = 0.7;
+/// Part of a fair share, times its warmth, that a cold server may be given; with double the load it gives up some.
+const COLD_SHARE: f64 = 1.4;
 /// Intervals that a server must stay slow before the mover acts, twice that with levels.
 const SLOW_FOR: f64 = 4.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
@@ -474,7 +473,7 @@
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
         let fair = self.load.iter().sum::<f64>() / self.whole.max(1e-9);
-        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * self.relief() * self.usual_admission();
+        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * self.usual_admission();
         warmth >= 1.0 || self.load[i] + extra <= most
     }
 
@@ -633,9 +632,6 @@
     /// least billed value for its work first, and more again as soon as it answers well. Losses weigh only where
     /// answers are slow as well: broken connections alone are no overload, and letting less in would not help.
     fn relieve(&mut self, out: &mut impl Orders) {
-        if !self.facts.levels_work {
-            return;
-        }
         if self.now - self.last_step >= self.facts.interval.max(self.facts.push_delay_max) {
             self.last_step = self.now;
             self.step_levels();
@@ -648,7 +644,7 @@
                 (a - was).abs() >= LEVEL_STEP || (a == 1.0 && a != was)
             })
             .collect();
-        if !stale.is_empty() && self.may_write(FOR_REST) {
+        if self.facts.levels_work && !stale.is_empty() && self.may_write(FOR_REST) {
             for (tbl, admit) in stale {
                 self.write_levels(tbl, admit, out);
             }
