--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,8 +17,9 @@
 const LOST_RUN: f64 = 8.0;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
-/// Part of a fair share, times its warmth, that a cold server may be given; with double the load it gives up some.
-const COLD_SHARE: f64 = 1.4;
+/// Part of a fair share, times its warmth, that a cold server may be given, twice that with levels; with double
+/// the load it gives slices up.
+const COLD_SHARE: f64 = 0.7;
 /// Intervals that a server must stay slow before the mover acts, twice that with levels.
 const SLOW_FOR: f64 = 4.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
@@ -473,7 +474,7 @@
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
         let fair = self.load.iter().sum::<f64>() / self.whole.max(1e-9);
-        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * self.usual_admission();
+        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * self.relief() * self.usual_admission();
         warmth >= 1.0 || self.load[i] + extra <= most
     }
 
@@ -670,7 +671,9 @@
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
-                self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
+                if self.facts.levels_work {
+                    self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
+                }
             } else if strain < CALM {
                 let most = if self.warmth(i) < 1.0 { self.usual_admission() } else { 1.0 };
                 self.fleet.admit[i] = (admit + LIFT).min(most);
