--- a/src/rules.rs
+++ b/src/rules.rs
@@ -473,8 +473,9 @@
     /// by now. The fleet at its largest counts, as in a smaller one a fair share may be more than anyone can do.
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
+        let admission = if self.facts.levels_work { self.usual_admission() } else { self.fleet.admit[i] };
         let fair = self.load.iter().sum::<f64>() / self.whole.max(1e-9);
-        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * self.relief() * self.usual_admission();
+        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * self.relief() * admission;
         warmth >= 1.0 || self.load[i] + extra <= most
     }
 
