--- a/src/rules.rs
+++ b/src/rules.rs
@@ -560,7 +560,7 @@
             }
             match (owner, handover) {
                 (Some(i), Some(handover)) => {
-                    let late = self.now - self.fleet.told[i] > self.facts.grace.times(0.5);
+                    let late = self.now >= self.harden_at(i);
                     if !handover.hard && !fit && late {
                         self.slices[tbl].handover = Some(Handover { hard: true, ..handover });
                         self.write_shut(tbl, out);
@@ -581,6 +581,11 @@
         }
     }
 
+    /// By then a draining owner must be shut for reads too, or its grace would run out.
+    fn harden_at(&self, i: usize) -> Moment {
+        self.fleet.told[i] + self.facts.grace.times(0.5)
+    }
+
     /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest.
     fn balance(&mut self, out: &mut impl Orders) {
         let Some(median) = self.median_elapsed() else { return };
@@ -725,7 +730,8 @@
         let unasked = self.streams.iter().any(|s| s.joined && s.asked <= s.since);
         let pause = self.sent.last().is_none_or(|s| self.now - s.at > self.facts.push_delay);
         if unasked && pause && self.may_write(FOR_REST) {
-            for tbl in self.open().collect::<Vec<_>>() {
+            let older = |&t: &usize| self.slices[t].handover.is_some_and(|h| h.since < self.now);
+            for tbl in self.open().filter(older).collect::<Vec<_>>() {
                 self.write_shut(tbl, out);
             }
         }
@@ -805,7 +811,9 @@
 
     /// Wakes at the next fence, or after an interval.
     fn sleep(&mut self, out: &mut impl Orders) {
-        let dues = self.open().filter_map(|t| Some(self.fence_due(t, self.slices[t].handover?)));
+        let hardens = self.open().filter_map(|t| Some(self.harden_at(self.slices[t].owner?)));
+        let dues =
+            self.open().filter_map(|t| Some(self.fence_due(t, self.slices[t].handover?))).chain(hardens);
         let at = dues.filter(|&due| due > self.now).fold(self.now + self.facts.interval, Moment::min);
         if self.wake_at.is_none_or(|w| w <= self.now || at < w) {
             self.wake_at = Some(at);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -34,7 +34,9 @@
         self.mark = number;
         self.orders.push("mark".into());
     }
-    fn wake(&mut self, _: Span) {}
+    fn wake(&mut self, after: Span) {
+        self.orders.push(format!("wake {}", after.secs()));
+    }
     fn subscribe(&mut self) {
         self.orders.push("subscribe".into());
     }
