--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,7 @@
 const LIFT: f64 = 0.05;
 const LEVEL_STEP: f64 = 0.05;
 /// Weight of the newest sum in a running mean.
-const FRESH: f64 = 0.5;
+const FRESH: f64 = 0.3;
 /// Intervals after which a sum counts half, and after which it is too old; tries that make a mean worth having.
 const FADE: f64 = 2.0;
 const STALE: f64 = 8.0;
