--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,6 +20,8 @@
 /// Part of a fair share, times its warmth, that a cold server may be given, twice that with levels; with double
 /// the load it gives slices up.
 const COLD_SHARE: f64 = 0.7;
+/// Part of the grace after which a draining owner is shut for reads too; the rest is for orders on their way.
+const HARDEN: f64 = 0.4;
 /// Intervals that a server must stay slow before the mover acts, twice that with levels.
 const SLOW_FOR: f64 = 4.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
@@ -34,7 +36,7 @@
 const LIFT: f64 = 0.05;
 const LEVEL_STEP: f64 = 0.05;
 /// Weight of the newest sum in a running mean.
-const FRESH: f64 = 0.3;
+const FRESH: f64 = 0.5;
 /// Intervals after which a sum counts half, and after which it is too old; tries that make a mean worth having.
 const FADE: f64 = 2.0;
 const STALE: f64 = 8.0;
@@ -583,7 +585,7 @@
 
     /// By then a draining owner must be shut for reads too, or its grace would run out.
     fn harden_at(&self, i: usize) -> Moment {
-        self.fleet.told[i] + self.facts.grace.times(0.5)
+        self.fleet.told[i] + self.facts.grace.times(HARDEN)
     }
 
     /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest.
