--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,7 +19,7 @@
 const NEAR: f64 = 1.1;
 /// Part of a fair share, times its warmth, that a cold server may be given, twice that with levels; with double
 /// the load it gives slices up.
-const COLD_SHARE: f64 = 0.7;
+const COLD_SHARE: f64 = 1.4;
 /// Part of the grace after which a draining owner is shut for reads too; the rest is for orders on their way.
 const HARDEN: f64 = 0.4;
 /// Intervals that a server must stay slow before the mover acts, twice that with levels.
@@ -477,7 +477,7 @@
         let warmth = self.warmth(i);
         let admission = if self.facts.levels_work { self.usual_admission() } else { self.fleet.admit[i] };
         let fair = self.load.iter().sum::<f64>() / self.whole.max(1e-9);
-        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * self.relief() * admission;
+        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * admission;
         warmth >= 1.0 || self.load[i] + extra <= most
     }
 
