--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,6 +15,12 @@
 const SLOW: f64 = 2.0;
 /// Successes in a row that must be missing, from all zones, before a server is suspect.
 const LOST_RUN: f64 = 8.0;
+/// A server is sick that loses over this part for so many intervals while the median server loses less than
+/// this, and unless it is laden with this many times the mean.
+const SICK: f64 = 0.5;
+const SICK_FOR: f64 = 2.0;
+const WELL: f64 = 0.1;
+const LADEN: f64 = 1.5;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
 /// Part of a fair share, times its warmth, that a cold server may be given, twice that with levels; with double
@@ -64,6 +70,7 @@
     success: Vec<f64>,
     suspect: Vec<Option<Moment>>,
     slow_since: Vec<Option<Moment>>,
+    sick_since: Vec<Option<Moment>>,
     admit: Vec<f64>,
     cut: Vec<Moment>,
     probed: Vec<Moment>,
@@ -80,6 +87,7 @@
             self.started.push(None);
             self.suspect.push(None);
             self.slow_since.push(None);
+            self.sick_since.push(None);
             self.admit.push(1.0);
             self.success.push(1.0);
             self.told.push(now);
@@ -100,6 +108,7 @@
         self.sums().into_iter().for_each(|sum| sum[i] = 0.0);
         self.suspect[i] = None;
         self.slow_since[i] = None;
+        self.sick_since[i] = None;
         self.admit[i] = 1.0;
         self.success[i] = 1.0;
     }
@@ -143,6 +152,12 @@
     lines: f64,
 }
 
+fn median(of: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut all: Vec<f64> = of.collect();
+    all.sort_by(f64::total_cmp);
+    all.get(all.len() / 2).copied()
+}
+
 pub struct Assigner {
     facts: Facts,
     chance: Pcg,
@@ -344,9 +359,9 @@
     fn decide(&mut self, out: &mut impl Orders) {
         self.lines = 0.0;
         self.keep_list(out);
-        self.suspect(out);
         self.heat = self.heats();
         self.load = self.loads();
+        self.suspect(out);
         self.whole = self.whole.max(self.usable_size());
         self.evacuate(out);
         self.finish(out);
@@ -386,25 +401,43 @@
     }
 
     /// Guards against servers that answer no one, long before the list tells. A jammed server loses many tries
-    /// too, but it did so before: what counts is how many successes should have come by its share of late.
-    /// When half the fleet looks dead the servers are not the cause, and owners stay.
+    /// too, but it did so before: what counts is how many successes should have come by its share of late. Also
+    /// against sick ones, that lose most for a while though most others lose next to nothing and have as much
+    /// load. When half the fleet looks dead the servers are not the cause, and owners stay.
     fn suspect(&mut self, out: &mut impl Orders) {
-        let trial = self.facts.lease.times(4.0);
         let ready: Vec<usize> =
             (0..self.fleet.task.len()).filter(|&i| self.fleet.standing[i] == Standing::Ready).collect();
-        let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] * f.success[i] >= LOST_RUN;
-        let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
-        for i in ready.iter().copied() {
-            let due = self.facts.probes && self.now - self.fleet.probed[i] >= self.facts.interval;
-            if due && self.fleet.suspect[i].is_some() {
-                self.fleet.probed[i] = self.now;
-                out.probe(self.fleet.task[i]);
+        let share = |f: &Fleet, i: usize| (f.tries[i] >= ENOUGH).then(|| f.lost[i] / f.tries[i]);
+        let usual = median(ready.iter().filter_map(|&i| share(&self.fleet, i))).unwrap_or(0.0);
+        for &i in &ready {
+            if let Some(lost) = share(&self.fleet, i) {
+                let laden = self.load[i] > self.fair() * self.fleet.size[i] * LADEN;
+                let since = self.fleet.sick_since[i].unwrap_or(self.now);
+                self.fleet.sick_since[i] = (lost > SICK && usual < WELL && !laden).then_some(since);
             }
-            if self.fleet.suspect[i].is_some_and(|at| self.now - at > trial) {
-                self.fleet.forget_health(i);
-            } else if self.fleet.suspect[i].is_none() && silent(&self.fleet, i) && dead * 2 <= ready.len() {
+        }
+        let ill = self.facts.interval.times(SICK_FOR);
+        let sick = |f: &Fleet, i: usize| f.sick_since[i].is_some_and(|at| self.now - at >= ill);
+        let silent = |f: &Fleet, i: usize| f.lost_run[i] * f.success[i] >= LOST_RUN || sick(f, i);
+        let bad: Vec<usize> = ready
+            .iter()
+            .copied()
+            .filter(|&i| self.fleet.suspect[i].is_some() || silent(&self.fleet, i))
+            .collect();
+        for &i in &bad {
+            let task = self.fleet.task[i];
+            if let Some(at) = self.fleet.suspect[i] {
+                let due = self.facts.probes && self.now - self.fleet.probed[i] >= self.facts.interval;
+                if due && self.fleet.sick_since[i].is_none() {
+                    self.fleet.probed[i] = self.now;
+                    out.probe(task);
+                }
+                if self.now - at > self.facts.lease.times(4.0) {
+                    self.fleet.forget_health(i);
+                }
+            } else if bad.len() * 2 <= ready.len() {
                 self.fleet.suspect[i] = Some(self.now);
-                out.note(&format!("server {} answers no one, moving its slices", self.fleet.task[i]));
+                out.note(&format!("server {task} answers no one or few, moving its slices"));
             }
         }
     }
@@ -462,9 +495,12 @@
     }
 
     fn median_elapsed(&self) -> Option<f64> {
-        let mut all: Vec<f64> = self.usables().filter_map(|i| self.elapsed(i)).collect();
-        all.sort_by(f64::total_cmp);
-        all.get(all.len() / 2).copied()
+        median(self.usables().filter_map(|i| self.elapsed(i)))
+    }
+
+    /// Load per size if all of it lay evenly on the usable servers.
+    fn fair(&self) -> f64 {
+        self.load.iter().sum::<f64>() / self.usable_size().max(1e-9)
     }
 
     fn usable_size(&self) -> f64 {
@@ -591,7 +627,7 @@
     /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest.
     fn balance(&mut self, out: &mut impl Orders) {
         let Some(median) = self.median_elapsed() else { return };
-        let fair = self.load.iter().sum::<f64>() / self.usable_size().max(1e-9);
+        let fair = self.fair();
         for i in 0..self.fleet.task.len() {
             let slow = self.usable(i)
                 && self.elapsed(i).is_some_and(|e| e > median * SLOW)
