--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,12 +15,6 @@
 const SLOW: f64 = 2.0;
 /// Successes in a row that must be missing, from all zones, before a server is suspect.
 const LOST_RUN: f64 = 8.0;
-/// A server is sick that loses over this part for so many intervals while the median server loses less than
-/// this, and unless it is laden with this many times the mean.
-const SICK: f64 = 0.5;
-const SICK_FOR: f64 = 2.0;
-const WELL: f64 = 0.1;
-const LADEN: f64 = 1.5;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
 /// Part of a fair share, times its warmth, that a cold server may be given, twice that with levels; with double
@@ -40,6 +34,7 @@
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.33;
 const LIFT: f64 = 0.05;
+const BY_THE_BRIM: f64 = 0.2;
 const LEVEL_STEP: f64 = 0.05;
 /// Weight of the newest sum in a running mean.
 const FRESH: f64 = 0.5;
@@ -70,9 +65,10 @@
     success: Vec<f64>,
     suspect: Vec<Option<Moment>>,
     slow_since: Vec<Option<Moment>>,
-    sick_since: Vec<Option<Moment>>,
     admit: Vec<f64>,
     cut: Vec<Moment>,
+    /// The admission at which it was last strained.
+    brim: Vec<f64>,
     probed: Vec<Moment>,
 }
 
@@ -87,12 +83,12 @@
             self.started.push(None);
             self.suspect.push(None);
             self.slow_since.push(None);
-            self.sick_since.push(None);
             self.admit.push(1.0);
             self.success.push(1.0);
             self.told.push(now);
             self.heard.push(now);
             self.cut.push(now);
+            self.brim.push(1.0);
             self.probed.push(now);
             self.sums().into_iter().for_each(|sum| sum.push(0.0));
         }
@@ -108,7 +104,6 @@
         self.sums().into_iter().for_each(|sum| sum[i] = 0.0);
         self.suspect[i] = None;
         self.slow_since[i] = None;
-        self.sick_since[i] = None;
         self.admit[i] = 1.0;
         self.success[i] = 1.0;
     }
@@ -152,12 +147,6 @@
     lines: f64,
 }
 
-fn median(of: impl Iterator<Item = f64>) -> Option<f64> {
-    let mut all: Vec<f64> = of.collect();
-    all.sort_by(f64::total_cmp);
-    all.get(all.len() / 2).copied()
-}
-
 pub struct Assigner {
     facts: Facts,
     chance: Pcg,
@@ -359,9 +348,9 @@
     fn decide(&mut self, out: &mut impl Orders) {
         self.lines = 0.0;
         self.keep_list(out);
+        self.suspect(out);
         self.heat = self.heats();
         self.load = self.loads();
-        self.suspect(out);
         self.whole = self.whole.max(self.usable_size());
         self.evacuate(out);
         self.finish(out);
@@ -401,43 +390,25 @@
     }
 
     /// Guards against servers that answer no one, long before the list tells. A jammed server loses many tries
-    /// too, but it did so before: what counts is how many successes should have come by its share of late. Also
-    /// against sick ones, that lose most for a while though most others lose next to nothing and have as much
-    /// load. When half the fleet looks dead the servers are not the cause, and owners stay.
+    /// too, but it did so before: what counts is how many successes should have come by its share of late.
+    /// When half the fleet looks dead the servers are not the cause, and owners stay.
     fn suspect(&mut self, out: &mut impl Orders) {
+        let trial = self.facts.lease.times(4.0);
         let ready: Vec<usize> =
             (0..self.fleet.task.len()).filter(|&i| self.fleet.standing[i] == Standing::Ready).collect();
-        let share = |f: &Fleet, i: usize| (f.tries[i] >= ENOUGH).then(|| f.lost[i] / f.tries[i]);
-        let usual = median(ready.iter().filter_map(|&i| share(&self.fleet, i))).unwrap_or(0.0);
-        for &i in &ready {
-            if let Some(lost) = share(&self.fleet, i) {
-                let laden = self.load[i] > self.fair() * self.fleet.size[i] * LADEN;
-                let since = self.fleet.sick_since[i].unwrap_or(self.now);
-                self.fleet.sick_since[i] = (lost > SICK && usual < WELL && !laden).then_some(since);
+        let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] * f.success[i] >= LOST_RUN;
+        let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
+        for i in ready.iter().copied() {
+            let due = self.facts.probes && self.now - self.fleet.probed[i] >= self.facts.interval;
+            if due && self.fleet.suspect[i].is_some() {
+                self.fleet.probed[i] = self.now;
+                out.probe(self.fleet.task[i]);
             }
-        }
-        let ill = self.facts.interval.times(SICK_FOR);
-        let sick = |f: &Fleet, i: usize| f.sick_since[i].is_some_and(|at| self.now - at >= ill);
-        let silent = |f: &Fleet, i: usize| f.lost_run[i] * f.success[i] >= LOST_RUN || sick(f, i);
-        let bad: Vec<usize> = ready
-            .iter()
-            .copied()
-            .filter(|&i| self.fleet.suspect[i].is_some() || silent(&self.fleet, i))
-            .collect();
-        for &i in &bad {
-            let task = self.fleet.task[i];
-            if let Some(at) = self.fleet.suspect[i] {
-                let due = self.facts.probes && self.now - self.fleet.probed[i] >= self.facts.interval;
-                if due && self.fleet.sick_since[i].is_none() {
-                    self.fleet.probed[i] = self.now;
-                    out.probe(task);
-                }
-                if self.now - at > self.facts.lease.times(4.0) {
-                    self.fleet.forget_health(i);
-                }
-            } else if bad.len() * 2 <= ready.len() {
+            if self.fleet.suspect[i].is_some_and(|at| self.now - at > trial) {
+                self.fleet.forget_health(i);
+            } else if self.fleet.suspect[i].is_none() && silent(&self.fleet, i) && dead * 2 <= ready.len() {
                 self.fleet.suspect[i] = Some(self.now);
-                out.note(&format!("server {task} answers no one or few, moving its slices"));
+                out.note(&format!("server {} answers no one, moving its slices", self.fleet.task[i]));
             }
         }
     }
@@ -495,12 +466,9 @@
     }
 
     fn median_elapsed(&self) -> Option<f64> {
-        median(self.usables().filter_map(|i| self.elapsed(i)))
-    }
-
-    /// Load per size if all of it lay evenly on the usable servers.
-    fn fair(&self) -> f64 {
-        self.load.iter().sum::<f64>() / self.usable_size().max(1e-9)
+        let mut all: Vec<f64> = self.usables().filter_map(|i| self.elapsed(i)).collect();
+        all.sort_by(f64::total_cmp);
+        all.get(all.len() / 2).copied()
     }
 
     fn usable_size(&self) -> f64 {
@@ -627,7 +595,7 @@
     /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest.
     fn balance(&mut self, out: &mut impl Orders) {
         let Some(median) = self.median_elapsed() else { return };
-        let fair = self.fair();
+        let fair = self.load.iter().sum::<f64>() / self.usable_size().max(1e-9);
         for i in 0..self.fleet.task.len() {
             let slow = self.usable(i)
                 && self.elapsed(i).is_some_and(|e| e > median * SLOW)
@@ -715,12 +683,15 @@
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
+                self.fleet.brim[i] = admit;
                 if self.facts.levels_work {
                     self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
                 }
             } else if strain < CALM {
                 let most = if self.warmth(i) < 1.0 { self.usual_admission() } else { 1.0 };
-                self.fleet.admit[i] = (admit + LIFT).min(most);
+                let near = admit < self.fleet.brim[i] && admit + 2.0 * LIFT > self.fleet.brim[i];
+                let lift = if near { LIFT * BY_THE_BRIM } else { LIFT };
+                self.fleet.admit[i] = (admit + lift).min(most);
             }
         }
     }
