--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,6 @@
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.33;
 const LIFT: f64 = 0.05;
-const BY_THE_BRIM: f64 = 0.2;
 const LEVEL_STEP: f64 = 0.05;
 /// Weight of the newest sum in a running mean.
 const FRESH: f64 = 0.5;
@@ -43,70 +42,59 @@
 const STALE: f64 = 8.0;
 const ENOUGH: f64 = 6.0;
 
-/// What is known of the servers, in parallel arrays under a dense index.
-#[derive(Default)]
-struct Fleet {
-    index: BTreeMap<u32, usize>,
-    task: Vec<u32>,
-    standing: Vec<Standing>,
-    told: Vec<Moment>,
-    size: Vec<f64>,
-    started: Vec<Option<Moment>>,
-    /// Fading sums of what ended there: tries, those lost, and seconds that the others took.
-    tries: Vec<f64>,
-    lost: Vec<f64>,
-    seconds: Vec<f64>,
-    heard: Vec<Moment>,
-    /// Fading sum of tries that cuts leave alone, and running mean of the load reports.
-    ended: Vec<f64>,
-    seen: Vec<f64>,
-    lost_run: Vec<f64>,
-    /// Running share of successes, as it was before the present run of losses.
-    success: Vec<f64>,
-    suspect: Vec<Option<Moment>>,
-    slow_since: Vec<Option<Moment>>,
-    admit: Vec<f64>,
-    cut: Vec<Moment>,
-    /// The admission at which it was last strained.
-    brim: Vec<f64>,
-    probed: Vec<Moment>,
+/// Declares parallel arrays under a dense index: a name, a type and the value that a new entry starts with. The
+/// second group is what a server's restart makes worthless.
+macro_rules! fleet {
+    ($now:ident, $($kept:ident: $kind:ty = $first:expr,)* ; $($health:ident: $sort:ty = $start:expr,)*) => {
+        /// What is known of the servers.
+        #[derive(Default)]
+        struct Fleet {
+            index: BTreeMap<u32, usize>,
+            $($kept: Vec<$kind>,)*
+            $($health: Vec<$sort>,)*
+        }
+
+        impl Fleet {
+            fn at(&mut self, task: u32, $now: Moment) -> usize {
+                let next = self.task.len();
+                let i = *self.index.entry(task).or_insert(next);
+                if i == next {
+                    $(self.$kept.push($first);)*
+                    $(self.$health.push($start);)*
+                    self.task[i] = task;
+                }
+                i
+            }
+
+            fn forget_health(&mut self, i: usize) {
+                $(self.$health[i] = $start;)*
+            }
+        }
+    };
 }
 
-impl Fleet {
-    fn at(&mut self, task: u32, now: Moment) -> usize {
-        let next = self.task.len();
-        let i = *self.index.entry(task).or_insert(next);
-        if i == next {
-            self.task.push(task);
-            self.standing.push(Standing::Gone);
-            self.size.push(1.0);
-            self.started.push(None);
-            self.suspect.push(None);
-            self.slow_since.push(None);
-            self.admit.push(1.0);
-            self.success.push(1.0);
-            self.told.push(now);
-            self.heard.push(now);
-            self.cut.push(now);
-            self.brim.push(1.0);
-            self.probed.push(now);
-            self.sums().into_iter().for_each(|sum| sum.push(0.0));
-        }
-        i
-    }
-
-    fn sums(&mut self) -> [&mut Vec<f64>; 6] {
-        let Fleet { tries, lost, seconds, ended, seen, lost_run, .. } = self;
-        [tries, lost, seconds, ended, seen, lost_run]
-    }
-
-    fn forget_health(&mut self, i: usize) {
-        self.sums().into_iter().for_each(|sum| sum[i] = 0.0);
-        self.suspect[i] = None;
-        self.slow_since[i] = None;
-        self.admit[i] = 1.0;
-        self.success[i] = 1.0;
-    }
+fleet! { now,
+    task: u32 = 0,
+    standing: Standing = Standing::Gone,
+    told: Moment = now,
+    size: f64 = 1.0,
+    started: Option<Moment> = None,
+    heard: Moment = now,
+    cut: Moment = now,
+    probed: Moment = now,
+    ;
+    // Fading sums of what ended there: tries, those lost, seconds that the others took, tries whatever was cut.
+    tries: f64 = 0.0,
+    lost: f64 = 0.0,
+    seconds: f64 = 0.0,
+    ended: f64 = 0.0,
+    // Running mean of the load reports; losses in a row; share of successes before these.
+    seen: f64 = 0.0,
+    lost_run: f64 = 0.0,
+    success: f64 = 1.0,
+    suspect: Option<Moment> = None,
+    slow_since: Option<Moment> = None,
+    admit: f64 = 1.0,
 }
 
 /// A slice on its way from one owner to the next.
@@ -649,16 +637,15 @@
             self.last_step = self.now;
             self.step_levels();
         }
-        let stale: Vec<(usize, f64)> = (0..self.slices.len())
-            .filter(|&t| self.slices[t].mine && self.slices[t].handover.is_none())
-            .filter_map(|t| Some((t, self.fleet.admit[self.slices[t].owner?])))
-            .filter(|&(t, a)| {
-                let was = self.slices[t].admitted.unwrap_or(1.0);
-                (a - was).abs() >= LEVEL_STEP || (a == 1.0 && a != was)
-            })
-            .collect();
-        if self.facts.levels_work && !stale.is_empty() && self.may_write(FOR_REST) {
-            for (tbl, admit) in stale {
+        if !self.facts.levels_work || !self.may_write(FOR_REST) {
+            return;
+        }
+        for tbl in 0..self.slices.len() {
+            let Slice { mine: true, owner: Some(i), handover: None, admitted, .. } = self.slices[tbl] else {
+                continue;
+            };
+            let (admit, was) = (self.fleet.admit[i], admitted.unwrap_or(1.0));
+            if (admit - was).abs() >= LEVEL_STEP || (admit == 1.0 && was < 1.0) {
                 self.write_levels(tbl, admit, out);
             }
         }
@@ -667,31 +654,24 @@
     fn step_levels(&mut self) {
         let deepest = CUT / (1.0 + self.cheap_for_dear);
         let least = (1.0 - self.cheap_for_dear) / self.cheapest_first.len().max(1) as f64;
-        for i in 0..self.fleet.task.len() {
-            let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
-            if self.now - self.fleet.cut[i] < shows || self.fleet.suspect[i].is_some() {
+        let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
+        for i in (0..self.fleet.task.len()).filter(|&i| self.usable(i)).collect::<Vec<_>>() {
+            let (tries, lost, admit) = (self.fleet.tries[i], self.fleet.lost[i], self.fleet.admit[i]);
+            if self.now - self.fleet.cut[i] < shows || (tries >= ENOUGH && lost >= tries) {
                 continue;
             }
-            let (tries, lost) = (self.fleet.tries[i], self.fleet.lost[i]);
             let answer = (self.fleet.seconds[i] / (tries - lost).max(1.0)).max(self.queue_time(i));
             let late = answer / (self.usual_objective(i) * LATE);
-            if tries >= ENOUGH && lost >= tries {
-                continue;
-            }
             let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
-            let admit = self.fleet.admit[i];
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
-                self.fleet.brim[i] = admit;
                 if self.facts.levels_work {
-                    self.fleet.sums()[..3].iter_mut().for_each(|sum| sum[i] = 0.0);
+                    (self.fleet.tries[i], self.fleet.lost[i], self.fleet.seconds[i]) = (0.0, 0.0, 0.0);
                 }
             } else if strain < CALM {
                 let most = if self.warmth(i) < 1.0 { self.usual_admission() } else { 1.0 };
-                let near = admit < self.fleet.brim[i] && admit + 2.0 * LIFT > self.fleet.brim[i];
-                let lift = if near { LIFT * BY_THE_BRIM } else { LIFT };
-                self.fleet.admit[i] = (admit + lift).min(most);
+                self.fleet.admit[i] = (admit + LIFT).min(most);
             }
         }
     }
