--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,11 +83,10 @@
     cut: Moment = now,
     probed: Moment = now,
     ;
-    // Fading sums of what ended there: tries, those lost, seconds that the others took, tries whatever was cut.
+    // Fading sums of what ended there: tries, those lost, seconds that the others took.
     tries: f64 = 0.0,
     lost: f64 = 0.0,
     seconds: f64 = 0.0,
-    ended: f64 = 0.0,
     // Running mean of the load reports; losses in a row; share of successes before these.
     seen: f64 = 0.0,
     lost_run: f64 = 0.0,
@@ -313,7 +312,6 @@
         fleet.tries[i] = fleet.tries[i] * faded + tries;
         fleet.lost[i] = fleet.lost[i] * faded + lost;
         fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
-        fleet.ended[i] = fleet.ended[i] * faded + tries;
         fleet.heard[i] = self.now;
         if let Some(value) = self.facts.load_field.and_then(|k| report.get(k)) {
             fleet.seen[i] += (value - fleet.seen[i]) * FRESH;
@@ -448,7 +446,7 @@
     /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here well
     /// before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
-        let pace = self.fleet.ended[i] * LN_2 / self.facts.interval.times(FADE).secs();
+        let pace = self.fleet.tries[i] * LN_2 / self.facts.interval.times(FADE).secs();
         let queues = self.facts.load_is_held && self.fleet.seen[i] >= ENOUGH;
         if queues { self.fleet.seen[i] * self.share() / pace.max(1e-3) } else { 0.0 }
     }
