--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,10 +83,11 @@
     cut: Moment = now,
     probed: Moment = now,
     ;
-    // Fading sums of what ended there: tries, those lost, seconds that the others took.
+    // Fading sums of what ended there: tries, those lost, seconds that the others took, tries whatever was cut.
     tries: f64 = 0.0,
     lost: f64 = 0.0,
     seconds: f64 = 0.0,
+    ended: f64 = 0.0,
     // Running mean of the load reports; losses in a row; share of successes before these.
     seen: f64 = 0.0,
     lost_run: f64 = 0.0,
@@ -312,6 +313,7 @@
         fleet.tries[i] = fleet.tries[i] * faded + tries;
         fleet.lost[i] = fleet.lost[i] * faded + lost;
         fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
+        fleet.ended[i] = fleet.ended[i] * faded + tries;
         fleet.heard[i] = self.now;
         if let Some(value) = self.facts.load_field.and_then(|k| report.get(k)) {
             fleet.seen[i] += (value - fleet.seen[i]) * FRESH;
@@ -446,7 +448,7 @@
     /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here well
     /// before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
-        let pace = self.fleet.tries[i] * LN_2 / self.facts.interval.times(FADE).secs();
+        let pace = self.fleet.ended[i] * LN_2 / self.facts.interval.times(FADE).secs();
         let queues = self.facts.load_is_held && self.fleet.seen[i] >= ENOUGH;
         if queues { self.fleet.seen[i] * self.share() / pace.max(1e-3) } else { 0.0 }
     }
@@ -659,7 +661,7 @@
                 continue;
             }
             let answer = (self.fleet.seconds[i] / (tries - lost).max(1.0)).max(self.queue_time(i));
-            let late = answer / (self.usual_objective(i) * LATE);
+            let late = answer / (self.usual_objective(admit) * LATE);
             let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
@@ -680,17 +682,13 @@
         self.usables().map(|i| self.fleet.admit[i]).sum::<f64>() / self.usables().count().max(1) as f64
     }
 
-    /// Mean latency objective, in seconds, of what a server's slices let in.
-    fn usual_objective(&self, i: usize) -> f64 {
-        let (mut inv, mut aims) = (1e-9, 0.0);
-        for slice in self.slices.iter().filter(|s| s.mine && s.owner == Some(i)) {
-            for (k, operation) in self.facts.operations.iter().enumerate() {
-                let rate = slice.rate.as_ref().map_or(0.0, |r| r[k]) * self.level(k, self.fleet.admit[i]);
-                inv += rate;
-                aims += rate * operation.latency_objective.secs();
-            }
-        }
-        if aims > 0.0 { aims / inv } else { f64::INFINITY }
+    /// Mean latency objective, in seconds, of what is let in at an admission.
+    fn usual_objective(&self, admit: f64) -> f64 {
+        let rate = |k: usize| self.slices.iter().filter_map(|s| Some(s.rate.as_ref()?[k])).sum::<f64>();
+        let let_in = |k: usize| rate(k) * self.level(k, admit);
+        let kinds = || 0..self.facts.operations.len();
+        let aims: f64 = kinds().map(|k| let_in(k) * self.facts.operations[k].latency_objective.secs()).sum();
+        if aims > 0.0 { aims / kinds().map(let_in).sum::<f64>() } else { f64::INFINITY }
     }
 
     /// A server's admission as a level of one operation: the cheapest is down to nothing before the next gives.
