--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,7 +1,7 @@
 //! Every decision of lynxmill. An adapter makes one `Assigner` per instance with `new` and calls `round` once
 //! for each batch: the feed it passes in calls the method of each event (`listed`, `heard`, `answered`, ...),
-//! which only takes note, and then the round decides and writes through the `Orders` it was given. The interface
-//! is `Orders` in orders.rs, `Facts` and `Listing` in facts.rs, `Moment` and `Span` in time.rs.
+//! which only takes note, and then the round decides and writes through the `Orders` it was given. The
+//! interface is `Orders` in orders.rs, `Facts` and `Listing` in facts.rs, `Moment` and `Span` in time.rs.
 
 use std::collections::BTreeMap;
 use std::f64::consts::LN_2;
@@ -17,8 +17,7 @@
 const LOST_RUN: f64 = 8.0;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
-/// Part of a fair share, times its warmth, that a cold server may be given, twice that with levels; with double
-/// the load it gives slices up.
+/// Part of a fair share, times its warmth, that a cold server may be given; with double it gives slices up.
 const COLD_SHARE: f64 = 1.4;
 /// Part of the grace after which a draining owner is shut for reads too; the rest is for orders on their way.
 const HARDEN: f64 = 0.4;
@@ -37,13 +36,14 @@
 const LEVEL_STEP: f64 = 0.05;
 /// Weight of the newest sum in a running mean.
 const FRESH: f64 = 0.5;
-/// Intervals after which a sum counts half, and after which it is too old; tries that make a mean worth having.
+/// Intervals after which a sum counts half, and after which it is too old; tries that make a mean worth
+/// having.
 const FADE: f64 = 2.0;
 const STALE: f64 = 8.0;
 const ENOUGH: f64 = 6.0;
 
-/// Declares parallel arrays under a dense index: a name, a type and the value that a new entry starts with. The
-/// second group is what a server's restart makes worthless.
+/// Declares parallel arrays under a dense index: a name, a type and the value that a new entry starts with.
+/// The second group is what a server's restart makes worthless.
 macro_rules! fleet {
     ($now:ident, $($kept:ident: $kind:ty = $first:expr,)* ; $($health:ident: $sort:ty = $start:expr,)*) => {
         /// What is known of the servers.
@@ -83,7 +83,8 @@
     cut: Moment = now,
     probed: Moment = now,
     ;
-    // Fading sums of what ended there: tries, those lost, seconds that the others took, tries whatever was cut.
+    // Fading sums of what ended there: tries, those lost, seconds that the others took, tries whatever was
+    // cut.
     tries: f64 = 0.0,
     lost: f64 = 0.0,
     seconds: f64 = 0.0,
@@ -215,7 +216,7 @@
             self.ask_wait = self.facts.interval;
         }
         if complete {
-            for i in 0..self.fleet.task.len() {
+            for i in self.all() {
                 if !entries.iter().any(|e| e.task == self.fleet.task[i]) {
                     self.stand(i, Standing::Gone);
                 }
@@ -287,12 +288,11 @@
         }
     }
 
-    /// A proxy's answer to a mark. One to a mark from before its stream, or before a slice's shut, is nothing.
+    /// A proxy's answer to a mark. One to a mark from before its stream, or before a slice's shut, is
+    /// nothing.
     pub fn answered(&mut self, px: usize, number: u16, elapsed: Span) {
         let mark = self.mark - (self.mark.wrapping_sub(u64::from(number)) & 0xffff).min(self.mark);
-        let Some(stream) = self.streams.get(px).copied() else {
-            return;
-        };
+        let Some(stream) = self.streams.get(px).copied() else { return };
         if !stream.joined || mark <= stream.since.max(stream.answered) {
             return;
         }
@@ -360,8 +360,12 @@
 
     // --- servers ---
 
+    fn all(&self) -> std::ops::Range<usize> {
+        0..self.fleet.task.len()
+    }
+
     fn usables(&self) -> impl Iterator<Item = usize> {
-        (0..self.fleet.task.len()).filter(|&i| self.usable(i))
+        self.all().filter(|&i| self.usable(i))
     }
 
     fn usable(&self, i: usize) -> bool {
@@ -370,20 +374,17 @@
 
     /// Fraction of its capacity that a server surely has by now.
     fn warmth(&self, i: usize) -> f64 {
-        let Some(started) = self.fleet.started[i] else {
-            return 1.0;
-        };
+        let Some(started) = self.fleet.started[i] else { return 1.0 };
         let age = (self.now - started).secs() / self.facts.warm_after.secs().max(1e-3);
         (self.facts.cold_from + (1.0 - self.facts.cold_from) * age).clamp(self.facts.cold_from, 1.0)
     }
 
-    /// Guards against servers that answer no one, long before the list tells. A jammed server loses many tries
-    /// too, but it did so before: what counts is how many successes should have come by its share of late.
-    /// When half the fleet looks dead the servers are not the cause, and owners stay.
+    /// Guards against servers that answer no one, long before the list tells. A jammed server loses many
+    /// tries too, but it did so before: what counts is how many successes should have come by its share of
+    /// late. When half the fleet looks dead the servers are not the cause, and owners stay.
     fn suspect(&mut self, out: &mut impl Orders) {
         let trial = self.facts.lease.times(4.0);
-        let ready: Vec<usize> =
-            (0..self.fleet.task.len()).filter(|&i| self.fleet.standing[i] == Standing::Ready).collect();
+        let ready: Vec<usize> = self.all().filter(|&i| self.fleet.standing[i] == Standing::Ready).collect();
         let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] * f.success[i] >= LOST_RUN;
         let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
         for i in ready.iter().copied() {
@@ -401,7 +402,8 @@
         }
     }
 
-    /// Demand of each slice in seconds of latency objective asked for each second; the mean where none is known.
+    /// Demand of each slice in seconds of latency objective asked for each second; the mean where none is
+    /// known.
     fn heats(&self) -> Vec<f64> {
         let aims = self.facts.operations.iter().map(|k| k.latency_objective.secs());
         let heat = |rate: &Vec<f64>| rate.iter().zip(aims.clone()).map(|(r, aim)| r * aim).sum::<f64>();
@@ -445,8 +447,8 @@
         known.then(|| self.fleet.seconds[i] / succeeded)
     }
 
-    /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here well
-    /// before it shows in the times of what got through. A handful in hand is no queue.
+    /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here
+    /// well before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
         let pace = self.fleet.ended[i] * LN_2 / self.facts.interval.times(FADE).secs();
         let queues = self.facts.load_is_held && self.fleet.seen[i] >= ENOUGH;
@@ -463,8 +465,9 @@
         self.usables().map(|i| self.fleet.size[i]).sum()
     }
 
-    /// Guards cold servers: never more than a fair share, as it is when the fleet is whole, of what they can do
-    /// by now. The fleet at its largest counts, as in a smaller one a fair share may be more than anyone can do.
+    /// Guards cold servers: never more than a fair share, as it is when the fleet is whole, of what they can
+    /// do by now. The fleet at its largest counts, as in a smaller one a fair share may be more than anyone
+    /// can do.
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
         let admission = if self.facts.levels_work { self.usual_admission() } else { self.fleet.admit[i] };
@@ -475,13 +478,9 @@
 
     /// The roomiest usable server for a slice, by chance among near-equals.
     fn roomiest(&mut self, heat: f64, not: Option<usize>) -> Option<usize> {
-        let ratios: Vec<(usize, f64)> = self
-            .usables()
-            .filter(|&i| Some(i) != not && self.fits(i, heat))
-            .map(|i| (i, self.ratio(i, heat)))
-            .collect();
-        let best = ratios.iter().map(|r| r.1).min_by(f64::total_cmp)?;
-        let near: Vec<usize> = ratios.iter().filter(|r| r.1 <= best * NEAR).map(|r| r.0).collect();
+        let fit: Vec<usize> = self.usables().filter(|&i| Some(i) != not && self.fits(i, heat)).collect();
+        let best = fit.iter().map(|&i| self.ratio(i, heat)).min_by(f64::total_cmp)?;
+        let near: Vec<usize> = fit.into_iter().filter(|&i| self.ratio(i, heat) <= best * NEAR).collect();
         Some(near[(self.chance.unit() * near.len() as f64) as usize])
     }
 
@@ -499,9 +498,7 @@
         let mut open: Vec<usize> = self.open().collect();
         open.sort_by(|&a, &b| self.heat[b].total_cmp(&self.heat[a]));
         for tbl in open {
-            let Some(handover) = self.slices[tbl].handover else {
-                continue;
-            };
+            let Some(handover) = self.slices[tbl].handover else { continue };
             let old = self.slices[tbl].owner;
             let heat = self.heat[tbl];
             if self.fenced(tbl, handover) {
@@ -516,18 +513,20 @@
                 && self.now - handover.since > self.facts.lease.times(4.0)
                 && self.usable(i)
             {
-                out.note(&format!("slice {tbl} stays with {}: a proxy keeps silent", self.fleet.task[i]));
+                let (task, generation) = (self.fleet.task[i], self.slices[tbl].generation);
+                out.note(&format!(
+                    "slice {tbl} stays with {task} at generation {generation}: a proxy keeps silent"
+                ));
                 self.publish(tbl, i, out);
             }
         }
     }
 
-    /// Guards against leaving a slice bare: when no server will do for long, the warmest that is listed ready.
+    /// Guards against leaving a slice bare: when no server will do for long, a warm one that is listed ready.
     fn last_resort(&self, handover: Handover) -> Option<usize> {
-        let ready = (0..self.fleet.task.len()).filter(|&i| self.fleet.standing[i] == Standing::Ready);
-        let warm = ready
-            .filter(|&i| self.warmth(i) >= 1.0 && self.now - handover.since > self.facts.bare.times(0.5));
-        warm.min_by(|&a, &b| self.load[a].total_cmp(&self.load[b]))
+        let late = self.now - handover.since > self.facts.bare.times(0.5);
+        let ready = |&i: &usize| late && self.fleet.standing[i] == Standing::Ready && self.warmth(i) >= 1.0;
+        self.all().filter(ready).min_by(|&a, &b| self.load[a].total_cmp(&self.load[b]))
     }
 
     /// The fence: every joined proxy has answered the shut, every other has been gone for a lease, and what
@@ -543,8 +542,8 @@
         leases.fold(handover.fence, Moment::max) + self.facts.settle
     }
 
-    /// Moves the slices of servers that drain, are gone or are suspect, and those too many for a cold one. On a
-    /// take-over the stored owner is published again; a slice without one counts as shut by who died.
+    /// Moves the slices of servers that drain, are gone or are suspect, and those too many for a cold one. On
+    /// a take-over the stored owner is published again; a slice without one counts as shut by who died.
     fn evacuate(&mut self, out: &mut impl Orders) {
         for tbl in (0..self.slices.len()).filter(|&t| self.slices[t].mine).collect::<Vec<_>>() {
             let Slice { owner, handover, republish, .. } = self.slices[tbl];
@@ -553,12 +552,9 @@
                 return;
             }
             match (owner, handover) {
-                (Some(i), Some(handover)) => {
-                    let late = self.now >= self.harden_at(i);
-                    if !handover.hard && !fit && late {
-                        self.slices[tbl].handover = Some(Handover { hard: true, ..handover });
-                        self.write_shut(tbl, out);
-                    }
+                (Some(i), Some(soft)) if !soft.hard && !fit && self.now >= self.harden_at(i) => {
+                    self.slices[tbl].handover = Some(Handover { hard: true, ..soft });
+                    self.write_shut(tbl, out);
                 }
                 (Some(i), None) if !fit => {
                     let draining = self.fleet.standing[i] == Standing::Draining;
@@ -584,23 +580,20 @@
     fn balance(&mut self, out: &mut impl Orders) {
         let Some(median) = self.median_elapsed() else { return };
         let fair = self.load.iter().sum::<f64>() / self.usable_size().max(1e-9);
-        for i in 0..self.fleet.task.len() {
-            let slow = self.usable(i)
-                && self.elapsed(i).is_some_and(|e| e > median * SLOW)
-                && self.load[i] > fair * self.fleet.size[i];
+        let hold = self.facts.interval.times(SLOW_FOR * self.relief());
+        let mut due: Vec<usize> = Vec::new();
+        for i in self.all() {
+            let late = self.usable(i) && self.elapsed(i).is_some_and(|e| e > median * SLOW);
             let since = self.fleet.slow_since[i].unwrap_or(self.now);
+            let slow = late && self.load[i] > fair * self.fleet.size[i];
             self.fleet.slow_since[i] = slow.then_some(since);
+            due.extend((slow && self.now - since >= hold).then_some(i));
         }
-        if !self.may_write(FOR_REST) {
-            return;
-        }
-        let hold = self.facts.interval.times(SLOW_FOR * self.relief());
-        let mut slow: Vec<usize> = (0..self.fleet.task.len())
-            .filter(|&i| self.fleet.slow_since[i].is_some_and(|at| self.now - at >= hold))
-            .collect();
-        slow.sort_by(|&a, &b| self.ratio(b, 0.0).total_cmp(&self.ratio(a, 0.0)));
-        for from in slow {
-            self.hand_hottest(from, out);
+        due.sort_by(|&a, &b| self.ratio(b, 0.0).total_cmp(&self.ratio(a, 0.0)));
+        for from in due {
+            if self.may_write(FOR_REST) {
+                self.hand_hottest(from, out);
+            }
         }
     }
 
@@ -611,13 +604,12 @@
 
     /// Shuts the hottest slice that some other server can take without being worse off than `from` is.
     fn hand_hottest(&mut self, from: usize, out: &mut impl Orders) {
-        let mut rested: Vec<(usize, f64)> = (0..self.slices.len())
-            .filter(|&t| self.slices[t].mine && self.slices[t].owner == Some(from))
-            .filter(|&t| self.slices[t].handover.is_none())
-            .map(|t| (t, self.heat[t]))
-            .collect();
-        rested.sort_by(|a, b| b.1.total_cmp(&a.1));
-        for (tbl, heat) in rested {
+        let its = |&t: &usize| self.slices[t].owner == Some(from) && self.slices[t].handover.is_none();
+        let mut held: Vec<usize> =
+            (0..self.slices.len()).filter(|t| self.slices[*t].mine).filter(its).collect();
+        held.sort_by(|&a, &b| self.heat[b].total_cmp(&self.heat[a]));
+        for tbl in held {
+            let heat = self.heat[tbl];
             if let Some(to) = self.roomiest(heat, Some(from))
                 && self.ratio(to, heat) * NEAR < self.ratio(from, 0.0)
             {
@@ -629,9 +621,10 @@
         }
     }
 
-    /// Guards against overload, whatever lies behind it: a strained server lets in less, the operation with the
-    /// least billed value for its work first, and more again as soon as it answers well. Losses weigh only where
-    /// answers are slow as well: broken connections alone are no overload, and letting less in would not help.
+    /// Guards against overload, whatever lies behind it: a strained server lets in less, the operation with
+    /// the least billed value for its work first, and more again as soon as it answers well. Losses weigh
+    /// only where answers are slow as well: broken connections alone are no overload, and letting less in
+    /// would not help.
     fn relieve(&mut self, out: &mut impl Orders) {
         if self.now - self.last_step >= self.facts.interval.max(self.facts.push_delay_max) {
             self.last_step = self.now;
@@ -676,8 +669,8 @@
         }
     }
 
-    /// Guards cold servers in an overload: as long as one is cold it lets in what all do on average, or clients
-    /// refused elsewhere come down on it at once.
+    /// Guards cold servers in an overload: as long as one is cold it lets in what all do on average, or
+    /// clients refused elsewhere come down on it at once.
     fn usual_admission(&self) -> f64 {
         self.usables().map(|i| self.fleet.admit[i]).sum::<f64>() / self.usables().count().max(1) as f64
     }
@@ -691,7 +684,8 @@
         if aims > 0.0 { aims / kinds().map(let_in).sum::<f64>() } else { f64::INFINITY }
     }
 
-    /// A server's admission as a level of one operation: the cheapest is down to nothing before the next gives.
+    /// A server's admission as a level of one operation: the cheapest is down to nothing before the next
+    /// gives.
     fn level(&self, operation: usize, admit: f64) -> f64 {
         let kinds = self.cheapest_first.len();
         let rank = self.cheapest_first.iter().position(|&k| k == operation).unwrap_or(0);
@@ -760,8 +754,8 @@
         }
     }
 
-    /// The one account of messages per proxy and lines waiting. `part` of the allowance is for such orders; the
-    /// rest is kept for what may not wait (drains first). What joins a message already due costs none.
+    /// The one account of messages per proxy and lines waiting. `part` of the allowance is for such orders;
+    /// the rest is kept for what may not wait (drains first). What joins a message already due costs none.
     fn may_write(&self, part: f64) -> bool {
         let recent = self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count();
         let allowed = self.facts.pushes_allowed as f64 * part;
