--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -84,7 +84,7 @@
 }
 
 /// One event line: `list 1 2 cold:3 drain:4 gone:5`, `custody 0 1` (slice and stored owner), `join 0`, `part
-/// 0`, `answer 0 [old]`, `heard 1 tries lost seconds`, `demand 0 operation tries`.
+/// 0`, `answer 0 [old]`, `heard 1 tries lost seconds [held]`, `demand 0 operation tries`.
 fn feed(to: &mut Assigner, line: &str, now: f64, mark: u16, old: u16) -> Result<(), String> {
     let words: Vec<&str> = line.split_whitespace().collect();
     let num = |k: usize| words[k].parse::<f64>().map_err(|e| format!("{line}: {e}"));
@@ -116,7 +116,10 @@
         "answer" => {
             to.answered(num(1)? as usize, if words.len() > 2 { old } else { mark }, Span::from_secs(0.3))
         }
-        "heard" => to.heard(num(1)? as u32, num(2)?, num(3)?, Span::from_secs(num(4)?), &[]),
+        "heard" => {
+            let report: Vec<f64> = words.get(5).map(|w| w.parse().expect(line)).into_iter().collect();
+            to.heard(num(1)? as u32, num(2)?, num(3)?, Span::from_secs(num(4)?), &report);
+        }
         "demand" => to.demand(num(1)? as usize, num(2)? as usize, num(3)?, Span::from_secs(1.0)),
         other => return Err(format!("unknown event {other}")),
     }
