--- a/src/rules.rs
+++ b/src/rules.rs
@@ -148,7 +148,7 @@
     lines: f64,
     heat: Vec<f64>,
     load: Vec<f64>,
-    whole: f64,
+    cold_fair: f64,
     last_step: Moment,
     cheapest_first: Vec<usize>,
     /// Billed value for its work of the cheapest operation, as a part of the dearest's.
@@ -180,7 +180,7 @@
             lines: 0.0,
             heat: Vec::new(),
             load: Vec::new(),
-            whole: 0.0,
+            cold_fair: 0.0,
             last_step: now,
             cheapest_first,
             cheap_for_dear,
@@ -339,7 +339,7 @@
         self.suspect(out);
         self.heat = self.heats();
         self.load = self.loads();
-        self.whole = self.whole.max(self.usable_size());
+        self.cold_fair = self.fair_success();
         self.evacuate(out);
         self.finish(out);
         self.balance(out);
@@ -465,15 +465,20 @@
         self.usables().map(|i| self.fleet.size[i]).sum()
     }
 
-    /// Guards cold servers: never more than a fair share, as it is when the fleet is whole, of what they can
-    /// do by now. The fleet at its largest counts, as in a smaller one a fair share may be more than anyone
-    /// can do.
+    /// Guards cold servers: they hold no more than a fair share, by their warmth, of what all lately succeeded in.
+    /// Demand is no measure, as in an overload, or with the fleet shrunk, a fair share of it is more than anyone
+    /// can do; and after a start nothing is known, so a cold server gets nothing yet.
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
-        let admission = if self.facts.levels_work { self.usual_admission() } else { self.fleet.admit[i] };
-        let fair = self.load.iter().sum::<f64>() / self.whole.max(1e-9);
-        let most = fair * self.fleet.size[i] * warmth * COLD_SHARE * admission;
-        warmth >= 1.0 || self.load[i] + extra <= most
+        warmth >= 1.0 || self.load[i] + extra <= self.cold_fair * self.fleet.size[i] * warmth * COLD_SHARE
+    }
+
+    /// What the usable servers succeed in, in the measure of heat, by size and warmth.
+    fn fair_success(&self) -> f64 {
+        let succeeded: f64 = self.usables().map(|i| self.fleet.ended[i] * self.fleet.success[i]).sum();
+        let able: f64 = self.usables().map(|i| self.fleet.size[i] * self.warmth(i)).sum();
+        let span = self.facts.interval.times(FADE / LN_2).secs();
+        succeeded / span / able.max(1e-9) * self.usual_objective(self.usual_admission()).min(1e9)
     }
 
     /// The roomiest usable server for a slice, by chance among near-equals.
