--- a/src/rules.rs
+++ b/src/rules.rs
@@ -765,7 +765,8 @@
         let recent = self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count();
         let allowed = self.facts.pushes_allowed as f64 * part;
         let even = self.facts.reload_span.times(1.0 / self.facts.pushes_allowed.max(1) as f64);
-        let spaced = part >= FOR_DRAIN || self.sent.last().is_none_or(|s| self.now - s.at >= even);
+        let plenty = part >= FOR_DRAIN && recent as f64 <= allowed * FOR_REST;
+        let spaced = plenty || self.sent.last().is_none_or(|s| self.now - s.at >= even);
         let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (recent + 1) as f64 <= allowed);
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
         let waiting: f64 = self.sent.iter().filter(|s| s.mark > answered).map(|s| s.lines).sum();
