--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,6 +27,8 @@
 const FOR_DRAIN: f64 = 1.0;
 const FOR_OWNER: f64 = 0.85;
 const FOR_REST: f64 = 0.6;
+/// Up to this part drains need not even keep the spacing that makes the messages last.
+const PLENTY: f64 = 0.3;
 /// A server is strained when its answers take this part of the usual latency objective, and calm under that
 /// part of it; then its admission is cut or lifted by so much a step.
 const LATE: f64 = 0.45;
@@ -764,8 +766,8 @@
     fn may_write(&self, part: f64) -> bool {
         let recent = self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count();
         let allowed = self.facts.pushes_allowed as f64 * part;
-        let even = self.facts.reload_span.times(1.0 / self.facts.pushes_allowed.max(1) as f64);
-        let plenty = part >= FOR_DRAIN && recent as f64 <= allowed * FOR_REST;
+        let even = self.push_span().times(1.0 / self.facts.pushes_allowed.max(1) as f64);
+        let plenty = part >= FOR_DRAIN && recent as f64 <= allowed * PLENTY;
         let spaced = plenty || self.sent.last().is_none_or(|s| self.now - s.at >= even);
         let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (recent + 1) as f64 <= allowed);
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
