--- a/src/rules.rs
+++ b/src/rules.rs
@@ -567,7 +567,7 @@
                     let draining = self.fleet.standing[i] == Standing::Draining;
                     self.shut(tbl, !draining || self.fleet.suspect[i].is_some(), out);
                 }
-                (Some(i), None) if !self.fits(i, -0.25 * self.relief() * self.load[i]) => {
+                (Some(i), None) if !self.fits(i, -0.5 * self.load[i]) => {
                     self.load[i] -= self.heat[tbl];
                     self.shut(tbl, true, out);
                 }
