--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,9 +31,8 @@
 const PLENTY: f64 = 0.3;
 /// A server is strained when its answers take this part of the usual latency objective, and calm under that
 /// part of it; then its admission is cut or lifted by so much a step.
-const LATE: f64 = 0.45;
+const LATE: f64 = 0.33;
 const CALM: f64 = 0.6;
-const BUSY: f64 = 0.9;
 const CUT: f64 = 0.33;
 const LIFT: f64 = 0.05;
 const LEVEL_STEP: f64 = 0.05;
@@ -96,6 +95,8 @@
     seen: f64 = 0.0,
     lost_run: f64 = 0.0,
     success: f64 = 1.0,
+    // Quickest mean answer seen.
+    base: f64 = f64::INFINITY,
     suspect: Option<Moment> = None,
     slow_since: Option<Moment> = None,
     admit: f64 = 1.0,
@@ -458,13 +459,6 @@
         if queues { self.fleet.seen[i] * self.share() / pace.max(1e-3) } else { 0.0 }
     }
 
-    /// How near its cores are to being busy all the time, where load reports tell: if they are not, slow answers
-    /// are the work's own, and letting less in would not help.
-    fn busy(&self, i: usize) -> f64 {
-        let told = self.facts.load_field.is_some() && !self.facts.load_is_held;
-        if told { (self.fleet.seen[i] / BUSY).min(1.0).powi(2) } else { 1.0 }
-    }
-
     fn median_elapsed(&self) -> Option<f64> {
         let mut all: Vec<f64> = self.usables().filter_map(|i| self.elapsed(i)).collect();
         all.sort_by(f64::total_cmp);
@@ -669,8 +663,11 @@
                 continue;
             }
             let answer = (self.fleet.seconds[i] / (tries - lost).max(1.0)).max(self.queue_time(i));
-            let late = answer / (self.usual_objective(admit) * LATE);
-            let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) * self.busy(i) };
+            let base = self.elapsed(i).map_or(self.fleet.base[i], |e| e.min(self.fleet.base[i]));
+            self.fleet.base[i] = base;
+            let room = (self.usual_objective(admit) - base) * LATE;
+            let late = if room > 0.0 { (answer - base) / room } else { 1.0 };
+            let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
