--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,7 @@
 const PLENTY: f64 = 0.3;
 /// A server is strained when its answers take this part of the usual latency objective, and calm under that
 /// part of it; then its admission is cut or lifted by so much a step.
-const LATE: f64 = 0.33;
+const LATE: f64 = 0.45;
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.33;
 const LIFT: f64 = 0.05;
@@ -97,8 +97,6 @@
     seen: f64 = 0.0,
     lost_run: f64 = 0.0,
     success: f64 = 1.0,
-    // Quickest mean answer seen.
-    base: f64 = f64::INFINITY,
     suspect: Option<Moment> = None,
     slow_since: Option<Moment> = None,
     admit: f64 = 1.0,
@@ -669,10 +667,7 @@
                 continue;
             }
             let answer = (self.fleet.seconds[i] / (tries - lost).max(1.0)).max(self.queue_time(i));
-            let base = self.elapsed(i).map_or(self.fleet.base[i], |e| e.min(self.fleet.base[i]));
-            self.fleet.base[i] = base;
-            let room = (self.usual_objective(admit) - base) * LATE;
-            let late = if room > 0.0 { (answer - base) / room } else { 1.0 };
+            let late = answer / (self.usual_objective(admit) * LATE);
             let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
             if strain > 1.0 {
                 self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
