--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,6 +15,8 @@
 const SLOW: f64 = 2.0;
 /// A server with less than this part of a fair share has room to spare.
 const ROOMY: f64 = 0.5;
+/// A server that lets in less than this refuses a good part.
+const REFUSES: f64 = 0.9;
 /// Successes in a row that must be missing, from all zones, before a server is suspect.
 const LOST_RUN: f64 = 8.0;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
@@ -586,7 +588,8 @@
     }
 
     /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. Where most are
-    /// slow the median tells nothing, so while one has room to spare, late by the objective is slow as well.
+    /// slow the median tells nothing, so while one has room to spare, late by the objective is slow as well, and so is one
+    /// that answers well only because it refuses.
     fn balance(&mut self, out: &mut impl Orders) {
         let Some(median) = self.median_elapsed() else { return };
         let fair = self.load.iter().sum::<f64>() / self.usable_size().max(1e-9);
@@ -596,7 +599,8 @@
         let slow_from = if roomy { objective.min(median * SLOW) } else { median * SLOW };
         let mut due: Vec<usize> = Vec::new();
         for i in self.all() {
-            let late = self.usable(i) && self.elapsed(i).is_some_and(|e| e > slow_from);
+            let refuses = roomy && self.fleet.admit[i] < REFUSES;
+            let late = self.usable(i) && (refuses || self.elapsed(i).is_some_and(|e| e > slow_from));
             let since = self.fleet.slow_since[i].unwrap_or(self.now);
             let slow = late && self.load[i] > fair * self.fleet.size[i];
             self.fleet.slow_since[i] = slow.then_some(since);
