--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,7 +13,8 @@
 
 /// A server is slow when its answers take this many times the median (the design's figure).
 const SLOW: f64 = 2.0;
-/// A server with less than this part of a fair share has room to spare.
+/// A server as warm as this with less than this part of a fair share has room to spare.
+const WARM: f64 = 0.7;
 const ROOMY: f64 = 0.5;
 /// A server that lets in less than this refuses a good part.
 const REFUSES: f64 = 0.9;
@@ -594,7 +595,8 @@
         let Some(median) = self.median_elapsed() else { return };
         let fair = self.load.iter().sum::<f64>() / self.usable_size().max(1e-9);
         let hold = self.facts.interval.times(SLOW_FOR * self.relief());
-        let roomy = self.usables().any(|i| self.load[i] < fair * self.fleet.size[i] * self.warmth(i) * ROOMY);
+        let spare = |i: usize| self.warmth(i) >= WARM && self.load[i] < fair * self.fleet.size[i] * ROOMY;
+        let roomy = self.usables().any(spare);
         let objective = self.usual_objective(1.0) * LATE;
         let slow_from = if roomy { objective.min(median * SLOW) } else { median * SLOW };
         let mut due: Vec<usize> = Vec::new();
