--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,7 +15,7 @@
 const SLOW: f64 = 2.0;
 /// A server as warm as this with less than this part of a fair share has room to spare.
 const WARM: f64 = 0.7;
-const ROOMY: f64 = 0.5;
+const ROOMY: f64 = 0.33;
 /// A server that lets in less than this refuses a good part.
 const REFUSES: f64 = 0.9;
 /// Successes in a row that must be missing, from all zones, before a server is suspect.
