--- a/src/rules.rs
+++ b/src/rules.rs
@@ -291,7 +291,7 @@
     pub fn probed(&mut self, task: u32, answered: bool) {
         let i = self.fleet.at(task, self.now);
         if answered && self.fleet.suspect[i].is_some() {
-            self.fleet.forget_health(i);
+            (self.fleet.suspect[i], self.fleet.lost_run[i]) = (None, 0.0);
         }
     }
 
@@ -590,7 +590,7 @@
 
     /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. Where most are
     /// slow the median tells nothing, so while one has room to spare, late by the objective is slow as well, and so is one
-    /// that answers well only because it refuses.
+    /// that answers well only because it refuses. Where all others are well the server is sick, and hands most.
     fn balance(&mut self, out: &mut impl Orders) {
         let Some(median) = self.median_elapsed() else { return };
         let fair = self.load.iter().sum::<f64>() / self.usable_size().max(1e-9);
@@ -609,10 +609,10 @@
             due.extend((slow && self.now - since >= hold).then_some(i));
         }
         due.sort_by(|&a, &b| self.ratio(b, 0.0).total_cmp(&self.ratio(a, 0.0)));
+        let calm = median < objective && self.usual_admission() >= REFUSES;
         for from in due {
-            if self.may_write(FOR_REST) {
-                self.hand_hottest(from, out);
-            }
+            let enough = if calm { fair * self.fleet.size[from] * ROOMY } else { self.load[from] };
+            while self.may_write(FOR_REST) && self.hand_hottest(from, out) && self.load[from] > enough {}
         }
     }
 
@@ -622,10 +622,10 @@
     }
 
     /// Shuts the hottest slice that some other server can take without being worse off than `from` is.
-    fn hand_hottest(&mut self, from: usize, out: &mut impl Orders) {
-        let its = |&t: &usize| self.slices[t].owner == Some(from) && self.slices[t].handover.is_none();
-        let mut held: Vec<usize> =
-            (0..self.slices.len()).filter(|t| self.slices[*t].mine).filter(its).collect();
+    fn hand_hottest(&mut self, from: usize, out: &mut impl Orders) -> bool {
+        let its = |&t: &usize| self.slices[t].mine && self.slices[t].owner == Some(from);
+        let held = (0..self.slices.len()).filter(its).filter(|&t| self.slices[t].handover.is_none());
+        let mut held: Vec<usize> = held.collect();
         held.sort_by(|&a, &b| self.heat[b].total_cmp(&self.heat[a]));
         for tbl in held {
             let heat = self.heat[tbl];
@@ -635,9 +635,11 @@
                 self.load[from] -= heat;
                 self.load[to] += heat;
                 self.fleet.slow_since[from] = None;
-                return self.shut(tbl, false, out);
+                self.shut(tbl, false, out);
+                return true;
             }
         }
+        false
     }
 
     /// Guards against overload, whatever lies behind it: a strained server lets in less, the operation with
