--- a/src/rules.rs
+++ b/src/rules.rs
@@ -291,7 +291,7 @@
     pub fn probed(&mut self, task: u32, answered: bool) {
         let i = self.fleet.at(task, self.now);
         if answered && self.fleet.suspect[i].is_some() {
-            (self.fleet.suspect[i], self.fleet.lost_run[i]) = (None, 0.0);
+            self.fleet.forget_health(i);
         }
     }
 
@@ -609,7 +609,7 @@
             due.extend((slow && self.now - since >= hold).then_some(i));
         }
         due.sort_by(|&a, &b| self.ratio(b, 0.0).total_cmp(&self.ratio(a, 0.0)));
-        let calm = median < objective && self.usual_admission() >= REFUSES;
+        let calm = !self.facts.levels_work && median < objective && self.usual_admission() >= REFUSES;
         for from in due {
             let enough = if calm { fair * self.fleet.size[from] * ROOMY } else { self.load[from] };
             while self.may_write(FOR_REST) && self.hand_hottest(from, out) && self.load[from] > enough {}
