--- a/src/rules.rs
+++ b/src/rules.rs
@@ -569,8 +569,10 @@
                     self.write_shut(tbl, out);
                 }
                 (Some(i), None) if !fit => {
-                    let draining = self.fleet.standing[i] == Standing::Draining;
-                    self.shut(tbl, !draining || self.fleet.suspect[i].is_some(), out);
+                    // A later message for reads may not be had once messages are scarce.
+                    let serves =
+                        self.fleet.standing[i] == Standing::Draining && self.fleet.suspect[i].is_none();
+                    self.shut(tbl, !(serves && self.plenty()), out);
                 }
                 (Some(i), None) if !self.fits(i, -0.5 * self.load[i]) => {
                     self.load[i] -= self.heat[tbl];
@@ -778,17 +780,25 @@
     /// The one account of messages per proxy and lines waiting. `part` of the allowance is for such orders;
     /// the rest is kept for what may not wait (drains first). What joins a message already due costs none.
     fn may_write(&self, part: f64) -> bool {
-        let recent = self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count();
         let allowed = self.facts.pushes_allowed as f64 * part;
         let even = self.push_span().times(1.0 / self.facts.pushes_allowed.max(1) as f64);
-        let plenty = part >= FOR_DRAIN && recent as f64 <= allowed * PLENTY;
-        let spaced = plenty || self.sent.last().is_none_or(|s| self.now - s.at >= even);
-        let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (recent + 1) as f64 <= allowed);
+        let spaced =
+            (part >= FOR_DRAIN && self.plenty()) || self.sent.last().is_none_or(|s| self.now - s.at >= even);
+        let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (self.recent() + 1) as f64 <= allowed);
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
         let waiting: f64 = self.sent.iter().filter(|s| s.mark > answered).map(|s| s.lines).sum();
         few && waiting + self.cost(self.lines) < self.facts.most_waiting * 0.5
     }
 
+    fn recent(&self) -> usize {
+        self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count()
+    }
+
+    fn plenty(&self) -> bool {
+        let allowed = self.facts.pushes_allowed as f64;
+        allowed == 0.0 || self.recent() as f64 <= allowed * PLENTY
+    }
+
     /// Messages may bunch up on their way, so the span in which they are counted is that much longer.
     fn push_span(&self) -> Span {
         self.facts.reload_span + self.facts.push_delay_max
