--- a/src/rules.rs
+++ b/src/rules.rs
@@ -128,7 +128,7 @@
 }
 
 /// A proxy's stream: the marks it has been asked and has answered count only from `since` on.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Stream {
     joined: bool,
     parted: Moment,
@@ -157,7 +157,8 @@
     load: Vec<f64>,
     cold_fair: f64,
     last_step: Moment,
-    cheapest_first: Vec<usize>,
+    /// How many operations are dearer than each.
+    dearer: Vec<f64>,
     /// Billed value for its work of the cheapest operation, as a part of the dearest's.
     cheap_for_dear: f64,
     wake_at: Option<Moment>,
@@ -168,14 +169,14 @@
 
 impl Assigner {
     pub fn new(seed: u64, now: Moment, facts: Facts) -> Self {
-        let absent = Stream { joined: false, parted: now, since: 0, asked: 0, answered: 0 };
+        let absent = Stream { parted: now, ..Stream::default() };
         // Billed value for the work, of which the latency objective is the best measure told.
         let worth =
             |k: usize| facts.operations[k].billed_value / facts.operations[k].latency_objective.secs();
-        let mut cheapest_first: Vec<usize> = (0..facts.operations.len()).collect();
-        cheapest_first.sort_by(|&a, &b| worth(a).total_cmp(&worth(b)));
-        let ends = cheapest_first.first().zip(cheapest_first.last());
-        let cheap_for_dear = ends.map_or(1.0, |(&a, &b)| worth(a) / worth(b));
+        let kinds = 0..facts.operations.len();
+        let dearer = |k: usize| kinds.clone().filter(|&o| (worth(o), k) > (worth(k), o)).count() as f64;
+        let ends = kinds.clone().map(worth).fold((f64::MAX, f64::MIN), |(a, b), w| (a.min(w), b.max(w)));
+        let (dearer, cheap_for_dear) = (kinds.clone().map(dearer).collect(), ends.0 / ends.1);
         Assigner {
             chance: Pcg::new(seed),
             now,
@@ -189,7 +190,7 @@
             load: Vec::new(),
             cold_fair: 0.0,
             last_step: now,
-            cheapest_first,
+            dearer,
             cheap_for_dear,
             wake_at: None,
             subscribed: !facts.list_on_request,
@@ -272,9 +273,8 @@
     }
 
     pub fn joined(&mut self, px: usize) {
-        while self.streams.len() <= px {
-            let parted = self.now;
-            self.streams.push(Stream { joined: false, parted, since: 0, asked: 0, answered: 0 });
+        if self.streams.len() <= px {
+            self.streams.resize(px + 1, Stream { parted: self.now, ..Stream::default() });
         }
         let stream = &mut self.streams[px];
         *stream = Stream { joined: true, since: self.mark, asked: 0, answered: 0, ..*stream };
@@ -342,7 +342,10 @@
 
     fn decide(&mut self, out: &mut impl Orders) {
         self.lines = 0.0;
-        self.keep_list(out);
+        if !self.subscribed && self.now >= self.ask_at {
+            self.ask_at = self.now + self.facts.ask_within;
+            out.subscribe();
+        }
         self.suspect(out);
         self.heat = self.heats();
         self.load = self.loads();
@@ -358,13 +361,6 @@
         self.sleep(out);
     }
 
-    fn keep_list(&mut self, out: &mut impl Orders) {
-        if !self.subscribed && self.now >= self.ask_at {
-            self.ask_at = self.now + self.facts.ask_within;
-            out.subscribe();
-        }
-    }
-
     // --- servers ---
 
     fn all(&self) -> std::ops::Range<usize> {
@@ -462,16 +458,6 @@
         if queues { self.fleet.seen[i] * self.share() / pace.max(1e-3) } else { 0.0 }
     }
 
-    fn median_elapsed(&self) -> Option<f64> {
-        let mut all: Vec<f64> = self.usables().filter_map(|i| self.elapsed(i)).collect();
-        all.sort_by(f64::total_cmp);
-        all.get(all.len() / 2).copied()
-    }
-
-    fn usable_size(&self) -> f64 {
-        self.usables().map(|i| self.fleet.size[i]).sum()
-    }
-
     /// Guards cold servers: they hold no more than a fair share, by their warmth, of what all lately succeeded in.
     /// Demand is no measure, as in an overload, or with the fleet shrunk, a fair share of it is more than anyone
     /// can do; and after a start nothing is known, so a cold server gets nothing yet.
@@ -594,9 +580,13 @@
     /// slow the median tells nothing, so while one has room to spare, late by the objective is slow as well, and so is one
     /// that answers well only because it refuses. Where all others are well the server is sick, and hands most.
     fn balance(&mut self, out: &mut impl Orders) {
-        let Some(median) = self.median_elapsed() else { return };
-        let fair = self.load.iter().sum::<f64>() / self.usable_size().max(1e-9);
-        let hold = self.facts.interval.times(SLOW_FOR * self.relief());
+        let mut answers: Vec<f64> = self.usables().filter_map(|i| self.elapsed(i)).collect();
+        answers.sort_by(f64::total_cmp);
+        let Some(&median) = answers.get(answers.len() / 2) else { return };
+        let size: f64 = self.usables().map(|i| self.fleet.size[i]).sum();
+        let fair = self.load.iter().sum::<f64>() / size.max(1e-9);
+        // Where levels work they give relief first, and moves may wait twice as long.
+        let hold = self.facts.interval.times(if self.facts.levels_work { 2.0 * SLOW_FOR } else { SLOW_FOR });
         let spare = |i: usize| self.warmth(i) >= WARM && self.load[i] < fair * self.fleet.size[i] * ROOMY;
         let roomy = self.usables().any(spare);
         let objective = self.usual_objective(1.0) * LATE;
@@ -618,11 +608,6 @@
         }
     }
 
-    /// Where levels work they give relief first, and moves may wait twice as long.
-    fn relief(&self) -> f64 {
-        if self.facts.levels_work { 2.0 } else { 1.0 }
-    }
-
     /// Shuts the hottest slice that some other server can take without being worse off than `from` is.
     fn hand_hottest(&mut self, from: usize, out: &mut impl Orders) -> bool {
         let its = |&t: &usize| self.slices[t].mine && self.slices[t].owner == Some(from);
@@ -669,7 +654,7 @@
 
     fn step_levels(&mut self) {
         let deepest = CUT / (1.0 + self.cheap_for_dear);
-        let least = (1.0 - self.cheap_for_dear) / self.cheapest_first.len().max(1) as f64;
+        let least = (1.0 - self.cheap_for_dear) / self.dearer.len().max(1) as f64;
         let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
         for i in (0..self.fleet.task.len()).filter(|&i| self.usable(i)).collect::<Vec<_>>() {
             let (tries, lost, admit) = (self.fleet.tries[i], self.fleet.lost[i], self.fleet.admit[i]);
@@ -710,9 +695,8 @@
     /// A server's admission as a level of one operation: the cheapest is down to nothing before the next
     /// gives.
     fn level(&self, operation: usize, admit: f64) -> f64 {
-        let kinds = self.cheapest_first.len();
-        let rank = self.cheapest_first.iter().position(|&k| k == operation).unwrap_or(0);
-        (admit * kinds as f64 - (kinds - 1 - rank) as f64).clamp(0.0, 1.0)
+        let kinds = self.dearer.len() as f64;
+        (admit * kinds - self.dearer[operation]).clamp(0.0, 1.0)
     }
 
     fn write_levels(&mut self, tbl: usize, admit: f64, out: &mut impl Orders) {
