--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,8 +22,6 @@
 const LOST_RUN: f64 = 8.0;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
-/// While old servers drain, load on those as old counts this much more: they are likely to be next.
-const LEAVING: f64 = 1.5;
 /// Part of a fair share, times its warmth, that a cold server may be given; with double it gives slices up.
 const COLD_SHARE: f64 = 1.4;
 /// Part of the grace after which a draining owner is shut for reads too; the rest is for orders on their way.
@@ -479,14 +477,8 @@
     /// The roomiest usable server for a slice, by chance among near-equals.
     fn roomiest(&mut self, heat: f64, not: Option<usize>) -> Option<usize> {
         let fit: Vec<usize> = self.usables().filter(|&i| Some(i) != not && self.fits(i, heat)).collect();
-        let drains =
-            |&i: &usize| self.fleet.standing[i] != Standing::Ready && self.fleet.started[i].is_none();
-        let recent = |&i: &usize| self.now - self.fleet.told[i] < self.facts.warm_after;
-        let rolling = self.all().filter(drains).any(|i| recent(&i));
-        let leaving = |i: usize| if rolling && self.fleet.started[i].is_none() { LEAVING } else { 1.0 };
-        let cost = |i: usize| self.ratio(i, heat) * leaving(i);
-        let best = fit.iter().map(|&i| cost(i)).min_by(f64::total_cmp)?;
-        let near: Vec<usize> = fit.into_iter().filter(|&i| cost(i) <= best * NEAR).collect();
+        let best = fit.iter().map(|&i| self.ratio(i, heat)).min_by(f64::total_cmp)?;
+        let near: Vec<usize> = fit.into_iter().filter(|&i| self.ratio(i, heat) <= best * NEAR).collect();
         Some(near[(self.chance.unit() * near.len() as f64) as usize])
     }
 
