--- a/src/rules.rs
+++ b/src/rules.rs
@@ -96,7 +96,7 @@
     lost: f64 = 0.0,
     seconds: f64 = 0.0,
     ended: f64 = 0.0,
-    // Running mean of the load reports; losses in a row; share of successes before these.
+    // The last load report; losses in a row; share of successes before these.
     seen: f64 = 0.0,
     lost_run: f64 = 0.0,
     success: f64 = 1.0,
@@ -323,7 +323,7 @@
         fleet.ended[i] = fleet.ended[i] * faded + tries;
         fleet.heard[i] = self.now;
         if let Some(value) = self.facts.load_field.and_then(|k| report.get(k)) {
-            fleet.seen[i] += (value - fleet.seen[i]) * FRESH;
+            fleet.seen[i] = *value;
         }
         if lost < tries {
             fleet.lost_run[i] = 0.0;
