--- a/src/rules.rs
+++ b/src/rules.rs
@@ -96,7 +96,7 @@
     lost: f64 = 0.0,
     seconds: f64 = 0.0,
     ended: f64 = 0.0,
-    // The last load report; losses in a row; share of successes before these.
+    // Load report; losses in a row; share of successes before these.
     seen: f64 = 0.0,
     lost_run: f64 = 0.0,
     success: f64 = 1.0,
@@ -323,7 +323,9 @@
         fleet.ended[i] = fleet.ended[i] * faded + tries;
         fleet.heard[i] = self.now;
         if let Some(value) = self.facts.load_field.and_then(|k| report.get(k)) {
-            fleet.seen[i] = *value;
+            // A count in hand shows a jam at once; how busy the cores are swings, so its mean is kept.
+            let weight = if self.facts.load_is_held { 1.0 } else { FRESH };
+            fleet.seen[i] += (value - fleet.seen[i]) * weight;
         }
         if lost < tries {
             fleet.lost_run[i] = 0.0;
