--- a/src/rules.rs
+++ b/src/rules.rs
@@ -442,7 +442,7 @@
     }
 
     fn ratio(&self, i: usize, extra: f64) -> f64 {
-        (self.load[i] + extra) / (self.fleet.size[i] * self.warmth(i))
+        (self.load[i] + extra).max(0.0) / (self.fleet.size[i] * self.warmth(i))
     }
 
     /// Mean seconds of a server's late successes, if enough of them are known and not long past.
