--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,7 +27,6 @@
 /// Part of the grace after which a draining owner is shut for reads too; the rest is for orders on their way.
 const HARDEN: f64 = 0.4;
 /// Intervals that a server must stay slow before the mover acts, twice that with levels.
-const FULL: f64 = 0.9;
 const SLOW_FOR: f64 = 4.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
 const FOR_DRAIN: f64 = 1.0;
@@ -588,6 +587,8 @@
         let Some(&median) = answers.get(answers.len() / 2) else { return };
         let size: f64 = self.usables().map(|i| self.fleet.size[i]).sum();
         let fair = self.load.iter().sum::<f64>() / size.max(1e-9);
+        // Where levels work they give relief first, and moves may wait twice as long.
+        let hold = self.facts.interval.times(if self.facts.levels_work { 2.0 * SLOW_FOR } else { SLOW_FOR });
         let spare = |i: usize| self.warmth(i) >= WARM && self.load[i] < fair * self.fleet.size[i] * ROOMY;
         let roomy = self.usables().any(spare);
         let objective = self.usual_objective(1.0) * LATE;
@@ -599,10 +600,7 @@
             let since = self.fleet.slow_since[i].unwrap_or(self.now);
             let slow = late && self.load[i] > fair * self.fleet.size[i];
             self.fleet.slow_since[i] = slow.then_some(since);
-            // Where levels work they give relief first, and moves may wait, unless its cores are surely full.
-            let full = !self.facts.load_is_held && self.fleet.seen[i] >= FULL;
-            let patience = if self.facts.levels_work && !full { 2.0 * SLOW_FOR } else { SLOW_FOR };
-            due.extend((slow && self.now - since >= self.facts.interval.times(patience)).then_some(i));
+            due.extend((slow && self.now - since >= hold).then_some(i));
         }
         due.sort_by(|&a, &b| self.ratio(b, 0.0).total_cmp(&self.ratio(a, 0.0)));
         let calm = !self.facts.levels_work && median < objective && self.usual_admission() >= REFUSES;
