--- a/src/rules.rs
+++ b/src/rules.rs
@@ -381,7 +381,8 @@
     fn warmth(&self, i: usize) -> f64 {
         let Some(started) = self.fleet.started[i] else { return 1.0 };
         let age = (self.now - started).secs() / self.facts.warm_after.secs().max(1e-3);
-        (self.facts.cold_from + (1.0 - self.facts.cold_from) * age).clamp(self.facts.cold_from, 1.0)
+        let least = self.facts.cold_from.clamp(0.01, 1.0);
+        (least + (1.0 - least) * age).clamp(least, 1.0)
     }
 
     /// Guards against servers that answer no one, long before the list tells. A jammed server loses many
