--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -69,13 +69,11 @@
 
 pub fn facts(of: &Value) -> Result<Facts, Fail> {
     let (own, rules) = (field(of, "specifics")?, field(of, "rules")?);
-    let writes = list(own, "class_writes")?;
-    let operations = list(of, "classes")?.iter().enumerate().map(|(k, class)| {
+    let operations = list(of, "classes")?.iter().map(|class| {
         Ok(Operation {
             name: text(class, "name")?.to_owned(),
             billed_value: number(class, "credit")?,
             latency_objective: span(class, "slo")?,
-            writes: writes.get(k).and_then(Value::as_bool).unwrap_or(false),
         })
     });
     let fields = list(field(of, "feedback")?, "fields")?;
@@ -101,7 +99,6 @@
         most_waiting: number(own, "most_waiting")?,
         pushes_allowed: number(own, "pushes_allowed")? as usize,
         reload_span: span(own, "reload_span")?,
-        grace: span(rules, "stop_sending_within")?,
         cold_from: number(rules, "cold_from")?,
         warm_after: span(rules, "warm_after")?,
     })
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -7,7 +7,6 @@
     pub name: String,
     pub billed_value: f64,
     pub latency_objective: Span,
-    pub writes: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -33,7 +32,6 @@
     pub most_waiting: f64,
     pub pushes_allowed: usize,
     pub reload_span: Span,
-    pub grace: Span,
     pub cold_from: f64,
     pub warm_after: Span,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,8 +24,6 @@
 const NEAR: f64 = 1.1;
 /// Part of a fair share, times its warmth, that a cold server may be given; with double it gives slices up.
 const COLD_SHARE: f64 = 1.4;
-/// Part of the grace after which a draining owner is shut for reads too; the rest is for orders on their way.
-const HARDEN: f64 = 0.4;
 /// Intervals that a server must stay slow before the mover acts, twice that with levels.
 const SLOW_FOR: f64 = 4.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
@@ -83,7 +81,6 @@
 fleet! { now,
     task: u32 = 0,
     standing: Standing = Standing::Gone,
-    told: Moment = now,
     size: f64 = 1.0,
     started: Option<Moment> = None,
     heard: Moment = now,
@@ -111,7 +108,6 @@
     mark: u64,
     since: Moment,
     fence: Moment,
-    hard: bool,
 }
 
 #[derive(Clone, Default)]
@@ -243,11 +239,7 @@
     }
 
     fn stand(&mut self, i: usize, standing: Standing) {
-        let was = self.fleet.standing[i];
-        if was == Standing::Ready || standing == Standing::Ready {
-            self.fleet.told[i] = self.now;
-        }
-        if was == Standing::Gone && standing == Standing::Ready {
+        if self.fleet.standing[i] == Standing::Gone && standing == Standing::Ready {
             self.fleet.forget_health(i);
         }
         self.fleet.standing[i] = standing;
@@ -553,32 +545,18 @@
                 return;
             }
             match (owner, handover) {
-                (Some(i), Some(soft)) if !soft.hard && !fit && self.now >= self.harden_at(i) => {
-                    self.slices[tbl].handover = Some(Handover { hard: true, ..soft });
-                    self.write_shut(tbl, out);
-                }
-                (Some(i), None) if !fit => {
-                    // A later message for reads may not be had once messages are scarce.
-                    let serves =
-                        self.fleet.standing[i] == Standing::Draining && self.fleet.suspect[i].is_none();
-                    self.shut(tbl, !(serves && self.plenty()), out);
-                }
+                (Some(_), None) if !fit => self.shut(tbl, out),
                 (Some(i), None) if !self.fits(i, -0.5 * self.load[i]) => {
                     self.load[i] -= self.heat[tbl];
-                    self.shut(tbl, true, out);
+                    self.shut(tbl, out);
                 }
                 (Some(i), None) if republish && self.may_write(FOR_OWNER) => self.publish(tbl, i, out),
-                (None, None) => self.shut(tbl, true, out),
+                (None, None) => self.shut(tbl, out),
                 _ => {}
             }
         }
     }
 
-    /// By then a draining owner must be shut for reads too, or its grace would run out.
-    fn harden_at(&self, i: usize) -> Moment {
-        self.fleet.told[i] + self.facts.grace.times(HARDEN)
-    }
-
     /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. Where most are
     /// slow the median tells nothing, so while one has room to spare, late by the objective is slow as well, and so is one
     /// that answers well only because it refuses. Where all others are well the server is sick, and hands most.
@@ -625,7 +603,7 @@
                 self.load[from] -= heat;
                 self.load[to] += heat;
                 self.fleet.slow_since[from] = None;
-                self.shut(tbl, false, out);
+                self.shut(tbl, out);
                 return true;
             }
         }
@@ -728,25 +706,17 @@
 
     // --- writing ---
 
-    fn writes(&self) -> u64 {
-        let kinds = self.facts.operations.iter().enumerate();
-        kinds.filter(|(_, k)| k.writes).map(|(n, _)| 1 << n).sum()
-    }
-
-    /// Shuts a slice: where levels work and the owner still serves, for writes alone.
-    fn shut(&mut self, tbl: usize, hard: bool, out: &mut impl Orders) {
-        let hard = hard || !self.facts.levels_work || self.writes() == 0;
+    /// Shuts a slice for all operations: its line is taken out of every proxy's table.
+    fn shut(&mut self, tbl: usize, out: &mut impl Orders) {
         let (mark, since) = (self.mark + 1, self.now);
-        self.slices[tbl].handover = Some(Handover { mark, since, fence: since, hard });
+        self.slices[tbl].handover = Some(Handover { mark, since, fence: since });
         self.write_shut(tbl, out);
     }
 
     fn write_shut(&mut self, tbl: usize, out: &mut impl Orders) {
         self.lines += 1.0;
-        match (self.slices[tbl].owner, self.slices[tbl].handover) {
-            (Some(i), Some(Handover { hard: true, .. })) => out.shut(tbl, self.fleet.task[i]),
-            (Some(_), Some(_)) => out.let_in(tbl, self.writes(), 0.0, self.facts.again),
-            _ => {}
+        if let Some(i) = self.slices[tbl].owner {
+            out.shut(tbl, self.fleet.task[i]);
         }
     }
 
@@ -769,8 +739,8 @@
     fn may_write(&self, part: f64) -> bool {
         let allowed = self.facts.pushes_allowed as f64 * part;
         let even = self.push_span().times(1.0 / self.facts.pushes_allowed.max(1) as f64);
-        let spaced =
-            (part >= FOR_DRAIN && self.plenty()) || self.sent.last().is_none_or(|s| self.now - s.at >= even);
+        let spaced = (part >= FOR_DRAIN && self.recent() as f64 <= allowed * PLENTY)
+            || self.sent.last().is_none_or(|s| self.now - s.at >= even);
         let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (self.recent() + 1) as f64 <= allowed);
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
         let waiting: f64 = self.sent.iter().filter(|s| s.mark > answered).map(|s| s.lines).sum();
@@ -781,11 +751,6 @@
         self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count()
     }
 
-    fn plenty(&self) -> bool {
-        let allowed = self.facts.pushes_allowed as f64;
-        allowed == 0.0 || self.recent() as f64 <= allowed * PLENTY
-    }
-
     /// Messages may bunch up on their way, so the span in which they are counted is that much longer.
     fn push_span(&self) -> Span {
         self.facts.reload_span + self.facts.push_delay_max
@@ -809,9 +774,7 @@
 
     /// Wakes at the next fence, or after an interval.
     fn sleep(&mut self, out: &mut impl Orders) {
-        let hardens = self.open().filter_map(|t| Some(self.harden_at(self.slices[t].owner?)));
-        let dues =
-            self.open().filter_map(|t| Some(self.fence_due(t, self.slices[t].handover?))).chain(hardens);
+        let dues = self.open().filter_map(|t| Some(self.fence_due(t, self.slices[t].handover?)));
         let at = dues.filter(|&due| due > self.now).fold(self.now + self.facts.interval, Moment::min);
         if self.wake_at.is_none_or(|w| w <= self.now || at < w) {
             self.wake_at = Some(at);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -50,14 +50,13 @@
     let given: BTreeMap<&str, &str> = line.split_whitespace().filter_map(|w| w.split_once('=')).collect();
     let get = |key, usual: f64| given.get(key).map_or(usual, |v| v.parse().expect(key));
     let secs = |key, usual| Span::from_secs(get(key, usual));
-    let operation = |name: &str, billed_value, latency_objective, writes| Operation {
+    let operation = |name: &str, billed_value, latency_objective| Operation {
         name: name.into(),
         billed_value,
         latency_objective: Span::from_secs(latency_objective),
-        writes,
     };
     Facts {
-        operations: vec![operation("read", 1.0, 1.0, false), operation("write", 5.0, 0.4, true)],
+        operations: vec![operation("read", 1.0, 1.0), operation("write", 5.0, 0.4)],
         slices: get("slices", 2.0) as usize,
         proxies: get("proxies", 2.0) as usize,
         list_on_request: given.contains_key("on_request"),
@@ -77,7 +76,6 @@
         most_waiting: get("most_waiting", 1e4),
         pushes_allowed: get("pushes_allowed", 0.0) as usize,
         reload_span: secs("reload_span", 10.0),
-        grace: secs("grace", 2.0),
         cold_from: 0.2,
         warm_after: secs("warm_after", 14.0),
     }
