--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -62,7 +62,7 @@
     Ok(Listing {
         task: number(entry, "task")? as u32,
         standing,
-        size: number(entry, "weight").unwrap_or(1.0),
+        size: number(entry, "weight").ok(),
         started: started.map(Moment::from_secs),
     })
 }
@@ -87,8 +87,8 @@
         probes: flag(field(of, "policy_limits")?, "probes")?,
         levels_work: text(own, "throttle_by")? == "share",
         again: number(own, "retry_default")? as u8,
-        load_field: report_field("outstanding").or(report_field("utilization")),
-        load_is_held: report_field("outstanding").is_some(),
+        held_field: report_field("outstanding"),
+        busy_field: report_field("utilization"),
         interval: span(own, "interval")?,
         bare: span(own, "bare")?,
         lease: span(own, "lease")?,
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -19,9 +19,9 @@
     pub probes: bool,
     pub levels_work: bool,
     pub again: u8,
-    /// The field of load reports that tells a server's whole load, and whether it counts invocations in hand.
-    pub load_field: Option<usize>,
-    pub load_is_held: bool,
+    /// Where load reports tell the invocations in hand, and how busy the cores are.
+    pub held_field: Option<usize>,
+    pub busy_field: Option<usize>,
     pub interval: Span,
     pub bare: Span,
     pub lease: Span,
@@ -47,6 +47,6 @@
 pub struct Listing {
     pub task: u32,
     pub standing: Standing,
-    pub size: f64,
+    pub size: Option<f64>,
     pub started: Option<Moment>,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -87,8 +87,8 @@
     cut: Moment = now,
     probed: Moment = now,
     ;
-    // Fading sums of what ended there: tries, those lost, seconds that the others took, tries whatever was
-    // cut.
+    // Fading sums of what ended there: tries, those lost, seconds that the others took, and tries
+    // that cuts leave alone.
     tries: f64 = 0.0,
     lost: f64 = 0.0,
     seconds: f64 = 0.0,
@@ -229,7 +229,7 @@
         for entry in entries {
             let i = self.fleet.at(entry.task, self.now);
             self.stand(i, entry.standing);
-            self.fleet.size[i] = if entry.size > 0.0 { entry.size } else { 1.0 };
+            self.fleet.size[i] = entry.size.filter(|&s| s > 0.0).unwrap_or(1.0);
             if entry.started != self.fleet.started[i] {
                 self.fleet.started[i] = entry.started;
                 self.fleet.forget_health(i);
@@ -314,9 +314,9 @@
         fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
         fleet.ended[i] = fleet.ended[i] * faded + tries;
         fleet.heard[i] = self.now;
-        if let Some(value) = self.facts.load_field.and_then(|k| report.get(k)) {
+        if let Some(value) = self.facts.held_field.or(self.facts.busy_field).and_then(|k| report.get(k)) {
             // A count in hand shows a jam at once; how busy the cores are swings, so its mean is kept.
-            let weight = if self.facts.load_is_held { 1.0 } else { FRESH };
+            let weight = if self.facts.held_field.is_some() { 1.0 } else { FRESH };
             fleet.seen[i] += (value - fleet.seen[i]) * weight;
         }
         if lost < tries {
@@ -420,11 +420,12 @@
                 load[i] += self.heat[tbl];
             }
         }
-        let all = load.iter().sum::<f64>() / self.share().max(1e-9);
+        let share = self.share();
+        let all = load.iter().sum::<f64>() / share.max(1e-9);
         let seen: f64 = self.usables().map(|i| self.fleet.seen[i]).sum();
         for i in self.usables() {
             let part = self.fleet.seen[i] / seen.max(1e-9);
-            load[i] += (part * all - load[i]).max(0.0) * (1.0 - self.share());
+            load[i] += (part * all - load[i]).max(0.0) * (1.0 - share);
         }
         load
     }
@@ -445,17 +446,22 @@
         known.then(|| self.fleet.seconds[i] / succeeded)
     }
 
+    /// What a fading sum comes to in a second.
+    fn per_second(&self, sum: f64) -> f64 {
+        sum * LN_2 / self.facts.interval.times(FADE).secs()
+    }
+
     /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here
     /// well before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
-        let pace = self.fleet.ended[i] * LN_2 / self.facts.interval.times(FADE).secs();
-        let queues = self.facts.load_is_held && self.fleet.seen[i] >= ENOUGH;
+        let pace = self.per_second(self.fleet.ended[i]);
+        let queues = self.facts.held_field.is_some() && self.fleet.seen[i] >= ENOUGH;
         if queues { self.fleet.seen[i] * self.share() / pace.max(1e-3) } else { 0.0 }
     }
 
-    /// Guards cold servers: they hold no more than a fair share, by their warmth, of what all lately succeeded in.
-    /// Demand is no measure, as in an overload, or with the fleet shrunk, a fair share of it is more than anyone
-    /// can do; and after a start nothing is known, so a cold server gets nothing yet.
+    /// Guards cold servers: they hold no more than a fair share, by their warmth, of what all lately
+    /// succeeded in. Demand is no measure, as in an overload, or with the fleet shrunk, a fair share of it is
+    /// more than anyone can do; and after a start nothing is known, so a cold server gets nothing yet.
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
         warmth >= 1.0 || self.load[i] + extra <= self.cold_fair * self.fleet.size[i] * warmth * COLD_SHARE
@@ -465,8 +471,7 @@
     fn fair_success(&self) -> f64 {
         let succeeded: f64 = self.usables().map(|i| self.fleet.ended[i] * self.fleet.success[i]).sum();
         let able: f64 = self.usables().map(|i| self.fleet.size[i] * self.warmth(i)).sum();
-        let span = self.facts.interval.times(FADE / LN_2).secs();
-        succeeded / span / able.max(1e-9) * self.usual_objective(self.usual_admission()).min(1e9)
+        self.per_second(succeeded) / able.max(1e-9) * self.usual_objective(self.usual_admission()).min(1e9)
     }
 
     /// The roomiest usable server for a slice, by chance among near-equals.
@@ -545,21 +550,21 @@
                 return;
             }
             match (owner, handover) {
-                (Some(_), None) if !fit => self.shut(tbl, out),
+                (_, None) if !fit => self.shut(tbl, out),
                 (Some(i), None) if !self.fits(i, -0.5 * self.load[i]) => {
                     self.load[i] -= self.heat[tbl];
                     self.shut(tbl, out);
                 }
                 (Some(i), None) if republish && self.may_write(FOR_OWNER) => self.publish(tbl, i, out),
-                (None, None) => self.shut(tbl, out),
                 _ => {}
             }
         }
     }
 
     /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. Where most are
-    /// slow the median tells nothing, so while one has room to spare, late by the objective is slow as well, and so is one
-    /// that answers well only because it refuses. Where all others are well the server is sick, and hands most.
+    /// slow the median tells nothing, so while one has room to spare, late by the objective is slow as well,
+    /// and so is one that answers well only because it refuses. Where all others are well the server is sick,
+    /// and hands most.
     fn balance(&mut self, out: &mut impl Orders) {
         let mut answers: Vec<f64> = self.usables().filter_map(|i| self.elapsed(i)).collect();
         answers.sort_by(f64::total_cmp);
@@ -637,7 +642,7 @@
         let deepest = CUT / (1.0 + self.cheap_for_dear);
         let least = (1.0 - self.cheap_for_dear) / self.dearer.len().max(1) as f64;
         let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
-        for i in (0..self.fleet.task.len()).filter(|&i| self.usable(i)).collect::<Vec<_>>() {
+        for i in self.usables().collect::<Vec<_>>() {
             let (tries, lost, admit) = (self.fleet.tries[i], self.fleet.lost[i], self.fleet.admit[i]);
             if self.now - self.fleet.cut[i] < shows || (tries >= ENOUGH && lost >= tries) {
                 continue;
@@ -720,7 +725,7 @@
         }
     }
 
-    /// Raises the generation and publishes the owner, with its levels open.
+    /// Raises the generation and publishes the owner, with the levels of its admission.
     fn publish(&mut self, tbl: usize, i: usize, out: &mut impl Orders) {
         let slice = &mut self.slices[tbl];
         slice.generation += 1;
--- a/src/time.rs
+++ b/src/time.rs
@@ -1,6 +1,6 @@
 //! Points in time and spans, in microseconds; one can't be taken for the other.
 
-use std::ops::{Add, AddAssign, Sub};
+use std::ops::{Add, Sub};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Moment(i64);
@@ -19,8 +19,6 @@
 }
 
 impl Span {
-    pub const ZERO: Span = Span(0);
-
     pub fn from_secs(seconds: f64) -> Self {
         Span(micros(seconds))
     }
@@ -41,13 +39,6 @@
     }
 }
 
-impl Sub<Span> for Moment {
-    type Output = Moment;
-    fn sub(self, span: Span) -> Moment {
-        Moment(self.0.saturating_sub(span.0))
-    }
-}
-
 impl Sub for Moment {
     type Output = Span;
     fn sub(self, earlier: Moment) -> Span {
@@ -61,9 +52,3 @@
         Span(self.0.saturating_add(other.0))
     }
 }
-
-impl AddAssign<Span> for Moment {
-    fn add_assign(&mut self, span: Span) {
-        *self = *self + span;
-    }
-}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -64,8 +64,8 @@
         probes: given.contains_key("probes"),
         levels_work: !given.contains_key("no_levels"),
         again: 0,
-        load_field: Some(0),
-        load_is_held: true,
+        held_field: Some(0),
+        busy_field: None,
         interval: secs("interval", 1.0),
         bare: secs("bare", 12.0),
         lease: secs("lease", 2.5),
@@ -96,7 +96,7 @@
                     _ => Standing::Ready,
                 };
                 let started = (how == "cold").then(|| Moment::from_secs(now));
-                Listing { task: task.parse().expect(line), standing, size: 1.0, started }
+                Listing { task: task.parse().expect(line), standing, size: None, started }
             };
             to.listed(false, false, &words[1..].iter().map(entry).collect::<Vec<_>>());
         }
