--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,8 +13,7 @@
 
 /// A server is slow when its answers take this many times the median (the design's figure).
 const SLOW: f64 = 2.0;
-/// A server as warm as this with less than this part of a fair share has room to spare.
-const WARM: f64 = 0.7;
+/// A server with less than this part of a fair share, by its warmth, has room to spare.
 const ROOMY: f64 = 0.33;
 /// A server that lets in less than this refuses a good part.
 const REFUSES: f64 = 0.9;
@@ -93,8 +92,8 @@
     lost: f64 = 0.0,
     seconds: f64 = 0.0,
     ended: f64 = 0.0,
-    // Load report; losses in a row; share of successes before these.
-    seen: f64 = 0.0,
+    // Load report, if one came; losses in a row; share of successes before these.
+    seen: Option<f64> = None,
     lost_run: f64 = 0.0,
     success: f64 = 1.0,
     suspect: Option<Moment> = None,
@@ -142,6 +141,7 @@
 pub struct Assigner {
     facts: Facts,
     chance: Pcg,
+    born: Moment,
     now: Moment,
     fleet: Fleet,
     slices: Vec<Slice>,
@@ -175,6 +175,7 @@
         let (dearer, cheap_for_dear) = (kinds.clone().map(dearer).collect(), ends.0 / ends.1);
         Assigner {
             chance: Pcg::new(seed),
+            born: now,
             now,
             fleet: Fleet::default(),
             slices: vec![Slice::default(); facts.slices],
@@ -317,7 +318,8 @@
         if let Some(value) = self.facts.held_field.or(self.facts.busy_field).and_then(|k| report.get(k)) {
             // A count in hand shows a jam at once; how busy the cores are swings, so its mean is kept.
             let weight = if self.facts.held_field.is_some() { 1.0 } else { FRESH };
-            fleet.seen[i] += (value - fleet.seen[i]) * weight;
+            let before = fleet.seen[i].unwrap_or(*value);
+            fleet.seen[i] = Some(before + (value - before) * weight);
         }
         if lost < tries {
             fleet.lost_run[i] = 0.0;
@@ -412,7 +414,8 @@
     }
 
     /// Load of each server: its slices of this instance, and what the load reports show beyond these where
-    /// other instances have slices as well.
+    /// other instances have slices as well. Guards against taking servers of other instances for idle: one
+    /// that shows nothing here has a fair share, unless it started under this instance's eyes.
     fn loads(&self) -> Vec<f64> {
         let mut load = vec![0.0; self.fleet.task.len()];
         for tbl in 0..self.slices.len() {
@@ -422,9 +425,14 @@
         }
         let share = self.share();
         let all = load.iter().sum::<f64>() / share.max(1e-9);
-        let seen: f64 = self.usables().map(|i| self.fleet.seen[i]).sum();
+        let shows = self.usables().filter_map(|i| self.fleet.seen[i]);
+        let (count, seen) = shows.fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s));
+        let typical = if count > 0.0 { seen / count } else { 1.0 };
+        let new = |i: usize| self.fleet.started[i].is_some_and(|s| s > self.born);
+        let guess = |i: usize| self.fleet.seen[i].unwrap_or(if new(i) { 0.0 } else { typical });
+        let seen: f64 = self.usables().map(guess).sum();
         for i in self.usables() {
-            let part = self.fleet.seen[i] / seen.max(1e-9);
+            let part = guess(i) / seen.max(1e-9);
             load[i] += (part * all - load[i]).max(0.0) * (1.0 - share);
         }
         load
@@ -455,8 +463,8 @@
     /// well before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
         let pace = self.per_second(self.fleet.ended[i]);
-        let queues = self.facts.held_field.is_some() && self.fleet.seen[i] >= ENOUGH;
-        if queues { self.fleet.seen[i] * self.share() / pace.max(1e-3) } else { 0.0 }
+        let held = self.fleet.seen[i].filter(|&s| self.facts.held_field.is_some() && s >= ENOUGH);
+        held.map_or(0.0, |s| s * self.share() / pace.max(1e-3))
     }
 
     /// Guards cold servers: they hold no more than a fair share, by their warmth, of what all lately
@@ -573,7 +581,7 @@
         let fair = self.load.iter().sum::<f64>() / size.max(1e-9);
         // Where levels work they give relief first, and moves may wait twice as long.
         let hold = self.facts.interval.times(if self.facts.levels_work { 2.0 * SLOW_FOR } else { SLOW_FOR });
-        let spare = |i: usize| self.warmth(i) >= WARM && self.load[i] < fair * self.fleet.size[i] * ROOMY;
+        let spare = |i: usize| self.load[i] < fair * self.fleet.size[i] * self.warmth(i) * ROOMY;
         let roomy = self.usables().any(spare);
         let objective = self.usual_objective(1.0) * LATE;
         let slow_from = if roomy { objective.min(median * SLOW) } else { median * SLOW };
@@ -747,8 +755,12 @@
         let spaced = (part >= FOR_DRAIN && self.recent() as f64 <= allowed * PLENTY)
             || self.sent.last().is_none_or(|s| self.now - s.at >= even);
         let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (self.recent() + 1) as f64 <= allowed);
+        // Messages leave in order, one proxy after the other: an answer shows that all before it has left,
+        // but not what went to others with the same mark. A slow channel piles up unseen otherwise.
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
-        let waiting: f64 = self.sent.iter().filter(|s| s.mark > answered).map(|s| s.lines).sum();
+        let unanswered = |mark: u64| self.streams.iter().filter(|s| s.joined && s.answered < mark).count();
+        let left = |s: &Sent| s.lines * unanswered(s.mark) as f64 / self.joined_count().max(1.0);
+        let waiting: f64 = self.sent.iter().filter(|s| s.mark >= answered).map(left).sum();
         few && waiting + self.cost(self.lines) < self.facts.most_waiting * 0.5
     }
 
@@ -762,8 +774,11 @@
     }
 
     fn cost(&self, lines: f64) -> f64 {
-        let joined = self.streams.iter().filter(|s| s.joined).count();
-        joined as f64 * (self.facts.overhead + lines + 1.0)
+        self.joined_count() * (self.facts.overhead + lines + 1.0)
+    }
+
+    fn joined_count(&self) -> f64 {
+        self.streams.iter().filter(|s| s.joined).count() as f64
     }
 
     fn send(&mut self, out: &mut impl Orders) {
