--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -85,6 +85,7 @@
         list_on_request: text(of, "registry_mode")? == "on_request",
         ask_within: span(rules, "ask_within")?,
         probes: flag(field(of, "policy_limits")?, "probes")?,
+        dropped_stay_open: rules.get("dropped_stay_open").and_then(Value::as_bool).unwrap_or(false),
         levels_work: text(own, "throttle_by")? == "share",
         again: number(own, "retry_default")? as u8,
         held_field: report_field("outstanding"),
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -17,6 +17,7 @@
     pub list_on_request: bool,
     pub ask_within: Span,
     pub probes: bool,
+    pub dropped_stay_open: bool,
     pub levels_work: bool,
     pub again: u8,
     /// Where load reports tell the invocations in hand, and how busy the cores are.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,6 +3,7 @@
 //! which only takes note, and then the round decides and writes through the `Orders` it was given. The
 //! interface is `Orders` in orders.rs, `Facts` and `Listing` in facts.rs, `Moment` and `Span` in time.rs.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::f64::consts::LN_2;
 
@@ -19,6 +20,8 @@
 const REFUSES: f64 = 0.9;
 /// Successes in a row that must be missing, from all zones, before a server is suspect.
 const LOST_RUN: f64 = 8.0;
+/// The same for one that the list has dropped, as a part.
+const DROPPED: f64 = 0.25;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
 /// Part of a fair share, times its warmth, that a cold server may be given; with double it gives slices up.
@@ -84,7 +87,9 @@
     started: Option<Moment> = None,
     heard: Moment = now,
     cut: Moment = now,
-    probed: Moment = now,
+    probed: Option<Moment> = None,
+    proven: bool = false,
+    dropped: bool = false,
     ;
     // Fading sums of what ended there: tries, those lost, seconds that the others took, and tries
     // that cuts leave alone.
@@ -239,7 +244,14 @@
         }
     }
 
+    /// Guards against a list that is wrong: where only draining binds, a server that the list merely drops
+    /// keeps its slices for as long as it answers.
     fn stand(&mut self, i: usize, standing: Standing) {
+        let running = self.fleet.standing[i] == Standing::Ready;
+        self.fleet.dropped[i] = standing == Standing::Gone && running && self.facts.dropped_stay_open;
+        if self.fleet.dropped[i] {
+            return;
+        }
         if self.fleet.standing[i] == Standing::Gone && standing == Standing::Ready {
             self.fleet.forget_health(i);
         }
@@ -263,6 +275,7 @@
     pub fn stored(&mut self, tbl: usize, task: u32) {
         let i = self.fleet.at(task, self.now);
         self.slices[tbl].owner = Some(i);
+        self.fleet.proven[i] = true;
     }
 
     pub fn joined(&mut self, px: usize) {
@@ -283,6 +296,7 @@
     /// A probe's result: a suspect that answers is none.
     pub fn probed(&mut self, task: u32, answered: bool) {
         let i = self.fleet.at(task, self.now);
+        self.fleet.proven[i] |= answered;
         if answered && self.fleet.suspect[i].is_some() {
             self.fleet.forget_health(i);
         }
@@ -322,6 +336,7 @@
             fleet.seen[i] = Some(before + (value - before) * weight);
         }
         if lost < tries {
+            fleet.proven[i] = true;
             fleet.lost_run[i] = 0.0;
             fleet.success[i] += ((tries - lost) / tries - fleet.success[i]) * FRESH;
         } else if self.slices.iter().any(|s| s.mine && s.owner == Some(i)) {
@@ -367,8 +382,11 @@
         self.all().filter(|&i| self.usable(i))
     }
 
+    /// Guards against listed servers that don't exist: where they can be probed, who never answered anyone
+    /// gets nothing.
     fn usable(&self, i: usize) -> bool {
-        self.fleet.standing[i] == Standing::Ready && self.fleet.suspect[i].is_none()
+        let proven = self.fleet.proven[i] || !self.facts.probes;
+        self.fleet.standing[i] == Standing::Ready && self.fleet.suspect[i].is_none() && proven
     }
 
     /// Fraction of its capacity that a server surely has by now.
@@ -385,12 +403,16 @@
     fn suspect(&mut self, out: &mut impl Orders) {
         let trial = self.facts.lease.times(4.0);
         let ready: Vec<usize> = self.all().filter(|&i| self.fleet.standing[i] == Standing::Ready).collect();
-        let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] * f.success[i] >= LOST_RUN;
+        let silent = |f: &Fleet, i: usize| {
+            let run = if f.dropped[i] { LOST_RUN * DROPPED } else { LOST_RUN };
+            f.suspect[i].is_some() || f.lost_run[i] * f.success[i] >= run
+        };
         let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
         for i in ready.iter().copied() {
-            let due = self.facts.probes && self.now - self.fleet.probed[i] >= self.facts.interval;
-            if due && self.fleet.suspect[i].is_some() {
-                self.fleet.probed[i] = self.now;
+            let due = self.fleet.probed[i].is_none_or(|at| self.now - at >= self.facts.interval);
+            let doubtful = self.fleet.suspect[i].is_some() || !self.fleet.proven[i];
+            if self.facts.probes && due && doubtful {
+                self.fleet.probed[i] = Some(self.now);
                 out.probe(self.fleet.task[i]);
             }
             if self.fleet.suspect[i].is_some_and(|at| self.now - at > trial) {
@@ -484,7 +506,10 @@
 
     /// The roomiest usable server for a slice, by chance among near-equals.
     fn roomiest(&mut self, heat: f64, not: Option<usize>) -> Option<usize> {
-        let fit: Vec<usize> = self.usables().filter(|&i| Some(i) != not && self.fits(i, heat)).collect();
+        let mut fit: Vec<usize> = self.usables().filter(|&i| Some(i) != not && self.fits(i, heat)).collect();
+        if fit.iter().any(|&i| !self.fleet.dropped[i]) {
+            fit.retain(|&i| !self.fleet.dropped[i]);
+        }
         let best = fit.iter().map(|&i| self.ratio(i, heat)).min_by(f64::total_cmp)?;
         let near: Vec<usize> = fit.into_iter().filter(|&i| self.ratio(i, heat) <= best * NEAR).collect();
         Some(near[(self.chance.unit() * near.len() as f64) as usize])
@@ -532,7 +557,8 @@
     fn last_resort(&self, handover: Handover) -> Option<usize> {
         let late = self.now - handover.since > self.facts.bare.times(0.5);
         let ready = |&i: &usize| late && self.fleet.standing[i] == Standing::Ready && self.warmth(i) >= 1.0;
-        self.all().filter(ready).min_by(|&a, &b| self.load[a].total_cmp(&self.load[b]))
+        let rank = |i: usize| (!self.usable(i), self.load[i]);
+        self.all().filter(ready).min_by(|&a, &b| rank(a).partial_cmp(&rank(b)).unwrap_or(Ordering::Equal))
     }
 
     /// The fence: every joined proxy has answered the shut, every other has been gone for a lease, and what
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -62,6 +62,7 @@
         list_on_request: given.contains_key("on_request"),
         ask_within: secs("ask_within", 10.0),
         probes: given.contains_key("probes"),
+        dropped_stay_open: given.contains_key("stay_open"),
         levels_work: !given.contains_key("no_levels"),
         again: 0,
         held_field: Some(0),
