--- a/src/facts.rs
+++ b/src/facts.rs
@@ -9,7 +9,7 @@
     pub latency_objective: Span,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Facts {
     pub operations: Vec<Operation>,
     pub slices: usize,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,6 +32,8 @@
 const FOR_DRAIN: f64 = 1.0;
 const FOR_OWNER: f64 = 0.85;
 const FOR_REST: f64 = 0.6;
+/// Part of the lines allowed to wait that may be used, times the part for such orders.
+const MOST_WAITING: f64 = 0.75;
 /// Up to this part drains need not even keep the spacing that makes the messages last.
 const PLENTY: f64 = 0.3;
 /// A server is strained when its answers take this part of the usual latency objective, and calm under that
@@ -41,6 +43,8 @@
 const CUT: f64 = 0.33;
 const LIFT: f64 = 0.05;
 const LEVEL_STEP: f64 = 0.05;
+/// Part of the time within which the list must be asked for, after which a failed call is made again.
+const ASK_AGAIN: f64 = 0.15;
 /// Weight of the newest sum in a running mean.
 const FRESH: f64 = 0.5;
 /// Intervals after which a sum counts half, and after which it is too old; tries that make a mean worth
@@ -143,6 +147,7 @@
     lines: f64,
 }
 
+#[derive(Default)]
 pub struct Assigner {
     facts: Facts,
     chance: Pcg,
@@ -154,6 +159,8 @@
     mark: u64,
     sent: Vec<Sent>,
     lines: f64,
+    joined: f64,
+    waiting: f64,
     heat: Vec<f64>,
     load: Vec<f64>,
     cold_fair: f64,
@@ -165,7 +172,6 @@
     wake_at: Option<Moment>,
     subscribed: bool,
     ask_at: Moment,
-    ask_wait: Span,
 }
 
 impl Assigner {
@@ -182,23 +188,15 @@
             chance: Pcg::new(seed),
             born: now,
             now,
-            fleet: Fleet::default(),
             slices: vec![Slice::default(); facts.slices],
             streams: vec![absent; facts.proxies],
-            mark: 0,
-            sent: Vec::new(),
-            lines: 0.0,
-            heat: Vec::new(),
-            load: Vec::new(),
-            cold_fair: 0.0,
             last_step: now,
             dearer,
             cheap_for_dear,
-            wake_at: None,
             subscribed: !facts.list_on_request,
             ask_at: now,
-            ask_wait: facts.interval,
             facts,
+            ..Assigner::default()
         }
     }
 
@@ -221,10 +219,7 @@
 
     /// The list, whole or only what changed; one `remembered` from before a start may be out of date.
     pub fn listed(&mut self, complete: bool, remembered: bool, entries: &[Listing]) {
-        if !remembered {
-            self.subscribed = true;
-            self.ask_wait = self.facts.interval;
-        }
+        self.subscribed |= !remembered;
         if complete {
             for i in self.all() {
                 if !entries.iter().any(|e| e.task == self.fleet.task[i]) {
@@ -244,8 +239,7 @@
         }
     }
 
-    /// Guards against a list that is wrong: where only draining binds, a server that the list merely drops
-    /// keeps its slices for as long as it answers.
+    /// Guards against a wrong list: where only draining binds, one merely dropped stays while it answers.
     fn stand(&mut self, i: usize, standing: Standing) {
         let running = self.fleet.standing[i] == Standing::Ready;
         self.fleet.dropped[i] = standing == Standing::Gone && running && self.facts.dropped_stay_open;
@@ -258,12 +252,10 @@
         self.fleet.standing[i] = standing;
     }
 
-    /// The subscription to the list failed or broke: ask again after a growing, jittered wait.
+    /// The subscription to the list failed or broke: ask again after a jittered wait.
     pub fn list_failed(&mut self) {
         self.subscribed = false;
-        self.ask_at = self.now + self.ask_wait.times(0.5 + self.chance.unit());
-        let longest = self.facts.ask_within.times(0.25);
-        self.ask_wait = self.ask_wait.times(2.0).min(longest);
+        self.ask_at = self.now + self.facts.ask_within.times(ASK_AGAIN * (0.5 + self.chance.unit()));
     }
 
     pub fn custody(&mut self, tbl: usize, on: bool) {
@@ -353,6 +345,8 @@
 
     fn decide(&mut self, out: &mut impl Orders) {
         self.lines = 0.0;
+        self.joined = self.streams.iter().filter(|s| s.joined).count() as f64;
+        self.waiting = self.still_waiting();
         if !self.subscribed && self.now >= self.ask_at {
             self.ask_at = self.now + self.facts.ask_within;
             out.subscribe();
@@ -382,8 +376,7 @@
         self.all().filter(|&i| self.usable(i))
     }
 
-    /// Guards against listed servers that don't exist: where they can be probed, who never answered anyone
-    /// gets nothing.
+    /// Guards against listed servers that don't exist: where they can be probed, they must answer once.
     fn usable(&self, i: usize) -> bool {
         let proven = self.fleet.proven[i] || !self.facts.probes;
         self.fleet.standing[i] == Standing::Ready && self.fleet.suspect[i].is_none() && proven
@@ -403,10 +396,9 @@
     fn suspect(&mut self, out: &mut impl Orders) {
         let trial = self.facts.lease.times(4.0);
         let ready: Vec<usize> = self.all().filter(|&i| self.fleet.standing[i] == Standing::Ready).collect();
-        let silent = |f: &Fleet, i: usize| {
-            let run = if f.dropped[i] { LOST_RUN * DROPPED } else { LOST_RUN };
-            f.suspect[i].is_some() || f.lost_run[i] * f.success[i] >= run
-        };
+        let run = |f: &Fleet, i: usize| if f.dropped[i] { LOST_RUN * DROPPED } else { LOST_RUN };
+        let silent =
+            |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] * f.success[i] >= run(f, i);
         let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
         for i in ready.iter().copied() {
             let due = self.fleet.probed[i].is_none_or(|at| self.now - at >= self.facts.interval);
@@ -447,9 +439,8 @@
         }
         let share = self.share();
         let all = load.iter().sum::<f64>() / share.max(1e-9);
-        let shows = self.usables().filter_map(|i| self.fleet.seen[i]);
-        let (count, seen) = shows.fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s));
-        let typical = if count > 0.0 { seen / count } else { 1.0 };
+        let shows: Vec<f64> = self.usables().filter_map(|i| self.fleet.seen[i]).collect();
+        let typical = shows.iter().sum::<f64>() / shows.len().max(1) as f64;
         let new = |i: usize| self.fleet.started[i].is_some_and(|s| s > self.born);
         let guess = |i: usize| self.fleet.seen[i].unwrap_or(if new(i) { 0.0 } else { typical });
         let seen: f64 = self.usables().map(guess).sum();
@@ -523,13 +514,13 @@
 
     /// Publishes what is fenced, hottest first, reopens what stays unresolved.
     fn finish(&mut self, out: &mut impl Orders) {
-        if !self.may_write(FOR_OWNER) {
-            return;
-        }
         let mut open: Vec<usize> = self.open().collect();
         open.sort_by(|&a, &b| self.heat[b].total_cmp(&self.heat[a]));
         for tbl in open {
             let Some(handover) = self.slices[tbl].handover else { continue };
+            if !self.may_write(FOR_OWNER) {
+                return;
+            }
             let old = self.slices[tbl].owner;
             let heat = self.heat[tbl];
             if self.fenced(tbl, handover) {
@@ -544,10 +535,7 @@
                 && self.now - handover.since > self.facts.lease.times(4.0)
                 && self.usable(i)
             {
-                let (task, generation) = (self.fleet.task[i], self.slices[tbl].generation);
-                out.note(&format!(
-                    "slice {tbl} stays with {task} at generation {generation}: a proxy keeps silent"
-                ));
+                out.note(&format!("slice {tbl} stays with its owner: a proxy keeps silent"));
                 self.publish(tbl, i, out);
             }
         }
@@ -574,23 +562,28 @@
         leases.fold(handover.fence, Moment::max) + self.facts.settle
     }
 
-    /// Moves the slices of servers that drain, are gone or are suspect, and those too many for a cold one. On
-    /// a take-over the stored owner is published again; a slice without one counts as shut by who died.
+    /// Moves the slices of servers that drain first, then of those gone or suspect and those too many for a
+    /// cold one, hottest first. On a take-over the stored owner is published again with what room is left, as
+    /// the fleet's drains may fall due right then. A slice without one counts as shut by who died.
     fn evacuate(&mut self, out: &mut impl Orders) {
-        for tbl in (0..self.slices.len()).filter(|&t| self.slices[t].mine).collect::<Vec<_>>() {
-            let Slice { owner, handover, republish, .. } = self.slices[tbl];
-            let fit = owner.is_some_and(|i| self.usable(i));
-            if !self.may_write(FOR_DRAIN) {
-                return;
+        let still = |&t: &usize| self.slices[t].mine && self.slices[t].handover.is_none();
+        let mut still: Vec<usize> = (0..self.slices.len()).filter(still).collect();
+        let drains = |t: usize| self.slices[t].owner.map(|i| self.fleet.standing[i] != Standing::Draining);
+        still.sort_by(|&a, &b| drains(a).cmp(&drains(b)).then(self.heat[b].total_cmp(&self.heat[a])));
+        for &tbl in &still {
+            let fit = |&i: &usize| self.usable(i) && self.fits(i, -0.5 * self.load[i]);
+            let owner = self.slices[tbl].owner;
+            if owner.filter(fit).is_none() && self.may_write(FOR_DRAIN) {
+                owner.inspect(|&i| self.load[i] -= self.heat[tbl]);
+                self.shut(tbl, out);
             }
-            match (owner, handover) {
-                (_, None) if !fit => self.shut(tbl, out),
-                (Some(i), None) if !self.fits(i, -0.5 * self.load[i]) => {
-                    self.load[i] -= self.heat[tbl];
-                    self.shut(tbl, out);
-                }
-                (Some(i), None) if republish && self.may_write(FOR_OWNER) => self.publish(tbl, i, out),
-                _ => {}
+        }
+        for tbl in still {
+            let Slice { owner: Some(i), handover: None, republish: true, .. } = self.slices[tbl] else {
+                continue;
+            };
+            if self.may_write(FOR_REST) {
+                self.publish(tbl, i, out);
             }
         }
     }
@@ -661,12 +654,17 @@
         if !self.facts.levels_work || !self.may_write(FOR_REST) {
             return;
         }
-        for tbl in 0..self.slices.len() {
-            let Slice { mine: true, owner: Some(i), handover: None, admitted, .. } = self.slices[tbl] else {
-                continue;
-            };
+        let mut due: Vec<(f64, usize, f64)> = Vec::new();
+        for (tbl, slice) in self.slices.iter().enumerate() {
+            let Slice { mine: true, owner: Some(i), handover: None, admitted, .. } = *slice else { continue };
             let (admit, was) = (self.fleet.admit[i], admitted.unwrap_or(1.0));
             if (admit - was).abs() >= LEVEL_STEP || (admit == 1.0 && was < 1.0) {
+                due.push(((admit - was).abs() * self.heat[tbl], tbl, admit));
+            }
+        }
+        due.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, tbl, admit) in due {
+            if self.may_write(FOR_REST) {
                 self.write_levels(tbl, admit, out);
             }
         }
@@ -738,7 +736,9 @@
         if unasked && pause && self.may_write(FOR_REST) {
             let older = |&t: &usize| self.slices[t].handover.is_some_and(|h| h.since < self.now);
             for tbl in self.open().filter(older).collect::<Vec<_>>() {
-                self.write_shut(tbl, out);
+                if self.may_write(FOR_REST) {
+                    self.write_shut(tbl, out);
+                }
             }
         }
     }
@@ -781,13 +781,17 @@
         let spaced = (part >= FOR_DRAIN && self.recent() as f64 <= allowed * PLENTY)
             || self.sent.last().is_none_or(|s| self.now - s.at >= even);
         let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (self.recent() + 1) as f64 <= allowed);
-        // Messages leave in order, one proxy after the other: an answer shows that all before it has left,
-        // but not what went to others with the same mark. A slow channel piles up unseen otherwise.
+        few && self.waiting + self.cost(self.lines) < self.facts.most_waiting * MOST_WAITING * part
+    }
+
+    /// Lines that may still wait in the channel. Messages leave in order, one proxy after the other: an
+    /// answer shows that all before it has left, not what went to others with its mark. Guards against a slow
+    /// channel that piles up unseen.
+    fn still_waiting(&self) -> f64 {
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
         let unanswered = |mark: u64| self.streams.iter().filter(|s| s.joined && s.answered < mark).count();
-        let left = |s: &Sent| s.lines * unanswered(s.mark) as f64 / self.joined_count().max(1.0);
-        let waiting: f64 = self.sent.iter().filter(|s| s.mark >= answered).map(left).sum();
-        few && waiting + self.cost(self.lines) < self.facts.most_waiting * 0.5
+        let left = |s: &Sent| s.lines * unanswered(s.mark) as f64 / self.joined.max(1.0);
+        self.sent.iter().filter(|s| s.mark >= answered).map(left).sum()
     }
 
     fn recent(&self) -> usize {
@@ -800,11 +804,7 @@
     }
 
     fn cost(&self, lines: f64) -> f64 {
-        self.joined_count() * (self.facts.overhead + lines + 1.0)
-    }
-
-    fn joined_count(&self) -> f64 {
-        self.streams.iter().filter(|s| s.joined).count() as f64
+        self.joined * (self.facts.overhead + lines + 1.0)
     }
 
     fn send(&mut self, out: &mut impl Orders) {
