--- a/src/facts.rs
+++ b/src/facts.rs
@@ -30,8 +30,10 @@
     pub push_delay: Span,
     pub push_delay_max: Span,
     pub overhead: f64,
+    pub lines_per_s: f64,
     pub most_waiting: f64,
-    pub pushes_allowed: usize,
+    /// Infinite where there is no such limit.
+    pub pushes_allowed: f64,
     pub reload_span: Span,
     pub cold_from: f64,
     pub warm_after: Span,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,7 +3,6 @@
 //! which only takes note, and then the round decides and writes through the `Orders` it was given. The
 //! interface is `Orders` in orders.rs, `Facts` and `Listing` in facts.rs, `Moment` and `Span` in time.rs.
 
-use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::f64::consts::LN_2;
 
@@ -14,9 +13,9 @@
 
 /// A server is slow when its answers take this many times the median (the design's figure).
 const SLOW: f64 = 2.0;
-/// A server with less than this part of a fair share, by its warmth, has room to spare.
+/// A server with less than this part of a fair share, by its warmth, has room to spare; one that lets in
+/// less than this refuses a good part.
 const ROOMY: f64 = 0.33;
-/// A server that lets in less than this refuses a good part.
 const REFUSES: f64 = 0.9;
 /// Successes in a row that must be missing, from all zones, before a server is suspect.
 const LOST_RUN: f64 = 8.0;
@@ -24,6 +23,8 @@
 const DROPPED: f64 = 0.25;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
+/// Part of a fair share up to which a grown fleet's new servers are filled at once.
+const NEW_SHARE: f64 = 0.5;
 /// Part of a fair share, times its warmth, that a cold server may be given; with double it gives slices up.
 const COLD_SHARE: f64 = 1.4;
 /// Intervals that a server must stay slow before the mover acts, twice that with levels.
@@ -34,6 +35,8 @@
 const FOR_REST: f64 = 0.6;
 /// Part of the lines allowed to wait that may be used, times the part for such orders.
 const MOST_WAITING: f64 = 0.75;
+/// Messages wait for company until the channel could have sent their mere heads this many times.
+const HEADS: f64 = 6.0;
 /// Up to this part drains need not even keep the spacing that makes the messages last.
 const PLENTY: f64 = 0.3;
 /// A server is strained when its answers take this part of the usual latency objective, and calm under that
@@ -359,7 +362,7 @@
         self.finish(out);
         self.balance(out);
         self.relieve(out);
-        self.ask_joiners(out);
+        self.ask_joiners();
         if self.lines > 0.0 {
             self.send(out);
         }
@@ -441,8 +444,7 @@
         let all = load.iter().sum::<f64>() / share.max(1e-9);
         let shows: Vec<f64> = self.usables().filter_map(|i| self.fleet.seen[i]).collect();
         let typical = shows.iter().sum::<f64>() / shows.len().max(1) as f64;
-        let new = |i: usize| self.fleet.started[i].is_some_and(|s| s > self.born);
-        let guess = |i: usize| self.fleet.seen[i].unwrap_or(if new(i) { 0.0 } else { typical });
+        let guess = |i: usize| self.fleet.seen[i].unwrap_or(if self.new_here(i) { 0.0 } else { typical });
         let seen: f64 = self.usables().map(guess).sum();
         for i in self.usables() {
             let part = guess(i) / seen.max(1e-9);
@@ -451,6 +453,11 @@
         load
     }
 
+    /// Started under this instance's eyes.
+    fn new_here(&self, i: usize) -> bool {
+        self.fleet.started[i].is_some_and(|s| s > self.born)
+    }
+
     /// Part of all slices that is in this instance's charge.
     fn share(&self) -> f64 {
         self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64
@@ -525,9 +532,7 @@
             let heat = self.heat[tbl];
             if self.fenced(tbl, handover) {
                 if let Some(i) = self.roomiest(heat, old).or_else(|| self.last_resort(handover)) {
-                    if let Some(o) = old {
-                        self.load[o] -= heat;
-                    }
+                    old.inspect(|&o| self.load[o] -= heat);
                     self.load[i] += heat;
                     self.publish(tbl, i, out);
                 }
@@ -545,8 +550,8 @@
     fn last_resort(&self, handover: Handover) -> Option<usize> {
         let late = self.now - handover.since > self.facts.bare.times(0.5);
         let ready = |&i: &usize| late && self.fleet.standing[i] == Standing::Ready && self.warmth(i) >= 1.0;
-        let rank = |i: usize| (!self.usable(i), self.load[i]);
-        self.all().filter(ready).min_by(|&a, &b| rank(a).partial_cmp(&rank(b)).unwrap_or(Ordering::Equal))
+        let least = |&a: &usize, &b: &usize| self.load[a].total_cmp(&self.load[b]);
+        self.usables().filter(ready).min_by(least).or_else(|| self.all().filter(ready).min_by(least))
     }
 
     /// The fence: every joined proxy has answered the shut, every other has been gone for a lease, and what
@@ -579,10 +584,8 @@
             }
         }
         for tbl in still {
-            let Slice { owner: Some(i), handover: None, republish: true, .. } = self.slices[tbl] else {
-                continue;
-            };
-            if self.may_write(FOR_REST) {
+            let Slice { republish, owner: Some(i), handover: None, .. } = self.slices[tbl] else { continue };
+            if republish && self.may_write(FOR_REST) {
                 self.publish(tbl, i, out);
             }
         }
@@ -598,39 +601,44 @@
         let Some(&median) = answers.get(answers.len() / 2) else { return };
         let size: f64 = self.usables().map(|i| self.fleet.size[i]).sum();
         let fair = self.load.iter().sum::<f64>() / size.max(1e-9);
-        // Where levels work they give relief first, and moves may wait twice as long.
-        let hold = self.facts.interval.times(if self.facts.levels_work { 2.0 * SLOW_FOR } else { SLOW_FOR });
         let spare = |i: usize| self.load[i] < fair * self.fleet.size[i] * self.warmth(i) * ROOMY;
         let roomy = self.usables().any(spare);
+        // Where levels work they give relief first, and moves may wait twice as long. Where the fleet has
+        // grown new ones are filled at once; in a deploy, where as many go, that shuffles slices for nothing.
+        let hold = self.facts.interval.times(if self.facts.levels_work { 2.0 * SLOW_FOR } else { SLOW_FOR });
         let objective = self.usual_objective(1.0) * LATE;
         let slow_from = if roomy { objective.min(median * SLOW) } else { median * SLOW };
-        let mut due: Vec<usize> = Vec::new();
+        let gone = self.all().filter(|&i| self.fleet.standing[i] != Standing::Ready).count();
+        let grown = self.usables().filter(|&i| self.new_here(i)).count() > gone;
+        let mut due: Vec<(usize, bool)> = Vec::new();
         for i in self.all() {
             let refuses = roomy && self.fleet.admit[i] < REFUSES;
             let late = self.usable(i) && (refuses || self.elapsed(i).is_some_and(|e| e > slow_from));
             let since = self.fleet.slow_since[i].unwrap_or(self.now);
             let slow = late && self.load[i] > fair * self.fleet.size[i];
             self.fleet.slow_since[i] = slow.then_some(since);
-            due.extend((slow && self.now - since >= hold).then_some(i));
+            let held = self.now - since >= hold;
+            due.extend((slow && (held || grown)).then_some((i, held)));
         }
-        due.sort_by(|&a, &b| self.ratio(b, 0.0).total_cmp(&self.ratio(a, 0.0)));
+        due.sort_by(|a, b| self.ratio(b.0, 0.0).total_cmp(&self.ratio(a.0, 0.0)));
         let calm = !self.facts.levels_work && median < objective && self.usual_admission() >= REFUSES;
-        for from in due {
-            let enough = if calm { fair * self.fleet.size[from] * ROOMY } else { self.load[from] };
-            while self.may_write(FOR_REST) && self.hand_hottest(from, out) && self.load[from] > enough {}
+        for (from, held) in due {
+            let enough = if calm && held { fair * self.fleet.size[from] * ROOMY } else { self.load[from] };
+            let most = if held { f64::INFINITY } else { fair * NEW_SHARE };
+            while self.may_write(FOR_REST) && self.hand_over(from, most, out) && self.load[from] > enough {}
         }
     }
 
     /// Shuts the hottest slice that some other server can take without being worse off than `from` is.
-    fn hand_hottest(&mut self, from: usize, out: &mut impl Orders) -> bool {
-        let its = |&t: &usize| self.slices[t].mine && self.slices[t].owner == Some(from);
-        let held = (0..self.slices.len()).filter(its).filter(|&t| self.slices[t].handover.is_none());
-        let mut held: Vec<usize> = held.collect();
+    fn hand_over(&mut self, from: usize, most: f64, out: &mut impl Orders) -> bool {
+        let rests = |s: &Slice| s.mine && s.owner == Some(from) && s.handover.is_none();
+        let mut held: Vec<usize> = (0..self.slices.len()).filter(|&t| rests(&self.slices[t])).collect();
         held.sort_by(|&a, &b| self.heat[b].total_cmp(&self.heat[a]));
         for tbl in held {
             let heat = self.heat[tbl];
             if let Some(to) = self.roomiest(heat, Some(from))
                 && self.ratio(to, heat) * NEAR < self.ratio(from, 0.0)
+                && (most == f64::INFINITY || (self.new_here(to) && self.ratio(to, heat) < most))
             {
                 self.load[from] -= heat;
                 self.load[to] += heat;
@@ -730,16 +738,11 @@
     }
 
     /// A proxy that joined while slices are shut has unanswered marks: one fresh mark for all such.
-    fn ask_joiners(&mut self, out: &mut impl Orders) {
+    fn ask_joiners(&mut self) {
         let unasked = self.streams.iter().any(|s| s.joined && s.asked <= s.since);
         let pause = self.sent.last().is_none_or(|s| self.now - s.at > self.facts.push_delay);
-        if unasked && pause && self.may_write(FOR_REST) {
-            let older = |&t: &usize| self.slices[t].handover.is_some_and(|h| h.since < self.now);
-            for tbl in self.open().filter(older).collect::<Vec<_>>() {
-                if self.may_write(FOR_REST) {
-                    self.write_shut(tbl, out);
-                }
-            }
+        if unasked && pause && self.open().next().is_some() && self.may_write(FOR_REST) {
+            self.lines += 1.0;
         }
     }
 
@@ -749,10 +752,6 @@
     fn shut(&mut self, tbl: usize, out: &mut impl Orders) {
         let (mark, since) = (self.mark + 1, self.now);
         self.slices[tbl].handover = Some(Handover { mark, since, fence: since });
-        self.write_shut(tbl, out);
-    }
-
-    fn write_shut(&mut self, tbl: usize, out: &mut impl Orders) {
         self.lines += 1.0;
         if let Some(i) = self.slices[tbl].owner {
             out.shut(tbl, self.fleet.task[i]);
@@ -776,11 +775,12 @@
     /// The one account of messages per proxy and lines waiting. `part` of the allowance is for such orders;
     /// the rest is kept for what may not wait (drains first). What joins a message already due costs none.
     fn may_write(&self, part: f64) -> bool {
-        let allowed = self.facts.pushes_allowed as f64 * part;
-        let even = self.push_span().times(1.0 / self.facts.pushes_allowed.max(1) as f64);
+        let allowed = self.facts.pushes_allowed * part;
+        let heads = Span::from_secs(self.cost(0.0) * HEADS / self.facts.lines_per_s.max(1.0));
+        let even = heads.max(self.push_span().times(1.0 / self.facts.pushes_allowed));
         let spaced = (part >= FOR_DRAIN && self.recent() as f64 <= allowed * PLENTY)
             || self.sent.last().is_none_or(|s| self.now - s.at >= even);
-        let few = allowed == 0.0 || self.lines > 0.0 || (spaced && (self.recent() + 1) as f64 <= allowed);
+        let few = self.lines > 0.0 || (spaced && (self.recent() + 1) as f64 <= allowed);
         few && self.waiting + self.cost(self.lines) < self.facts.most_waiting * MOST_WAITING * part
     }
 
