--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -97,6 +97,7 @@
         push_delay: span(own, "propagation")?,
         push_delay_max: span(own, "push_delay_max")?,
         overhead: number(own, "overhead")?,
+        drain_grace: span(rules, "stop_sending_within")?,
         lines_per_s: number(own, "lines_per_s")?,
         most_waiting: number(own, "most_waiting")?,
         pushes_allowed: Some(number(own, "pushes_allowed")?).filter(|&n| n > 0.0).unwrap_or(f64::INFINITY),
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -31,6 +31,7 @@
     pub push_delay_max: Span,
     pub overhead: f64,
     pub lines_per_s: f64,
+    pub drain_grace: Span,
     pub most_waiting: f64,
     /// Infinite where there is no such limit.
     pub pushes_allowed: f64,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,6 @@
 //! interface is `Orders` in orders.rs, `Facts` and `Listing` in facts.rs, `Moment` and `Span` in time.rs.
 
 use std::collections::BTreeMap;
-use std::f64::consts::LN_2;
 
 use crate::chance::Pcg;
 use crate::facts::{Facts, Listing, Standing};
@@ -33,8 +32,9 @@
 const FOR_DRAIN: f64 = 1.0;
 const FOR_OWNER: f64 = 0.85;
 const FOR_REST: f64 = 0.6;
-/// Part of the lines allowed to wait that may be used, times the part for such orders.
-const MOST_WAITING: f64 = 0.75;
+/// Part of the lines allowed to wait that drains may use, and of what leaves in time for a drain behind it.
+const MOST_WAITING: f64 = 0.85;
+const SPARED: f64 = 0.6;
 /// Messages wait for company until the channel could have sent their mere heads this many times.
 const HEADS: f64 = 6.0;
 /// Up to this part drains need not even keep the spacing that makes the messages last.
@@ -50,8 +50,7 @@
 const ASK_AGAIN: f64 = 0.15;
 /// Weight of the newest sum in a running mean.
 const FRESH: f64 = 0.5;
-/// Intervals after which a sum counts half, and after which it is too old; tries that make a mean worth
-/// having.
+/// Intervals after which a sum counts half, after which it is too old, and tries that make a mean.
 const FADE: f64 = 2.0;
 const STALE: f64 = 8.0;
 const ENOUGH: f64 = 6.0;
@@ -166,6 +165,7 @@
     waiting: f64,
     heat: Vec<f64>,
     load: Vec<f64>,
+    others: Vec<f64>,
     cold_fair: f64,
     last_step: Moment,
     /// How many operations are dearer than each.
@@ -433,7 +433,7 @@
     /// Load of each server: its slices of this instance, and what the load reports show beyond these where
     /// other instances have slices as well. Guards against taking servers of other instances for idle: one
     /// that shows nothing here has a fair share, unless it started under this instance's eyes.
-    fn loads(&self) -> Vec<f64> {
+    fn loads(&mut self) -> Vec<f64> {
         let mut load = vec![0.0; self.fleet.task.len()];
         for tbl in 0..self.slices.len() {
             if let (true, Some(i)) = (self.slices[tbl].mine, self.slices[tbl].owner) {
@@ -446,11 +446,9 @@
         let typical = shows.iter().sum::<f64>() / shows.len().max(1) as f64;
         let guess = |i: usize| self.fleet.seen[i].unwrap_or(if self.new_here(i) { 0.0 } else { typical });
         let seen: f64 = self.usables().map(guess).sum();
-        for i in self.usables() {
-            let part = guess(i) / seen.max(1e-9);
-            load[i] += (part * all - load[i]).max(0.0) * (1.0 - share);
-        }
-        load
+        let others = |i: usize| (guess(i) / seen.max(1e-9) * all - load[i]).max(0.0) * (1.0 - share);
+        self.others = self.all().map(|i| if self.usable(i) { others(i) } else { 0.0 }).collect();
+        load.iter().zip(&self.others).map(|(own, others)| own + others).collect()
     }
 
     /// Started under this instance's eyes.
@@ -458,7 +456,6 @@
         self.fleet.started[i].is_some_and(|s| s > self.born)
     }
 
-    /// Part of all slices that is in this instance's charge.
     fn share(&self) -> f64 {
         self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64
     }
@@ -474,9 +471,8 @@
         known.then(|| self.fleet.seconds[i] / succeeded)
     }
 
-    /// What a fading sum comes to in a second.
     fn per_second(&self, sum: f64) -> f64 {
-        sum * LN_2 / self.facts.interval.times(FADE).secs()
+        sum * 2f64.ln() / self.facts.interval.times(FADE).secs()
     }
 
     /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here
@@ -487,12 +483,13 @@
         held.map_or(0.0, |s| s * self.share() / pace.max(1e-3))
     }
 
-    /// Guards cold servers: they hold no more than a fair share, by their warmth, of what all lately
-    /// succeeded in. Demand is no measure, as in an overload, or with the fleet shrunk, a fair share of it is
-    /// more than anyone can do; and after a start nothing is known, so a cold server gets nothing yet.
+    /// Guards cold servers: they hold no more slices of this instance than a fair share, by their warmth, of
+    /// what all lately succeeded in for it. Demand is no measure, as in an overload a fair share of it is more
+    /// than anyone can do; and after a start nothing is known, so a cold server gets nothing yet.
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
-        warmth >= 1.0 || self.load[i] + extra <= self.cold_fair * self.fleet.size[i] * warmth * COLD_SHARE
+        let own = self.load[i] - self.others[i];
+        warmth >= 1.0 || own + extra <= self.cold_fair * self.fleet.size[i] * warmth * COLD_SHARE
     }
 
     /// What the usable servers succeed in, in the measure of heat, by size and warmth.
@@ -576,7 +573,7 @@
         let drains = |t: usize| self.slices[t].owner.map(|i| self.fleet.standing[i] != Standing::Draining);
         still.sort_by(|&a, &b| drains(a).cmp(&drains(b)).then(self.heat[b].total_cmp(&self.heat[a])));
         for &tbl in &still {
-            let fit = |&i: &usize| self.usable(i) && self.fits(i, -0.5 * self.load[i]);
+            let fit = |&i: &usize| self.usable(i) && self.fits(i, -0.5 * (self.load[i] - self.others[i]));
             let owner = self.slices[tbl].owner;
             if owner.filter(fit).is_none() && self.may_write(FOR_DRAIN) {
                 owner.inspect(|&i| self.load[i] -= self.heat[tbl]);
@@ -781,7 +778,10 @@
         let spaced = (part >= FOR_DRAIN && self.recent() as f64 <= allowed * PLENTY)
             || self.sent.last().is_none_or(|s| self.now - s.at >= even);
         let few = self.lines > 0.0 || (spaced && (self.recent() + 1) as f64 <= allowed);
-        few && self.waiting + self.cost(self.lines) < self.facts.most_waiting * MOST_WAITING * part
+        let due = self.facts.lines_per_s * (self.facts.drain_grace - self.facts.push_delay_max).secs();
+        let spared = due.min(self.facts.most_waiting) * SPARED * part;
+        let most = if part < FOR_DRAIN { spared } else { self.facts.most_waiting * MOST_WAITING };
+        few && self.waiting + self.cost(self.lines) < most
     }
 
     /// Lines that may still wait in the channel. Messages leave in order, one proxy after the other: an
--- a/src/time.rs
+++ b/src/time.rs
@@ -46,6 +46,13 @@
     }
 }
 
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
 impl Add for Span {
     type Output = Span;
     fn add(self, other: Span) -> Span {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -75,6 +75,7 @@
         push_delay_max: secs("push_delay_max", 0.7),
         overhead: get("overhead", 8.0),
         lines_per_s: get("lines_per_s", 1e4),
+        drain_grace: secs("drain_grace", 2.0),
         most_waiting: get("most_waiting", 1e4),
         pushes_allowed: get("pushes_allowed", f64::INFINITY),
         reload_span: secs("reload_span", 10.0),
