--- a/src/rules.rs
+++ b/src/rules.rs
@@ -143,6 +143,7 @@
     answered: u64,
 }
 
+/// A message: its mark and the lines it is for each proxy.
 struct Sent {
     mark: u64,
     at: Moment,
@@ -484,8 +485,8 @@
     }
 
     /// Guards cold servers: they hold no more slices of this instance than a fair share, by their warmth, of
-    /// what all lately succeeded in for it. Demand is no measure, as in an overload a fair share of it is more
-    /// than anyone can do; and after a start nothing is known, so a cold server gets nothing yet.
+    /// what all lately succeeded in for it. Demand is no measure: in an overload a fair share of it is more
+    /// than anyone can do. After a start nothing is known, so a cold server gets nothing yet.
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
         let own = self.load[i] - self.others[i];
@@ -775,13 +776,14 @@
         let allowed = self.facts.pushes_allowed * part;
         let heads = Span::from_secs(self.cost(0.0) * HEADS / self.facts.lines_per_s.max(1.0));
         let even = heads.max(self.push_span().times(1.0 / self.facts.pushes_allowed));
-        let spaced = (part >= FOR_DRAIN && self.recent() as f64 <= allowed * PLENTY)
+        let recent = self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count() as f64;
+        let spaced = (part >= FOR_DRAIN && recent <= allowed * PLENTY)
             || self.sent.last().is_none_or(|s| self.now - s.at >= even);
-        let few = self.lines > 0.0 || (spaced && (self.recent() + 1) as f64 <= allowed);
+        let few = self.lines > 0.0 || (spaced && recent + 1.0 <= allowed);
         let due = self.facts.lines_per_s * (self.facts.drain_grace - self.facts.push_delay_max).secs();
         let spared = due.min(self.facts.most_waiting) * SPARED * part;
         let most = if part < FOR_DRAIN { spared } else { self.facts.most_waiting * MOST_WAITING };
-        few && self.waiting + self.cost(self.lines) < most
+        few && (self.waiting + self.lines == 0.0 || self.waiting + self.cost(self.lines) < most)
     }
 
     /// Lines that may still wait in the channel. Messages leave in order, one proxy after the other: an
@@ -789,15 +791,11 @@
     /// channel that piles up unseen.
     fn still_waiting(&self) -> f64 {
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
-        let unanswered = |mark: u64| self.streams.iter().filter(|s| s.joined && s.answered < mark).count();
-        let left = |s: &Sent| s.lines * unanswered(s.mark) as f64 / self.joined.max(1.0);
+        let asked = |mark: u64| self.streams.iter().filter(move |s| s.joined && s.since < mark);
+        let left = |s: &Sent| s.lines * asked(s.mark).filter(|p| p.answered < s.mark).count() as f64;
         self.sent.iter().filter(|s| s.mark >= answered).map(left).sum()
     }
 
-    fn recent(&self) -> usize {
-        self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count()
-    }
-
     /// Messages may bunch up on their way, so the span in which they are counted is that much longer.
     fn push_span(&self) -> Span {
         self.facts.reload_span + self.facts.push_delay_max
@@ -815,7 +813,7 @@
         }
         let span = self.push_span();
         self.sent.retain(|s| self.now - s.at <= span);
-        self.sent.push(Sent { mark: self.mark, at: self.now, lines: self.cost(self.lines) });
+        self.sent.push(Sent { mark: self.mark, at: self.now, lines: self.facts.overhead + self.lines + 1.0 });
     }
 
     /// Wakes at the next fence, or after an interval.
