--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -90,6 +90,7 @@
         again: number(own, "retry_default")? as u8,
         held_field: report_field("outstanding"),
         busy_field: report_field("utilization"),
+        zones: list(of, "failure_domains")?.len() as f64,
         interval: span(own, "interval")?,
         bare: span(own, "bare")?,
         lease: span(own, "lease")?,
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -112,7 +112,8 @@
             "heard" => {
                 let (tries, lost) = (number(fields, "tries_n")?, number(fields, "lost")?);
                 let (elapsed, report) = (decode::span(fields, "elapsed")?, decode::report(fields));
-                to.heard(number(fields, "task")? as u32, tries, lost, elapsed, &report);
+                let over = decode::span(fields, "over")?;
+                to.heard(number(fields, "task")? as u32, tries, lost, elapsed, over, &report);
             }
             "key_load" => {
                 let operation = to.operation(decode::text(fields, "class")?);
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -24,6 +24,8 @@
     pub held_field: Option<usize>,
     pub busy_field: Option<usize>,
     pub interval: Span,
+    /// How many zones sums come from.
+    pub zones: f64,
     pub bare: Span,
     pub lease: Span,
     pub settle: Span,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,7 +25,7 @@
 /// Part of a fair share up to which a grown fleet's new servers are filled at once.
 const NEW_SHARE: f64 = 0.5;
 /// Part of a fair share, times its warmth, that a cold server may be given; with double it gives slices up.
-const COLD_SHARE: f64 = 1.4;
+const COLD_SHARE: f64 = 1.65;
 /// Intervals that a server must stay slow before the mover acts, twice that with levels.
 const SLOW_FOR: f64 = 4.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
@@ -35,8 +35,8 @@
 /// Part of the lines allowed to wait that drains may use, and of what leaves in time for a drain behind it.
 const MOST_WAITING: f64 = 0.85;
 const SPARED: f64 = 0.6;
-/// Messages wait for company until the channel could have sent their mere heads this many times.
-const HEADS: f64 = 6.0;
+/// Messages but those of drains wait for company until the channel could have sent mere heads so many times.
+const HEADS: f64 = 3.0;
 /// Up to this part drains need not even keep the spacing that makes the messages last.
 const PLENTY: f64 = 0.3;
 /// A server is strained when its answers take this part of the usual latency objective, and calm under that
@@ -97,12 +97,12 @@
     proven: bool = false,
     dropped: bool = false,
     ;
-    // Fading sums of what ended there: tries, those lost, seconds that the others took, and tries
-    // that cuts leave alone.
+    // Fading sums of what ended there: tries, lost ones, seconds of the others; tries never cut, their span.
     tries: f64 = 0.0,
     lost: f64 = 0.0,
     seconds: f64 = 0.0,
     ended: f64 = 0.0,
+    over: f64 = 0.0,
     // Load report, if one came; losses in a row; share of successes before these.
     seen: Option<f64> = None,
     lost_run: f64 = 0.0,
@@ -316,7 +316,7 @@
         self.streams[px].answered = mark;
     }
 
-    pub fn heard(&mut self, task: u32, tries: f64, lost: f64, elapsed: Span, report: &[f64]) {
+    pub fn heard(&mut self, task: u32, tries: f64, lost: f64, elapsed: Span, over: Span, report: &[f64]) {
         let i = self.fleet.at(task, self.now);
         let fleet = &mut self.fleet;
         let faded = 0.5f64.powf((self.now - fleet.heard[i]).secs() / self.facts.interval.times(FADE).secs());
@@ -324,6 +324,7 @@
         fleet.lost[i] = fleet.lost[i] * faded + lost;
         fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
         fleet.ended[i] = fleet.ended[i] * faded + tries;
+        fleet.over[i] = fleet.over[i] * faded + over.secs();
         fleet.heard[i] = self.now;
         if let Some(value) = self.facts.held_field.or(self.facts.busy_field).and_then(|k| report.get(k)) {
             // A count in hand shows a jam at once; how busy the cores are swings, so its mean is kept.
@@ -344,7 +345,8 @@
         let kinds = self.facts.operations.len();
         let rate = self.slices[tbl].rate.get_or_insert_with(|| vec![0.0; kinds]);
         let seen = tries / over.secs().max(1e-3);
-        rate[operation] += (seen - rate[operation]) * if rate[operation] > 0.0 { FRESH } else { 1.0 };
+        let weight = 1.0 - (1.0 - FRESH).powf(over.secs() / self.facts.interval.secs().max(1e-3));
+        rate[operation] += (seen - rate[operation]) * if rate[operation] > 0.0 { weight } else { 1.0 };
     }
 
     fn decide(&mut self, out: &mut impl Orders) {
@@ -452,7 +454,6 @@
         load.iter().zip(&self.others).map(|(own, others)| own + others).collect()
     }
 
-    /// Started under this instance's eyes.
     fn new_here(&self, i: usize) -> bool {
         self.fleet.started[i].is_some_and(|s| s > self.born)
     }
@@ -472,16 +473,16 @@
         known.then(|| self.fleet.seconds[i] / succeeded)
     }
 
-    fn per_second(&self, sum: f64) -> f64 {
-        sum * 2f64.ln() / self.facts.interval.times(FADE).secs()
+    /// Tries that end there in a second, whatever span their sums are for: the larger the fleet the longer.
+    fn pace(&self, i: usize) -> f64 {
+        self.facts.zones * self.fleet.ended[i] / self.fleet.over[i].max(1e-3)
     }
 
     /// Seconds that a newcomer waits if what the server holds leaves at the pace of late: a jam shows here
     /// well before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
-        let pace = self.per_second(self.fleet.ended[i]);
         let held = self.fleet.seen[i].filter(|&s| self.facts.held_field.is_some() && s >= ENOUGH);
-        held.map_or(0.0, |s| s * self.share() / pace.max(1e-3))
+        held.map_or(0.0, |s| s * self.share() / self.pace(i).max(1e-3))
     }
 
     /// Guards cold servers: they hold no more slices of this instance than a fair share, by their warmth, of
@@ -495,9 +496,9 @@
 
     /// What the usable servers succeed in, in the measure of heat, by size and warmth.
     fn fair_success(&self) -> f64 {
-        let succeeded: f64 = self.usables().map(|i| self.fleet.ended[i] * self.fleet.success[i]).sum();
+        let succeeded: f64 = self.usables().map(|i| self.pace(i) * self.fleet.success[i]).sum();
         let able: f64 = self.usables().map(|i| self.fleet.size[i] * self.warmth(i)).sum();
-        self.per_second(succeeded) / able.max(1e-9) * self.usual_objective(self.usual_admission()).min(1e9)
+        succeeded / able.max(1e-9) * self.usual_objective(self.usual_admission()).min(1e9)
     }
 
     /// The roomiest usable server for a slice, by chance among near-equals.
@@ -774,8 +775,9 @@
     /// the rest is kept for what may not wait (drains first). What joins a message already due costs none.
     fn may_write(&self, part: f64) -> bool {
         let allowed = self.facts.pushes_allowed * part;
-        let heads = Span::from_secs(self.cost(0.0) * HEADS / self.facts.lines_per_s.max(1.0));
-        let even = heads.max(self.push_span().times(1.0 / self.facts.pushes_allowed));
+        let heads =
+            if part < FOR_DRAIN { self.cost(0.0) * HEADS / self.facts.lines_per_s.max(1.0) } else { 0.0 };
+        let even = Span::from_secs(heads).max(self.push_span().times(1.0 / self.facts.pushes_allowed));
         let recent = self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count() as f64;
         let spaced = (part >= FOR_DRAIN && recent <= allowed * PLENTY)
             || self.sent.last().is_none_or(|s| self.now - s.at >= even);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -67,6 +67,7 @@
         again: 0,
         held_field: Some(0),
         busy_field: None,
+        zones: 1.0,
         interval: secs("interval", 1.0),
         bare: secs("bare", 12.0),
         lease: secs("lease", 2.5),
@@ -119,7 +120,14 @@
         }
         "heard" => {
             let report: Vec<f64> = words.get(5).map(|w| w.parse().expect(line)).into_iter().collect();
-            to.heard(num(1)? as u32, num(2)?, num(3)?, Span::from_secs(num(4)?), &report);
+            to.heard(
+                num(1)? as u32,
+                num(2)?,
+                num(3)?,
+                Span::from_secs(num(4)?),
+                Span::from_secs(1.0),
+                &report,
+            );
         }
         "demand" => to.demand(num(1)? as usize, num(2)? as usize, num(3)?, Span::from_secs(1.0)),
         other => return Err(format!("unknown event {other}")),
