--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,6 +35,7 @@
 /// Part of the lines allowed to wait that drains may use, and of what leaves in time for a drain behind it.
 const MOST_WAITING: f64 = 0.85;
 const SPARED: f64 = 0.6;
+const BEGUN: f64 = 0.6;
 /// Messages but those of drains wait for company until the channel could have sent mere heads so many times.
 const HEADS: f64 = 3.0;
 /// Up to this part drains need not even keep the spacing that makes the messages last.
@@ -283,10 +284,8 @@
     }
 
     pub fn parted(&mut self, px: usize) {
-        if let Some(stream) = self.streams.get_mut(px) {
-            stream.joined = false;
-            stream.parted = self.now;
-        }
+        let Some(stream) = self.streams.get_mut(px) else { return };
+        (stream.joined, stream.parted) = (false, self.now);
     }
 
     /// A probe's result: a suspect that answers is none.
@@ -402,9 +401,9 @@
     fn suspect(&mut self, out: &mut impl Orders) {
         let trial = self.facts.lease.times(4.0);
         let ready: Vec<usize> = self.all().filter(|&i| self.fleet.standing[i] == Standing::Ready).collect();
-        let run = |f: &Fleet, i: usize| if f.dropped[i] { LOST_RUN * DROPPED } else { LOST_RUN };
-        let silent =
-            |f: &Fleet, i: usize| f.suspect[i].is_some() || f.lost_run[i] * f.success[i] >= run(f, i);
+        let run =
+            |f: &Fleet, i: usize| f.lost_run[i] * f.success[i] / if f.dropped[i] { DROPPED } else { 1.0 };
+        let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || run(f, i) >= LOST_RUN;
         let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
         for i in ready.iter().copied() {
             let due = self.fleet.probed[i].is_none_or(|at| self.now - at >= self.facts.interval);
@@ -590,10 +589,9 @@
         }
     }
 
-    /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. Where most are
-    /// slow the median tells nothing, so while one has room to spare, late by the objective is slow as well,
-    /// and so is one that answers well only because it refuses. Where all others are well the server is sick,
-    /// and hands most.
+    /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. While one has
+    /// room to spare, late by the objective is slow as well, as where most are slow the median tells nothing,
+    /// and so is one that refuses. Where all others are well the server is sick, and hands most.
     fn balance(&mut self, out: &mut impl Orders) {
         let mut answers: Vec<f64> = self.usables().filter_map(|i| self.elapsed(i)).collect();
         answers.sort_by(f64::total_cmp);
@@ -651,8 +649,7 @@
 
     /// Guards against overload, whatever lies behind it: a strained server lets in less, the operation with
     /// the least billed value for its work first, and more again as soon as it answers well. Losses weigh
-    /// only where answers are slow as well: broken connections alone are no overload, and letting less in
-    /// would not help.
+    /// only where answers are slow as well: broken connections alone are no overload.
     fn relieve(&mut self, out: &mut impl Orders) {
         if self.now - self.last_step >= self.facts.interval.max(self.facts.push_delay_max) {
             self.last_step = self.now;
@@ -785,6 +782,8 @@
         let due = self.facts.lines_per_s * (self.facts.drain_grace - self.facts.push_delay_max).secs();
         let spared = due.min(self.facts.most_waiting) * SPARED * part;
         let most = if part < FOR_DRAIN { spared } else { self.facts.most_waiting * MOST_WAITING };
+        // A message begun must have room to be filled, or a slow channel carries nothing but heads.
+        let most = if self.lines == 0.0 { most * BEGUN } else { most };
         few && (self.waiting + self.lines == 0.0 || self.waiting + self.cost(self.lines) < most)
     }
 
