--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,12 +22,11 @@
 const DROPPED: f64 = 0.25;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
-/// Part of a fair share up to which a grown fleet's new servers are filled at once.
-const NEW_SHARE: f64 = 0.5;
 /// Part of a fair share, times its warmth, that a cold server may be given; with double it gives slices up.
 const COLD_SHARE: f64 = 1.65;
-/// Intervals that a server must stay slow before the mover acts, twice that with levels.
+/// Intervals that a server must stay slow before the mover acts; more where levels give relief first.
 const SLOW_FOR: f64 = 4.0;
+const RELIEVED_FOR: f64 = 16.0;
 /// Parts of the messages per proxy up to which orders may be written: drains, owners to publish, all else.
 const FOR_DRAIN: f64 = 1.0;
 const FOR_OWNER: f64 = 0.85;
@@ -600,9 +599,9 @@
         let fair = self.load.iter().sum::<f64>() / size.max(1e-9);
         let spare = |i: usize| self.load[i] < fair * self.fleet.size[i] * self.warmth(i) * ROOMY;
         let roomy = self.usables().any(spare);
-        // Where levels work they give relief first, and moves may wait twice as long. Where the fleet has
-        // grown new ones are filled at once; in a deploy, where as many go, that shuffles slices for nothing.
-        let hold = self.facts.interval.times(if self.facts.levels_work { 2.0 * SLOW_FOR } else { SLOW_FOR });
+        // Where the fleet has grown its new servers are filled up to a fair share without a wait; in a
+        // deploy, where as many go, that shuffles slices for nothing.
+        let hold = self.facts.interval.times(if self.facts.levels_work { RELIEVED_FOR } else { SLOW_FOR });
         let objective = self.usual_objective(1.0) * LATE;
         let slow_from = if roomy { objective.min(median * SLOW) } else { median * SLOW };
         let gone = self.all().filter(|&i| self.fleet.standing[i] != Standing::Ready).count();
@@ -621,7 +620,7 @@
         let calm = !self.facts.levels_work && median < objective && self.usual_admission() >= REFUSES;
         for (from, held) in due {
             let enough = if calm && held { fair * self.fleet.size[from] * ROOMY } else { self.load[from] };
-            let most = if held { f64::INFINITY } else { fair * NEW_SHARE };
+            let most = if held { f64::INFINITY } else { fair };
             while self.may_write(FOR_REST) && self.hand_over(from, most, out) && self.load[from] > enough {}
         }
     }
