--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,11 +40,12 @@
 /// Up to this part drains need not even keep the spacing that makes the messages last.
 const PLENTY: f64 = 0.3;
 /// A server is strained when its answers take this part of the usual latency objective, and calm under that
-/// part of it; then its admission is cut or lifted by so much a step.
+/// part of it; then its admission is cut or lifted by so much a step. In an overload it is as busy as this.
 const LATE: f64 = 0.45;
 const CALM: f64 = 0.6;
 const CUT: f64 = 0.33;
 const LIFT: f64 = 0.05;
+const BUSY: f64 = 0.75;
 const LEVEL_STEP: f64 = 0.05;
 /// Part of the time within which the list must be asked for, after which a failed call is made again.
 const ASK_AGAIN: f64 = 0.15;
@@ -164,6 +165,7 @@
     lines: f64,
     joined: f64,
     waiting: f64,
+    share: f64,
     heat: Vec<f64>,
     load: Vec<f64>,
     others: Vec<f64>,
@@ -351,6 +353,7 @@
         self.lines = 0.0;
         self.joined = self.streams.iter().filter(|s| s.joined).count() as f64;
         self.waiting = self.still_waiting();
+        self.share = self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64;
         if !self.subscribed && self.now >= self.ask_at {
             self.ask_at = self.now + self.facts.ask_within;
             out.subscribe();
@@ -441,13 +444,12 @@
                 load[i] += self.heat[tbl];
             }
         }
-        let share = self.share();
-        let all = load.iter().sum::<f64>() / share.max(1e-9);
+        let all = load.iter().sum::<f64>() / self.share.max(1e-9);
         let shows: Vec<f64> = self.usables().filter_map(|i| self.fleet.seen[i]).collect();
         let typical = shows.iter().sum::<f64>() / shows.len().max(1) as f64;
         let guess = |i: usize| self.fleet.seen[i].unwrap_or(if self.new_here(i) { 0.0 } else { typical });
         let seen: f64 = self.usables().map(guess).sum();
-        let others = |i: usize| (guess(i) / seen.max(1e-9) * all - load[i]).max(0.0) * (1.0 - share);
+        let others = |i: usize| (guess(i) / seen.max(1e-9) * all - load[i]).max(0.0) * (1.0 - self.share);
         self.others = self.all().map(|i| if self.usable(i) { others(i) } else { 0.0 }).collect();
         load.iter().zip(&self.others).map(|(own, others)| own + others).collect()
     }
@@ -456,10 +458,6 @@
         self.fleet.started[i].is_some_and(|s| s > self.born)
     }
 
-    fn share(&self) -> f64 {
-        self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64
-    }
-
     fn ratio(&self, i: usize, extra: f64) -> f64 {
         (self.load[i] + extra).max(0.0) / (self.fleet.size[i] * self.warmth(i))
     }
@@ -480,7 +478,7 @@
     /// well before it shows in the times of what got through. A handful in hand is no queue.
     fn queue_time(&self, i: usize) -> f64 {
         let held = self.fleet.seen[i].filter(|&s| self.facts.held_field.is_some() && s >= ENOUGH);
-        held.map_or(0.0, |s| s * self.share() / self.pace(i).max(1e-3))
+        held.map_or(0.0, |s| s * self.share / self.pace(i).max(1e-3))
     }
 
     /// Guards cold servers: they hold no more slices of this instance than a fair share, by their warmth, of
@@ -685,13 +683,15 @@
             let answer = (self.fleet.seconds[i] / (tries - lost).max(1.0)).max(self.queue_time(i));
             let late = answer / (self.usual_objective(admit) * LATE);
             let strain = if tries < ENOUGH { 0.0 } else { late * (1.0 + lost / tries) };
-            if strain > 1.0 {
+            // Strained though its cores have time to spare is no overload: letting less in would not help.
+            let busy = self.fleet.seen[i].filter(|_| self.facts.held_field.is_none()).unwrap_or(1.0);
+            if strain > 1.0 && busy > BUSY {
                 self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
                 if self.facts.levels_work {
                     (self.fleet.tries[i], self.fleet.lost[i], self.fleet.seconds[i]) = (0.0, 0.0, 0.0);
                 }
-            } else if strain < CALM {
+            } else if strain < CALM || busy < BUSY * CALM {
                 let most = if self.warmth(i) < 1.0 { self.usual_admission() } else { 1.0 };
                 self.fleet.admit[i] = (admit + LIFT).min(most);
             }
