--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -37,10 +37,10 @@
     field(of, key)?.as_array().map(Vec::as_slice).ok_or_else(|| wrong(of, key))
 }
 
-/// A load report; empty where none came along.
+/// A load report, empty where none came along; a value that is no number comes as one that is not finite.
 pub fn report(of: &Value) -> Vec<f64> {
     let values = of.get("report").and_then(Value::as_array);
-    values.map_or_else(Vec::new, |v| v.iter().filter_map(Value::as_f64).collect())
+    values.map_or_else(Vec::new, |v| v.iter().map(|v| v.as_f64().unwrap_or(f64::NAN)).collect())
 }
 
 pub fn seed(of: &Value) -> Result<u64, Fail> {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,10 +40,12 @@
 /// Up to this part drains need not even keep the spacing that makes the messages last.
 const PLENTY: f64 = 0.3;
 /// A server is strained when its answers take this part of the usual latency objective, and calm under that
-/// part of it; then its admission is cut or lifted by so much a step. In an overload it is as busy as this.
+/// part of it; then its admission is cut (the dearest operation keeps a least level) or lifted by so much a
+/// step. In an overload its cores are as busy as this.
 const LATE: f64 = 0.45;
 const CALM: f64 = 0.6;
-const CUT: f64 = 0.33;
+const CUT: f64 = 0.31;
+const LEAST: f64 = 0.9;
 const LIFT: f64 = 0.05;
 const BUSY: f64 = 0.75;
 const LEVEL_STEP: f64 = 0.05;
@@ -173,8 +175,6 @@
     last_step: Moment,
     /// How many operations are dearer than each.
     dearer: Vec<f64>,
-    /// Billed value for its work of the cheapest operation, as a part of the dearest's.
-    cheap_for_dear: f64,
     wake_at: Option<Moment>,
     subscribed: bool,
     ask_at: Moment,
@@ -188,8 +188,7 @@
             |k: usize| facts.operations[k].billed_value / facts.operations[k].latency_objective.secs();
         let kinds = 0..facts.operations.len();
         let dearer = |k: usize| kinds.clone().filter(|&o| (worth(o), k) > (worth(k), o)).count() as f64;
-        let ends = kinds.clone().map(worth).fold((f64::MAX, f64::MIN), |(a, b), w| (a.min(w), b.max(w)));
-        let (dearer, cheap_for_dear) = (kinds.clone().map(dearer).collect(), ends.0 / ends.1);
+        let dearer = kinds.clone().map(dearer).collect();
         Assigner {
             chance: Pcg::new(seed),
             born: now,
@@ -198,7 +197,6 @@
             streams: vec![absent; facts.proxies],
             last_step: now,
             dearer,
-            cheap_for_dear,
             subscribed: !facts.list_on_request,
             ask_at: now,
             facts,
@@ -319,14 +317,17 @@
     pub fn heard(&mut self, task: u32, tries: f64, lost: f64, elapsed: Span, over: Span, report: &[f64]) {
         let i = self.fleet.at(task, self.now);
         let fleet = &mut self.fleet;
+        let tries = tries.max(0.0);
+        let lost = lost.clamp(0.0, tries);
         let faded = 0.5f64.powf((self.now - fleet.heard[i]).secs() / self.facts.interval.times(FADE).secs());
         fleet.tries[i] = fleet.tries[i] * faded + tries;
         fleet.lost[i] = fleet.lost[i] * faded + lost;
-        fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs();
+        fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs().max(0.0);
         fleet.ended[i] = fleet.ended[i] * faded + tries;
-        fleet.over[i] = fleet.over[i] * faded + over.secs();
+        fleet.over[i] = fleet.over[i] * faded + over.secs().max(0.0);
         fleet.heard[i] = self.now;
-        if let Some(value) = self.facts.held_field.or(self.facts.busy_field).and_then(|k| report.get(k)) {
+        let field = self.facts.held_field.or(self.facts.busy_field);
+        if let Some(value) = field.and_then(|k| report.get(k)).filter(|v| **v >= 0.0) {
             // A count in hand shows a jam at once; how busy the cores are swings, so its mean is kept.
             let weight = if self.facts.held_field.is_some() { 1.0 } else { FRESH };
             let before = fleet.seen[i].unwrap_or(*value);
@@ -344,8 +345,8 @@
     pub fn demand(&mut self, tbl: usize, operation: usize, tries: f64, over: Span) {
         let kinds = self.facts.operations.len();
         let rate = self.slices[tbl].rate.get_or_insert_with(|| vec![0.0; kinds]);
-        let seen = tries / over.secs().max(1e-3);
-        let weight = 1.0 - (1.0 - FRESH).powf(over.secs() / self.facts.interval.secs().max(1e-3));
+        let (over, interval) = (over.secs().max(1e-3), self.facts.interval.secs().max(1e-3));
+        let (seen, weight) = (tries.max(0.0) / over, 1.0 - (1.0 - FRESH).powf(over / interval));
         rate[operation] += (seen - rate[operation]) * if rate[operation] > 0.0 { weight } else { 1.0 };
     }
 
@@ -672,8 +673,7 @@
     }
 
     fn step_levels(&mut self) {
-        let deepest = CUT / (1.0 + self.cheap_for_dear);
-        let least = (1.0 - self.cheap_for_dear) / self.dearer.len().max(1) as f64;
+        let least = LEAST / self.dearer.len().max(1) as f64;
         let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
         for i in self.usables().collect::<Vec<_>>() {
             let (tries, lost, admit) = (self.fleet.tries[i], self.fleet.lost[i], self.fleet.admit[i]);
@@ -686,7 +686,7 @@
             // Strained though its cores have time to spare is no overload: letting less in would not help.
             let busy = self.fleet.seen[i].filter(|_| self.facts.held_field.is_none()).unwrap_or(1.0);
             if strain > 1.0 && busy > BUSY {
-                self.fleet.admit[i] = (admit - deepest * (strain - 1.0).min(1.0)).max(least);
+                self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
                 if self.facts.levels_work {
                     (self.fleet.tries[i], self.fleet.lost[i], self.fleet.seconds[i]) = (0.0, 0.0, 0.0);
