--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,6 +51,8 @@
 const LEVEL_STEP: f64 = 0.05;
 /// Part of the time within which the list must be asked for, after which a failed call is made again.
 const ASK_AGAIN: f64 = 0.15;
+/// Part of the time that a slice may be bare after which it goes before hotter ones.
+const LONG_BARE: f64 = 0.2;
 /// Weight of the newest sum in a running mean.
 const FRESH: f64 = 0.5;
 /// Intervals after which a sum counts half, after which it is too old, and tries that make a mean.
@@ -363,8 +365,8 @@
         self.heat = self.heats();
         self.load = self.loads();
         self.cold_fair = self.fair_success();
-        self.evacuate(out);
         self.finish(out);
+        self.evacuate(out);
         self.balance(out);
         self.relieve(out);
         self.ask_joiners();
@@ -424,8 +426,7 @@
         }
     }
 
-    /// Demand of each slice in seconds of latency objective asked for each second; the mean where none is
-    /// known.
+    /// Demand of each slice in seconds of latency objective a second; the mean where none is known.
     fn heats(&self) -> Vec<f64> {
         let aims = self.facts.operations.iter().map(|k| k.latency_objective.secs());
         let heat = |rate: &Vec<f64>| rate.iter().zip(aims.clone()).map(|(r, aim)| r * aim).sum::<f64>();
@@ -483,8 +484,7 @@
     }
 
     /// Guards cold servers: they hold no more slices of this instance than a fair share, by their warmth, of
-    /// what all lately succeeded in for it. Demand is no measure: in an overload a fair share of it is more
-    /// than anyone can do. After a start nothing is known, so a cold server gets nothing yet.
+    /// what all lately succeeded in for it: in an overload a fair share of demand is more than anyone can do.
     fn fits(&self, i: usize, extra: f64) -> bool {
         let warmth = self.warmth(i);
         let own = self.load[i] - self.others[i];
@@ -515,10 +515,13 @@
         (0..self.slices.len()).filter(|&t| self.slices[t].handover.is_some())
     }
 
-    /// Publishes what is fenced, hottest first, reopens what stays unresolved.
+    /// Publishes what is fenced, the hottest first, but what has long been bare before all, as else the coolest
+    /// might never get a turn. Reopens what stays unresolved.
     fn finish(&mut self, out: &mut impl Orders) {
         let mut open: Vec<usize> = self.open().collect();
-        open.sort_by(|&a, &b| self.heat[b].total_cmp(&self.heat[a]));
+        let long = self.facts.bare.times(LONG_BARE);
+        let late = |t: usize| self.slices[t].handover.is_some_and(|h| self.now - h.since > long);
+        open.sort_by(|&a, &b| late(b).cmp(&late(a)).then(self.heat[b].total_cmp(&self.heat[a])));
         for tbl in open {
             let Some(handover) = self.slices[tbl].handover else { continue };
             if !self.may_write(FOR_OWNER) {
@@ -563,9 +566,9 @@
         leases.fold(handover.fence, Moment::max) + self.facts.settle
     }
 
-    /// Moves the slices of servers that drain first, then of those gone or suspect and those too many for a
-    /// cold one, hottest first. On a take-over the stored owner is published again with what room is left, as
-    /// the fleet's drains may fall due right then. A slice without one counts as shut by who died.
+    /// Moves the slices of servers that drain, then of those gone, suspect or too full for a cold one. Given
+    /// slices are published again with what room is left, as drains may fall due right then; one that has no
+    /// owner counts as shut by who died.
     fn evacuate(&mut self, out: &mut impl Orders) {
         let still = |&t: &usize| self.slices[t].mine && self.slices[t].handover.is_none();
         let mut still: Vec<usize> = (0..self.slices.len()).filter(still).collect();
@@ -721,14 +724,13 @@
     }
 
     fn write_levels(&mut self, tbl: usize, admit: f64, out: &mut impl Orders) {
-        let was = self.slices[tbl].admitted.replace(admit);
+        let was = self.slices[tbl].admitted.replace(admit).unwrap_or(1.0);
         for k in 0..self.facts.operations.len() {
             let level = self.level(k, admit);
-            if was.is_some_and(|w| self.level(k, w) == level) {
-                continue;
+            if level != self.level(k, was) {
+                out.let_in(tbl, 1 << k, level, self.facts.again);
+                self.lines += 1.0;
             }
-            out.let_in(tbl, 1 << k, level, self.facts.again);
-            self.lines += 1.0;
         }
     }
 
@@ -762,7 +764,6 @@
         out.publish(tbl, self.fleet.task[i]);
         self.lines += 1.0;
         if self.facts.levels_work {
-            slice.admitted = None;
             self.write_levels(tbl, self.fleet.admit[i], out);
         }
     }
@@ -786,9 +787,8 @@
         few && (self.waiting + self.lines == 0.0 || self.waiting + self.cost(self.lines) < most)
     }
 
-    /// Lines that may still wait in the channel. Messages leave in order, one proxy after the other: an
-    /// answer shows that all before it has left, not what went to others with its mark. Guards against a slow
-    /// channel that piles up unseen.
+    /// Lines that may still wait in the channel, which may be slow: an answer shows that all messages before
+    /// it have left, not what went to others with its mark.
     fn still_waiting(&self) -> f64 {
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
         let asked = |mark: u64| self.streams.iter().filter(move |s| s.joined && s.since < mark);
