--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,12 +48,11 @@
 const LEAST: f64 = 0.9;
 const LIFT: f64 = 0.05;
 const BUSY: f64 = 0.75;
-const LEVEL_STEP: f64 = 0.05;
 /// Part of the time within which the list must be asked for, after which a failed call is made again.
 const ASK_AGAIN: f64 = 0.15;
 /// Part of the time that a slice may be bare after which it goes before hotter ones.
 const LONG_BARE: f64 = 0.2;
-/// Weight of the newest sum in a running mean.
+/// Weight of an interval's sum in a running mean.
 const FRESH: f64 = 0.5;
 /// Intervals after which a sum counts half, after which it is too old, and tries that make a mean.
 const FADE: f64 = 2.0;
@@ -280,8 +279,8 @@
         if self.streams.len() <= px {
             self.streams.resize(px + 1, Stream { parted: self.now, ..Stream::default() });
         }
-        let stream = &mut self.streams[px];
-        *stream = Stream { joined: true, since: self.mark, asked: 0, answered: 0, ..*stream };
+        self.streams[px] =
+            Stream { joined: true, since: self.mark, asked: 0, answered: 0, ..self.streams[px] };
     }
 
     pub fn parted(&mut self, px: usize) {
@@ -318,6 +317,7 @@
 
     pub fn heard(&mut self, task: u32, tries: f64, lost: f64, elapsed: Span, over: Span, report: &[f64]) {
         let i = self.fleet.at(task, self.now);
+        let fresh = self.fresh(over);
         let fleet = &mut self.fleet;
         let tries = tries.max(0.0);
         let lost = lost.clamp(0.0, tries);
@@ -331,27 +331,31 @@
         let field = self.facts.held_field.or(self.facts.busy_field);
         if let Some(value) = field.and_then(|k| report.get(k)).filter(|v| **v >= 0.0) {
             // A count in hand shows a jam at once; how busy the cores are swings, so its mean is kept.
-            let weight = if self.facts.held_field.is_some() { 1.0 } else { FRESH };
+            let weight = if self.facts.held_field.is_some() { 1.0 } else { fresh };
             let before = fleet.seen[i].unwrap_or(*value);
             fleet.seen[i] = Some(before + (value - before) * weight);
         }
         if lost < tries {
             fleet.proven[i] = true;
             fleet.lost_run[i] = 0.0;
-            fleet.success[i] += ((tries - lost) / tries - fleet.success[i]) * FRESH;
+            fleet.success[i] += ((tries - lost) / tries - fleet.success[i]) * fresh;
         } else if self.slices.iter().any(|s| s.mine && s.owner == Some(i)) {
             self.fleet.lost_run[i] += lost;
         }
     }
 
     pub fn demand(&mut self, tbl: usize, operation: usize, tries: f64, over: Span) {
-        let kinds = self.facts.operations.len();
+        let (kinds, seen) = (self.facts.operations.len(), tries.max(0.0) / over.secs().max(1e-3));
+        let weight = self.fresh(over);
         let rate = self.slices[tbl].rate.get_or_insert_with(|| vec![0.0; kinds]);
-        let (over, interval) = (over.secs().max(1e-3), self.facts.interval.secs().max(1e-3));
-        let (seen, weight) = (tries.max(0.0) / over, 1.0 - (1.0 - FRESH).powf(over / interval));
         rate[operation] += (seen - rate[operation]) * if rate[operation] > 0.0 { weight } else { 1.0 };
     }
 
+    /// Weight of the newest sum in a running mean: at full size each covers many intervals.
+    fn fresh(&self, over: Span) -> f64 {
+        1.0 - (1.0 - FRESH).powf(over.secs().max(0.0) / self.facts.interval.secs().max(1e-3))
+    }
+
     fn decide(&mut self, out: &mut impl Orders) {
         self.lines = 0.0;
         self.joined = self.streams.iter().filter(|s| s.joined).count() as f64;
@@ -515,8 +519,8 @@
         (0..self.slices.len()).filter(|&t| self.slices[t].handover.is_some())
     }
 
-    /// Publishes what is fenced, the hottest first, but what has long been bare before all, as else the coolest
-    /// might never get a turn. Reopens what stays unresolved.
+    /// Publishes what is fenced, the hottest first, but what has long been bare before all, or the coolest
+    /// might never get a turn; reopens what stays unresolved.
     fn finish(&mut self, out: &mut impl Orders) {
         let mut open: Vec<usize> = self.open().collect();
         let long = self.facts.bare.times(LONG_BARE);
@@ -527,8 +531,7 @@
             if !self.may_write(FOR_OWNER) {
                 return;
             }
-            let old = self.slices[tbl].owner;
-            let heat = self.heat[tbl];
+            let (old, heat) = (self.slices[tbl].owner, self.heat[tbl]);
             if self.fenced(tbl, handover) {
                 if let Some(i) = self.roomiest(heat, old).or_else(|| self.last_resort(handover)) {
                     old.inspect(|&o| self.load[o] -= heat);
@@ -663,7 +666,7 @@
         for (tbl, slice) in self.slices.iter().enumerate() {
             let Slice { mine: true, owner: Some(i), handover: None, admitted, .. } = *slice else { continue };
             let (admit, was) = (self.fleet.admit[i], admitted.unwrap_or(1.0));
-            if (admit - was).abs() >= LEVEL_STEP || (admit == 1.0 && was < 1.0) {
+            if (admit - was).abs() >= LIFT || (admit == 1.0 && was < 1.0) {
                 due.push(((admit - was).abs() * self.heat[tbl], tbl, admit));
             }
         }
@@ -743,8 +746,6 @@
         }
     }
 
-    // --- writing ---
-
     /// Shuts a slice for all operations: its line is taken out of every proxy's table.
     fn shut(&mut self, tbl: usize, out: &mut impl Orders) {
         let (mark, since) = (self.mark + 1, self.now);
@@ -759,8 +760,7 @@
     fn publish(&mut self, tbl: usize, i: usize, out: &mut impl Orders) {
         let slice = &mut self.slices[tbl];
         slice.generation += 1;
-        (slice.handover, slice.republish) = (None, false);
-        slice.owner = Some(i);
+        (slice.handover, slice.republish, slice.owner) = (None, false, Some(i));
         out.publish(tbl, self.fleet.task[i]);
         self.lines += 1.0;
         if self.facts.levels_work {
