--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -103,6 +103,7 @@
         most_waiting: number(own, "most_waiting")?,
         pushes_allowed: Some(number(own, "pushes_allowed")?).filter(|&n| n > 0.0).unwrap_or(f64::INFINITY),
         reload_span: span(own, "reload_span")?,
+        tip_multiple: number(rules, "tip_multiple")?,
         cold_from: number(rules, "cold_from")?,
         warm_after: span(rules, "warm_after")?,
     })
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -39,6 +39,7 @@
     pub pushes_allowed: f64,
     pub reload_span: Span,
     pub cold_from: f64,
+    pub tip_multiple: f64,
     pub warm_after: Span,
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,8 +22,8 @@
 const DROPPED: f64 = 0.25;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
-/// Part of a fair share, times its warmth, that a cold server may be given; with double it gives slices up.
-const COLD_SHARE: f64 = 1.65;
+/// Fair shares, by its warmth, that a cold server may be given, as part of the multiple that pushes it over.
+const COLD_SHARE: f64 = 0.55;
 /// Intervals that a server must stay slow before the mover acts; more where levels give relief first.
 const SLOW_FOR: f64 = 4.0;
 const RELIEVED_FOR: f64 = 16.0;
@@ -490,9 +490,9 @@
     /// Guards cold servers: they hold no more slices of this instance than a fair share, by their warmth, of
     /// what all lately succeeded in for it: in an overload a fair share of demand is more than anyone can do.
     fn fits(&self, i: usize, extra: f64) -> bool {
-        let warmth = self.warmth(i);
-        let own = self.load[i] - self.others[i];
-        warmth >= 1.0 || own + extra <= self.cold_fair * self.fleet.size[i] * warmth * COLD_SHARE
+        let (warmth, own) = (self.warmth(i), self.load[i] - self.others[i]);
+        let share = self.facts.tip_multiple * COLD_SHARE;
+        warmth >= 1.0 || own + extra <= self.cold_fair * self.fleet.size[i] * warmth * share
     }
 
     /// What the usable servers succeed in, in the measure of heat, by size and warmth.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -81,6 +81,7 @@
         pushes_allowed: get("pushes_allowed", f64::INFINITY),
         reload_span: secs("reload_span", 10.0),
         cold_from: 0.2,
+        tip_multiple: get("tip_multiple", 3.0),
         warm_after: secs("warm_after", 14.0),
     }
 }
