--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,8 +12,7 @@
 
 /// A server is slow when its answers take this many times the median (the design's figure).
 const SLOW: f64 = 2.0;
-/// A server with less than this part of a fair share, by its warmth, has room to spare; one that lets in
-/// less than this refuses a good part.
+/// A sick server keeps this part of a fair share; others are well while all let in this much on average.
 const ROOMY: f64 = 0.33;
 const REFUSES: f64 = 0.9;
 /// Successes in a row that must be missing, from all zones, before a server is suspect.
@@ -593,28 +592,23 @@
         }
     }
 
-    /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. While one has
-    /// room to spare, late by the objective is slow as well, as where most are slow the median tells nothing,
-    /// and so is one that refuses. Where all others are well the server is sick, and hands most.
+    /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. Where all others
+    /// are well and levels do nothing the server is sick, and hands most.
     fn balance(&mut self, out: &mut impl Orders) {
         let mut answers: Vec<f64> = self.usables().filter_map(|i| self.elapsed(i)).collect();
         answers.sort_by(f64::total_cmp);
         let Some(&median) = answers.get(answers.len() / 2) else { return };
         let size: f64 = self.usables().map(|i| self.fleet.size[i]).sum();
         let fair = self.load.iter().sum::<f64>() / size.max(1e-9);
-        let spare = |i: usize| self.load[i] < fair * self.fleet.size[i] * self.warmth(i) * ROOMY;
-        let roomy = self.usables().any(spare);
         // Where the fleet has grown its new servers are filled up to a fair share without a wait; in a
         // deploy, where as many go, that shuffles slices for nothing.
         let hold = self.facts.interval.times(if self.facts.levels_work { RELIEVED_FOR } else { SLOW_FOR });
         let objective = self.usual_objective(1.0) * LATE;
-        let slow_from = if roomy { objective.min(median * SLOW) } else { median * SLOW };
         let gone = self.all().filter(|&i| self.fleet.standing[i] != Standing::Ready).count();
         let grown = self.usables().filter(|&i| self.new_here(i)).count() > gone;
         let mut due: Vec<(usize, bool)> = Vec::new();
         for i in self.all() {
-            let refuses = roomy && self.fleet.admit[i] < REFUSES;
-            let late = self.usable(i) && (refuses || self.elapsed(i).is_some_and(|e| e > slow_from));
+            let late = self.usable(i) && self.elapsed(i).is_some_and(|e| e > median * SLOW);
             let since = self.fleet.slow_since[i].unwrap_or(self.now);
             let slow = late && self.load[i] > fair * self.fleet.size[i];
             self.fleet.slow_since[i] = slow.then_some(since);
