--- a/src/rules.rs
+++ b/src/rules.rs
@@ -287,11 +287,12 @@
         (stream.joined, stream.parted) = (false, self.now);
     }
 
-    /// A probe's result: a suspect that answers is none.
+    /// A probe's result: a suspect that answers is none, but rests for a lease. A jammed one would be given
+    /// slices at once, being empty, and jam again.
     pub fn probed(&mut self, task: u32, answered: bool) {
         let i = self.fleet.at(task, self.now);
         self.fleet.proven[i] |= answered;
-        if answered && self.fleet.suspect[i].is_some() {
+        if answered && self.fleet.suspect[i].is_some_and(|at| self.now - at > self.facts.lease) {
             self.fleet.forget_health(i);
         }
     }
@@ -592,8 +593,8 @@
         }
     }
 
-    /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. Where all others
-    /// are well and levels do nothing the server is sick, and hands most.
+    /// The mover: a slow server loaded above the mean hands its hottest slice to the roomiest. Where all
+    /// others are well and levels do nothing the server is sick, and hands most.
     fn balance(&mut self, out: &mut impl Orders) {
         let mut answers: Vec<f64> = self.usables().filter_map(|i| self.elapsed(i)).collect();
         answers.sort_by(f64::total_cmp);
