--- a/src/rules.rs
+++ b/src/rules.rs
@@ -168,6 +168,7 @@
     joined: f64,
     waiting: f64,
     share: f64,
+    rates: Vec<f64>,
     heat: Vec<f64>,
     load: Vec<f64>,
     others: Vec<f64>,
@@ -366,6 +367,8 @@
             out.subscribe();
         }
         self.suspect(out);
+        let rate = |k: usize| self.slices.iter().filter_map(|s| Some(s.rate.as_ref()?[k])).sum::<f64>();
+        self.rates = (0..self.facts.operations.len()).map(rate).collect();
         self.heat = self.heats();
         self.load = self.loads();
         self.cold_fair = self.fair_success();
@@ -620,13 +623,14 @@
         let calm = !self.facts.levels_work && median < objective && self.usual_admission() >= REFUSES;
         for (from, held) in due {
             let enough = if calm && held { fair * self.fleet.size[from] * ROOMY } else { self.load[from] };
-            let most = if held { f64::INFINITY } else { fair };
+            let most = (!held).then_some(fair);
             while self.may_write(FOR_REST) && self.hand_over(from, most, out) && self.load[from] > enough {}
         }
     }
 
-    /// Shuts the hottest slice that some other server can take without being worse off than `from` is.
-    fn hand_over(&mut self, from: usize, most: f64, out: &mut impl Orders) -> bool {
+    /// Shuts the hottest slice that some other server can take without being worse off than `from` is; where
+    /// `most` is told only a new one up to that ratio.
+    fn hand_over(&mut self, from: usize, most: Option<f64>, out: &mut impl Orders) -> bool {
         let rests = |s: &Slice| s.mine && s.owner == Some(from) && s.handover.is_none();
         let mut held: Vec<usize> = (0..self.slices.len()).filter(|&t| rests(&self.slices[t])).collect();
         held.sort_by(|&a, &b| self.heat[b].total_cmp(&self.heat[a]));
@@ -634,7 +638,7 @@
             let heat = self.heat[tbl];
             if let Some(to) = self.roomiest(heat, Some(from))
                 && self.ratio(to, heat) * NEAR < self.ratio(from, 0.0)
-                && (most == f64::INFINITY || (self.new_here(to) && self.ratio(to, heat) < most))
+                && most.is_none_or(|most| self.new_here(to) && self.ratio(to, heat) < most)
             {
                 self.load[from] -= heat;
                 self.load[to] += heat;
@@ -707,8 +711,7 @@
 
     /// Mean latency objective, in seconds, of what is let in at an admission.
     fn usual_objective(&self, admit: f64) -> f64 {
-        let rate = |k: usize| self.slices.iter().filter_map(|s| Some(s.rate.as_ref()?[k])).sum::<f64>();
-        let let_in = |k: usize| rate(k) * self.level(k, admit);
+        let let_in = |k: usize| self.rates[k] * self.level(k, admit);
         let kinds = || 0..self.facts.operations.len();
         let aims: f64 = kinds().map(|k| let_in(k) * self.facts.operations[k].latency_objective.secs()).sum();
         if aims > 0.0 { aims / kinds().map(let_in).sum::<f64>() } else { f64::INFINITY }
@@ -767,16 +770,16 @@
     /// the rest is kept for what may not wait (drains first). What joins a message already due costs none.
     fn may_write(&self, part: f64) -> bool {
         let allowed = self.facts.pushes_allowed * part;
-        let heads =
-            if part < FOR_DRAIN { self.cost(0.0) * HEADS / self.facts.lines_per_s.max(1.0) } else { 0.0 };
+        let drain = part >= FOR_DRAIN;
+        let heads = if drain { 0.0 } else { self.cost(0.0) * HEADS / self.facts.lines_per_s.max(1.0) };
         let even = Span::from_secs(heads).max(self.push_span().times(1.0 / self.facts.pushes_allowed));
         let recent = self.sent.iter().filter(|s| self.now - s.at < self.push_span()).count() as f64;
-        let spaced = (part >= FOR_DRAIN && recent <= allowed * PLENTY)
-            || self.sent.last().is_none_or(|s| self.now - s.at >= even);
+        let spaced =
+            (drain && recent <= allowed * PLENTY) || self.sent.last().is_none_or(|s| self.now - s.at >= even);
         let few = self.lines > 0.0 || (spaced && recent + 1.0 <= allowed);
         let due = self.facts.lines_per_s * (self.facts.drain_grace - self.facts.push_delay_max).secs();
         let spared = due.min(self.facts.most_waiting) * SPARED * part;
-        let most = if part < FOR_DRAIN { spared } else { self.facts.most_waiting * MOST_WAITING };
+        let most = if drain { self.facts.most_waiting * MOST_WAITING } else { spared };
         // A message begun must have room to be filled, or a slow channel carries nothing but heads.
         let most = if self.lines == 0.0 { most * BEGUN } else { most };
         few && (self.waiting + self.lines == 0.0 || self.waiting + self.cost(self.lines) < most)
