--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -1,42 +1,9 @@
-//! The wire's values, read into the module's own.
+//! The wire's events, read into the module's own values.
 
-use lynxmill::{Facts, Listing, Moment, Operation, Span, Standing};
+use lynxmill::{Listing, Moment, Standing};
+use lynxmill_wire::{Fail, brief, field, number, wrong};
 use serde_json::Value;
 
-pub type Fail = String;
-
-pub fn field<'a>(of: &'a Value, key: &str) -> Result<&'a Value, Fail> {
-    of.get(key).filter(|v| !v.is_null()).ok_or_else(|| format!("no `{key}` in {}", brief(of)))
-}
-
-fn wrong(of: &Value, key: &str) -> Fail {
-    format!("odd `{key}` in {}", brief(of))
-}
-
-fn brief(of: &Value) -> String {
-    of.to_string().chars().take(200).collect()
-}
-
-pub fn number(of: &Value, key: &str) -> Result<f64, Fail> {
-    field(of, key)?.as_f64().ok_or_else(|| wrong(of, key))
-}
-
-pub fn span(of: &Value, key: &str) -> Result<Span, Fail> {
-    number(of, key).map(Span::from_secs)
-}
-
-pub fn flag(of: &Value, key: &str) -> Result<bool, Fail> {
-    field(of, key)?.as_bool().ok_or_else(|| wrong(of, key))
-}
-
-pub fn text<'a>(of: &'a Value, key: &str) -> Result<&'a str, Fail> {
-    field(of, key)?.as_str().ok_or_else(|| wrong(of, key))
-}
-
-pub fn list<'a>(of: &'a Value, key: &str) -> Result<&'a [Value], Fail> {
-    field(of, key)?.as_array().map(Vec::as_slice).ok_or_else(|| wrong(of, key))
-}
-
 /// A load report, empty where none came along; a value that is no number comes as one that is not finite.
 pub fn report(of: &Value) -> Vec<f64> {
     let values = of.get("report").and_then(Value::as_array);
@@ -66,45 +33,3 @@
         started: started.map(Moment::from_secs),
     })
 }
-
-pub fn facts(of: &Value) -> Result<Facts, Fail> {
-    let (own, rules) = (field(of, "specifics")?, field(of, "rules")?);
-    let operations = list(of, "classes")?.iter().map(|class| {
-        Ok(Operation {
-            name: text(class, "name")?.to_owned(),
-            billed_value: number(class, "credit")?,
-            latency_objective: span(class, "slo")?,
-        })
-    });
-    let fields = list(field(of, "feedback")?, "fields")?;
-    let report_field = |name| fields.iter().position(|f| f == name);
-    Ok(Facts {
-        operations: operations.collect::<Result<_, Fail>>()?,
-        slices: number(own, "shards")? as usize,
-        proxies: number(own, "proxy_count")? as usize,
-        list_on_request: text(of, "registry_mode")? == "on_request",
-        ask_within: span(rules, "ask_within")?,
-        probes: flag(field(of, "policy_limits")?, "probes")?,
-        dropped_stay_open: rules.get("dropped_stay_open").and_then(Value::as_bool).unwrap_or(false),
-        levels_work: text(own, "throttle_by")? == "share",
-        again: number(own, "retry_default")? as u8,
-        held_field: report_field("outstanding"),
-        busy_field: report_field("utilization"),
-        zones: list(of, "failure_domains")?.len() as f64,
-        interval: span(own, "interval")?,
-        bare: span(own, "bare")?,
-        lease: span(own, "lease")?,
-        settle: span(own, "settle")?,
-        push_delay: span(own, "propagation")?,
-        push_delay_max: span(own, "push_delay_max")?,
-        overhead: number(own, "overhead")?,
-        drain_grace: span(rules, "stop_sending_within")?,
-        lines_per_s: number(own, "lines_per_s")?,
-        most_waiting: number(own, "most_waiting")?,
-        pushes_allowed: Some(number(own, "pushes_allowed")?).filter(|&n| n > 0.0).unwrap_or(f64::INFINITY),
-        reload_span: span(own, "reload_span")?,
-        tip_multiple: number(rules, "tip_multiple")?,
-        cold_from: number(rules, "cold_from")?,
-        warm_after: span(rules, "warm_after")?,
-    })
-}
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -9,9 +9,10 @@
 use std::process::ExitCode;
 
 use lynxmill::{Assigner, Listing, Moment};
+use lynxmill_wire::{Fail, flag, list, number, span, text};
 use serde_json::{Value, json};
 
-use decode::{Fail, list, name_and_fields, number};
+use decode::name_and_fields;
 use writer::Reply;
 
 #[derive(Default)]
@@ -42,7 +43,7 @@
             let (name, fields) = name_and_fields(event)?;
             match name {
                 "create" => {
-                    let facts = decode::facts(decode::field(fields, "facts")?)?;
+                    let facts = lynxmill_wire::facts(lynxmill_wire::field(fields, "facts")?)?;
                     self.assigners.insert(id, Assigner::new(decode::seed(fields)?, now, facts));
                     rest = at + 1;
                 }
@@ -101,29 +102,24 @@
                     to.listed(scope != 0, scope == 2, entries);
                 }
             },
-            "custody" => to.custody(index("tbl")?, decode::flag(fields, "on")?),
+            "custody" => to.custody(index("tbl")?, flag(fields, "on")?),
             "in_store" => to.stored(index("tbl")?, number(fields, "task")? as u32),
             "subscribed" => to.joined(index("px")?),
             "detached" => to.parted(index("px")?),
             "caught_up" => {
-                to.answered(index("px")?, number(fields, "number")? as u16, decode::span(fields, "elapsed")?);
+                to.answered(index("px")?, number(fields, "number")? as u16, span(fields, "elapsed")?);
             }
             "checked" => to.probed(number(fields, "task")? as u32, number(fields, "outcome")? == 0.0),
             "heard" => {
                 let (tries, lost) = (number(fields, "tries_n")?, number(fields, "lost")?);
-                let (elapsed, report) = (decode::span(fields, "elapsed")?, decode::report(fields));
-                let over = decode::span(fields, "over")?;
+                let (elapsed, report) = (span(fields, "elapsed")?, decode::report(fields));
+                let over = span(fields, "over")?;
                 to.heard(number(fields, "task")? as u32, tries, lost, elapsed, over, &report);
             }
             "key_load" => {
-                let operation = to.operation(decode::text(fields, "class")?);
+                let operation = to.operation(text(fields, "class")?);
                 let operation = operation.ok_or(format!("key_load: unknown class in {fields}"))?;
-                to.demand(
-                    index("tbl")?,
-                    operation,
-                    number(fields, "tries_n")?,
-                    decode::span(fields, "over")?,
-                );
+                to.demand(index("tbl")?, operation, number(fields, "tries_n")?, span(fields, "over")?);
             }
             _ => {}
         }
--- /dev/null
+++ b/daemon/src/accept.rs
@@ -0,0 +1,64 @@
+//! The assigner's address: who connects, told apart by the first byte, and what becomes of each connection.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_codec::Framed;
+use actix_rt::net::TcpStream;
+use actix_rt::time::timeout;
+use futures_util::{SinkExt, StreamExt};
+use tokio::sync::oneshot;
+
+use crate::close::{Reason, ended};
+use crate::hub::Hub;
+use crate::reduce::Event;
+use crate::resp::{Alive, Fault, Message, Resp};
+
+/// How long a stranger may take to say something whole, and anyone to read an answer of a few bytes.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+pub async fn serve(stream: TcpStream, hub: Rc<Hub>) {
+    let peer = stream.peer_addr().map_or_else(|_| "?".to_owned(), |peer| peer.to_string());
+    let (id, closed) = hub.open();
+    let (reason, detail) = talk(stream, &hub, id, closed).await;
+    hub.closed(id);
+    ended("connection", peer, reason, detail);
+}
+
+async fn talk(
+    stream: TcpStream,
+    hub: &Rc<Hub>,
+    id: u64,
+    mut closed: oneshot::Receiver<Reason>,
+) -> (Reason, String) {
+    let _ = stream.set_nodelay(true);
+    let mut framed = Framed::new(stream, Resp::default());
+    let mut zone = None;
+    let told = |zone: &Option<String>| zone.as_ref().map(|z| format!("zone={z}")).unwrap_or_default();
+    let mut patience = PATIENCE;
+    loop {
+        let next = tokio::select! {
+            next = timeout(patience, framed.next()) => next,
+            reason = &mut closed => return (reason.unwrap_or(Reason::PeerClosed), told(&zone)),
+        };
+        let message = match next {
+            Err(_) => return (Reason::Silent, told(&zone)),
+            Ok(None) => return (Reason::PeerClosed, told(&zone)),
+            Ok(Some(Ok(message))) => message,
+            Ok(Some(Err(Fault::Bad(reason, detail)))) => return (reason, detail),
+            Ok(Some(Err(Fault::Io(e)))) => return (Reason::PeerReset, format!("{} {e}", told(&zone))),
+        };
+        // One that has spoken may be quiet: a collector has nothing to say while nothing happens.
+        patience = Duration::from_secs(u32::MAX.into());
+        match &message {
+            Message::Heartbeat => match timeout(PATIENCE, framed.send(Alive)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return (Reason::PeerReset, told(&zone)),
+                Err(_) => return (Reason::Unread, told(&zone)),
+            },
+            Message::Zone(name) => zone = Some(name.clone()),
+            _ => {}
+        }
+        hub.tell(Event::Said(id, message));
+    }
+}
--- /dev/null
+++ b/daemon/src/close.rs
@@ -0,0 +1,55 @@
+//! Why a connection ended: one code for each reason, and the one log line that every ended connection leaves.
+
+use std::fmt::Display;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The other side closed it between two messages, or broke it.
+    PeerClosed,
+    PeerReset,
+    /// A stranger that sent no whole message in time, or was the oldest such when sockets ran out.
+    Silent,
+    Crowded,
+    /// It doesn't read its answers.
+    Unread,
+    TooLong,
+    BadFrame,
+    UnknownKind,
+    BadFields,
+    /// An HTTP exchange on the assigner's address is over.
+    HttpDone,
+    /// Relay and discovery: the answer has come; none came up; none came in time; broke off; can't be read.
+    Done,
+    Unreachable,
+    NoAnswer,
+    Broken,
+    Unreadable,
+    TurnedBack,
+}
+
+impl Reason {
+    pub fn code(self) -> &'static str {
+        match self {
+            Reason::PeerClosed => "peer-closed",
+            Reason::PeerReset => "peer-reset",
+            Reason::Silent => "silent",
+            Reason::Crowded => "crowded",
+            Reason::Unread => "unread",
+            Reason::TooLong => "too-long",
+            Reason::BadFrame => "bad-frame",
+            Reason::UnknownKind => "unknown-kind",
+            Reason::BadFields => "bad-fields",
+            Reason::HttpDone => "http-done",
+            Reason::Done => "done",
+            Reason::Unreachable => "unreachable",
+            Reason::NoAnswer => "no-answer",
+            Reason::Broken => "broken",
+            Reason::Unreadable => "unreadable",
+            Reason::TurnedBack => "turned-back",
+        }
+    }
+}
+
+pub fn ended(road: &str, peer: impl Display, reason: Reason, detail: impl Display) {
+    log::info!("{road} {peer} ended reason={} {detail}", reason.code());
+}
--- /dev/null
+++ b/daemon/src/reduce.rs
@@ -0,0 +1,655 @@
+//! The reducer: every change of state goes through `reduce`, which takes one event, calls the module when a
+//! round is due and asks for effects. It reads and writes nothing itself and decides nothing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use lynxmill::{Assigner, Listing, Moment, Orders, Pcg, Span};
+
+use crate::close::Reason;
+use crate::discovery::Members;
+use crate::encode::{self, Order, Outbox, Sets};
+use crate::relay::{News, Outcome};
+use crate::resp::{Asked, Message, Met};
+use crate::start::{Clock, Start};
+
+/// Marks remembered for their answers; they are numbered in 16 bits, and an older one is of no use.
+const MARKS: usize = 256;
+/// Pause before a call that was turned back, or a connection that did not come up, is tried again.
+const PAUSE: Duration = Duration::from_millis(100);
+
+#[derive(Debug)]
+pub enum Event {
+    Begin,
+    Wake,
+    Opened(u64),
+    Said(u64, Message),
+    Ended(u64),
+    /// The watch's head has come: what stands follows.
+    WatchBegun,
+    News(Vec<News>),
+    WatchEnded,
+    Called(Outcome),
+    Listed(Members),
+    ListFailed,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    WakeAt(Moment),
+    Watch,
+    Call(String),
+    Ask(Option<u64>),
+    Close(u64, Reason),
+}
+
+/// What the module is told in the next round.
+enum Input {
+    Listed { complete: bool, remembered: bool, entries: Vec<Listing> },
+    ListFailed,
+    Custody(usize, bool),
+    Stored(usize, u32),
+    Joined(usize),
+    Parted(usize),
+    Answered(usize, u16, Span),
+    Heard { server: u32, tries: f64, lost: f64, elapsed: Span, over: Span, report: Vec<f64> },
+    Demand { slice: usize, operation: usize, tries: f64, over: Span },
+}
+
+/// A slice's charge, and what the store is known to hold of it.
+#[derive(Clone, Default)]
+struct Charge {
+    mine: bool,
+    /// Raised whenever the charge begins or ends: orders of an earlier one must not go out any more.
+    count: u32,
+    line: Option<u32>,
+    written: Option<Moment>,
+}
+
+struct Mark {
+    number: u16,
+    ordered: Moment,
+    /// When a call that carried it ended last.
+    ended: Option<Moment>,
+}
+
+/// What of the standing state a new watch has told so far.
+#[derive(Default)]
+struct Standing {
+    proxies: BTreeSet<u16>,
+    slices: BTreeMap<usize, Option<u32>>,
+}
+
+#[derive(Default)]
+struct Names {
+    numbers: BTreeMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Names {
+    fn number(&mut self, name: &str) -> u32 {
+        if let Some(&number) = self.numbers.get(name) {
+            return number;
+        }
+        let number = self.names.len() as u32;
+        self.numbers.insert(name.to_owned(), number);
+        self.names.push(name.to_owned());
+        number
+    }
+}
+
+/// What the module writes in a round.
+struct Writer<'a> {
+    now: Moment,
+    names: &'a Names,
+    operations: &'a [String],
+    charges: &'a [Charge],
+    outbox: &'a mut Outbox,
+    marks: &'a mut Vec<Mark>,
+    wake: &'a mut Option<Moment>,
+    subscribe: bool,
+}
+
+impl Writer<'_> {
+    fn name(&self, task: u32) -> &str {
+        self.names.names.get(task as usize).map_or("", String::as_str)
+    }
+
+    fn charge(&self, slice: usize) -> u32 {
+        self.charges.get(slice).map_or(0, |charge| charge.count)
+    }
+}
+
+impl Orders for Writer<'_> {
+    fn publish(&mut self, slice: usize, task: u32) {
+        self.outbox.push(encode::publish(slice, self.charge(slice), task, self.name(task)));
+    }
+
+    fn shut(&mut self, slice: usize, task: u32) {
+        self.outbox.push(encode::shut(slice, self.charge(slice), self.name(task)));
+    }
+
+    fn let_in(&mut self, slice: usize, mask: u64, level: f64, again: u8) {
+        let names = self.operations.iter().enumerate().filter(|(k, _)| mask >> k & 1 == 1);
+        let names: Vec<&str> = names.map(|(_, name)| name.as_str()).collect();
+        self.outbox.push(encode::levels(slice, self.charge(slice), mask, &names, level, again));
+    }
+
+    fn mark(&mut self, number: u16) {
+        self.outbox.push(encode::mark(number, self.now));
+        self.marks.retain(|mark| mark.number != number);
+        if self.marks.len() >= MARKS {
+            self.marks.remove(0);
+        }
+        self.marks.push(Mark { number, ordered: self.now, ended: None });
+    }
+
+    fn wake(&mut self, after: Span) {
+        *self.wake = Some(self.now + after);
+    }
+
+    fn subscribe(&mut self) {
+        self.subscribe = true;
+    }
+
+    fn probe(&mut self, task: u32) {
+        log::warn!("no probes on this road, server {}", self.name(task));
+    }
+
+    fn note(&mut self, text: &str) {
+        log::info!("{text}");
+    }
+}
+
+pub struct State {
+    clock: Clock,
+    assigner: Assigner,
+    operations: Vec<String>,
+    report_fields: Vec<String>,
+    on_request: bool,
+    step: Span,
+    chance: Pcg,
+    names: Names,
+    inbox: Vec<Input>,
+    round_at: Option<Moment>,
+    wake_at: Option<Moment>,
+    // The relay.
+    outbox: Outbox,
+    flying: Option<Vec<Order>>,
+    call_at: Option<Moment>,
+    marks: Vec<Mark>,
+    charges: Vec<Charge>,
+    joined: BTreeSet<u16>,
+    watch_at: Option<Moment>,
+    watch_begun: Moment,
+    standing: Option<Standing>,
+    /// Slices given whose line in the store may be the next piece of news.
+    given: BTreeSet<usize>,
+    // Discovery.
+    index: Option<u64>,
+    ask_at: Option<Moment>,
+    asking: bool,
+    // Connections at the assigner's address that have not said anything yet, and all.
+    strangers: BTreeSet<u64>,
+    open: BTreeSet<u64>,
+    most_open: usize,
+    pub tally: Tally,
+}
+
+/// For those who look: what `GET /status` tells beside the state.
+#[derive(Default)]
+pub struct Tally {
+    pub rounds: u64,
+    pub messages: u64,
+    pub calls: u64,
+    pub again: u64,
+    pub refused: u64,
+}
+
+impl State {
+    pub fn new(clock: Clock, start: Start) -> Self {
+        let now = clock.now();
+        let facts = start.facts;
+        let mut state = State {
+            clock,
+            operations: facts.operations.iter().map(|o| o.name.clone()).collect(),
+            report_fields: start.report_fields,
+            on_request: facts.list_on_request,
+            step: Span::from_secs(start.step.as_secs_f64()),
+            chance: Pcg::new(start.seed),
+            names: Names::default(),
+            inbox: Vec::new(),
+            round_at: None,
+            wake_at: None,
+            outbox: Outbox::default(),
+            flying: None,
+            call_at: None,
+            marks: Vec::new(),
+            charges: vec![Charge::default(); facts.slices],
+            joined: BTreeSet::new(),
+            watch_at: None,
+            watch_begun: now,
+            standing: None,
+            given: BTreeSet::new(),
+            index: None,
+            ask_at: None,
+            asking: false,
+            strangers: BTreeSet::new(),
+            open: BTreeSet::new(),
+            // Half of the sockets are for those who connect; the accept queue and calls need theirs.
+            most_open: start.sockets / 2,
+            tally: Tally::default(),
+            assigner: Assigner::new(start.seed, now, facts),
+        };
+        if let Some(known) = start.known {
+            state.listed(known, true, true);
+        }
+        state
+    }
+
+    pub fn reduce(&mut self, event: Event, effects: &mut Vec<Effect>) {
+        let now = self.clock.now();
+        match event {
+            Event::Begin => {
+                effects.push(Effect::Watch);
+                if !self.on_request {
+                    self.ask(effects);
+                }
+                self.round_at = Some(now);
+            }
+            Event::Wake => {}
+            Event::Opened(id) => self.opened(id, effects),
+            Event::Said(id, message) => {
+                self.strangers.remove(&id);
+                self.tally.messages += 1;
+                self.said(id, message, effects);
+            }
+            Event::Ended(id) => {
+                self.strangers.remove(&id);
+                self.open.remove(&id);
+            }
+            Event::WatchBegun => {
+                self.standing = Some(Standing::default());
+            }
+            Event::News(news) => news.into_iter().for_each(|line| self.news(now, line)),
+            Event::WatchEnded => {
+                self.flush_given();
+                // What had come of the standing state is no ground to think the rest gone.
+                self.standing = None;
+                self.watch_at =
+                    Some(if now - self.watch_begun < self.pause(1.0) { now + self.jittered() } else { now });
+            }
+            Event::Called(outcome) => self.called(now, outcome),
+            Event::Listed(members) => {
+                self.asking = false;
+                let complete = members.snapshot || self.index.is_none();
+                self.listed(members, complete, false);
+                self.ask(effects);
+            }
+            Event::ListFailed => {
+                self.asking = false;
+                if self.on_request {
+                    self.inbox.push(Input::ListFailed);
+                } else {
+                    self.ask_at = Some(now + self.jittered());
+                }
+            }
+        }
+        self.run(now, effects);
+    }
+
+    /// All that is due by now, and the time to wake at for the rest.
+    fn run(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        if !self.inbox.is_empty() && self.round_at.is_none() {
+            self.round_at = Some(now + self.step);
+        }
+        if due(&mut self.watch_at, now) {
+            self.watch_begun = now;
+            effects.push(Effect::Watch);
+        }
+        if due(&mut self.ask_at, now) {
+            self.ask(effects);
+        }
+        let woken = due(&mut self.wake_at, now);
+        if due(&mut self.round_at, now) || woken {
+            self.round_at = None;
+            self.round(now, effects);
+        }
+        if self.call_at.is_none_or(|at| at <= now) && self.flying.is_none() {
+            self.call_at = None;
+            self.call(effects);
+        }
+        let dues = [self.round_at, self.wake_at, self.watch_at, self.ask_at, self.call_at];
+        if let Some(at) = dues.into_iter().flatten().min() {
+            effects.push(Effect::WakeAt(at));
+        }
+    }
+
+    fn pause(&self, times: f64) -> Span {
+        Span::from_secs(PAUSE.as_secs_f64() * times)
+    }
+
+    fn jittered(&mut self) -> Span {
+        let unit = self.chance.unit();
+        self.pause(0.5 + unit)
+    }
+
+    // --- rounds ---
+
+    fn round(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        let inbox = std::mem::take(&mut self.inbox);
+        let mut writer = Writer {
+            now,
+            names: &self.names,
+            operations: &self.operations,
+            charges: &self.charges,
+            outbox: &mut self.outbox,
+            marks: &mut self.marks,
+            wake: &mut self.wake_at,
+            subscribe: false,
+        };
+        let feed = |assigner: &mut Assigner| {
+            inbox.into_iter().for_each(|input| feed(assigner, input));
+            Ok::<(), std::convert::Infallible>(())
+        };
+        let Ok(()) = self.assigner.round(now, feed, &mut writer);
+        self.tally.rounds += 1;
+        if writer.subscribe {
+            self.ask(effects);
+        }
+    }
+
+    // --- who connects ---
+
+    fn opened(&mut self, id: u64, effects: &mut Vec<Effect>) {
+        self.open.insert(id);
+        self.strangers.insert(id);
+        if self.open.len() > self.most_open {
+            // A stranger makes room; where all have spoken, the newcomer goes.
+            let oldest = self.strangers.first().copied().unwrap_or(id);
+            effects.push(Effect::Close(oldest, Reason::Crowded));
+        }
+    }
+
+    fn said(&mut self, id: u64, message: Message, effects: &mut Vec<Effect>) {
+        match message {
+            Message::Heartbeat | Message::Zone(_) => {}
+            Message::Met(met) => self.met(met),
+            Message::Asked(asked) => {
+                if !self.asked(&asked) {
+                    effects.push(Effect::Close(id, Reason::BadFields));
+                }
+            }
+        }
+    }
+
+    fn met(&mut self, met: Met) {
+        // A server that neither list nor store has named is nobody's owner: its report tells nothing yet.
+        let Some(&server) = self.names.numbers.get(&met.server) else { return };
+        let value = |field: &String| met.load.iter().find(|(name, _)| name == field).map(|(_, value)| *value);
+        let report = if met.load.is_empty() {
+            Vec::new()
+        } else {
+            self.report_fields.iter().map(|field| value(field).unwrap_or(f64::NAN)).collect()
+        };
+        self.inbox.push(Input::Heard {
+            server,
+            tries: met.tries,
+            lost: met.failed,
+            elapsed: Span::from_secs(met.mean_ms / 1e3),
+            over: Span::from_secs(met.span_ms / 1e3),
+            report,
+        });
+    }
+
+    fn asked(&mut self, asked: &Asked) -> bool {
+        let operation = self.operations.iter().position(|name| *name == asked.operation);
+        let Some(operation) = operation.filter(|_| asked.slice < self.charges.len()) else { return false };
+        let over = Span::from_secs(asked.span_ms / 1e3);
+        self.inbox.push(Input::Demand { slice: asked.slice, operation, tries: asked.tries, over });
+        true
+    }
+
+    // --- the relay's news ---
+
+    fn news(&mut self, now: Moment, line: News) {
+        match &line {
+            News::Owner { .. } => {}
+            News::Entry { slice, .. } if self.given.contains(slice) => {}
+            _ => self.flush_given(),
+        }
+        match line {
+            News::Alive => self.stands(now),
+            News::Attach { proxy } => {
+                self.joined.insert(proxy);
+                if let Some(standing) = &mut self.standing {
+                    standing.proxies.insert(proxy);
+                }
+                // One that stands after a gap may have left in it: answers to earlier marks are lost.
+                self.inbox.push(Input::Joined(proxy.into()));
+            }
+            News::Detach { proxy } => {
+                if let Some(standing) = &mut self.standing {
+                    standing.proxies.remove(&proxy);
+                }
+                self.part(proxy);
+            }
+            News::Done { proxy, mark, took_ms } => self.answered(now, proxy, mark, took_ms),
+            News::Owner { slice, on } => self.owner(slice, on),
+            News::Entry { slice, server } => self.entry(slice, &server),
+        }
+    }
+
+    fn part(&mut self, proxy: u16) {
+        if self.joined.remove(&proxy) {
+            self.inbox.push(Input::Parted(proxy.into()));
+        }
+    }
+
+    /// The relay counts from when it got the call, the module from when it wrote: what lies between is added,
+    /// or a fence would be taken for older than it is.
+    fn answered(&mut self, now: Moment, proxy: u16, number: u16, took_ms: f64) {
+        let took = Span::from_secs(took_ms.max(0.0) / 1e3);
+        let elapsed = match self.marks.iter().rfind(|mark| mark.number == number) {
+            Some(mark) => (mark.ended.unwrap_or(now) - mark.ordered + took).min(now - mark.ordered),
+            None => took,
+        };
+        self.inbox.push(Input::Answered(proxy.into(), number, elapsed));
+    }
+
+    fn owner(&mut self, slice: usize, on: bool) {
+        let Some(mine) = self.charges.get(slice).map(|charge| charge.mine) else {
+            log::warn!("no such slice {slice}");
+            return;
+        };
+        if let Some(standing) = &mut self.standing {
+            if on {
+                standing.slices.insert(slice, None);
+            } else {
+                standing.slices.remove(&slice);
+            }
+            if on && mine {
+                return;
+            }
+        }
+        self.given.remove(&slice);
+        self.charge(slice, on);
+        if on {
+            self.given.insert(slice);
+        } else {
+            self.inbox.push(Input::Custody(slice, false));
+        }
+    }
+
+    /// A charge begins or ends: what waits of the earlier one must not go out.
+    fn charge(&mut self, slice: usize, on: bool) {
+        let charge = &mut self.charges[slice];
+        *charge = Charge { mine: on, count: charge.count + 1, ..Charge::default() };
+        self.outbox.keep(|order| order.sets.slice() != Some(slice));
+    }
+
+    fn entry(&mut self, slice: usize, server: &str) {
+        if slice >= self.charges.len() {
+            log::warn!("no such slice {slice}");
+            return;
+        }
+        let server = self.names.number(server);
+        if self.given.remove(&slice) {
+            self.charges[slice].line = Some(server);
+            self.inbox.extend([Input::Custody(slice, true), Input::Stored(slice, server)]);
+        }
+        if let Some(standing) = &mut self.standing {
+            standing.slices.insert(slice, Some(server));
+        }
+    }
+
+    /// Given slices without a line in the store, as other news has come.
+    fn flush_given(&mut self) {
+        for slice in std::mem::take(&mut self.given) {
+            self.inbox.push(Input::Custody(slice, true));
+        }
+    }
+
+    /// The standing state is complete: what it lacks has gone in the meantime, and a line that nobody here
+    /// wrote shows that a slice has been in other hands.
+    fn stands(&mut self, now: Moment) {
+        let Some(standing) = self.standing.take() else { return };
+        let gone: Vec<u16> = self.joined.difference(&standing.proxies).copied().collect();
+        gone.into_iter().for_each(|proxy| self.part(proxy));
+        for slice in 0..self.charges.len() {
+            let charge = &self.charges[slice];
+            if !charge.mine {
+                continue;
+            }
+            let Some(&line) = standing.slices.get(&slice) else {
+                self.charge(slice, false);
+                self.inbox.push(Input::Custody(slice, false));
+                continue;
+            };
+            let flying = self.flying.iter().flatten().any(|order| order.sets.slice() == Some(slice));
+            let written = charge.written.is_some_and(|at| at >= self.watch_begun);
+            if line != charge.line && !flying && !written && !self.outbox.waits_for(slice) {
+                log::warn!("slice {slice} was in other hands");
+                self.charge(slice, true);
+                self.charges[slice].line = line;
+                self.inbox.push(Input::Custody(slice, true));
+                self.inbox.extend(line.map(|server| Input::Stored(slice, server)));
+            }
+        }
+        log::debug!("the standing state is complete at {now:?}");
+    }
+
+    // --- calls to the relay ---
+
+    fn call(&mut self, effects: &mut Vec<Effect>) {
+        let Some((orders, body)) = self.outbox.call() else { return };
+        self.tally.calls += 1;
+        self.flying = Some(orders);
+        effects.push(Effect::Call(body));
+    }
+
+    fn called(&mut self, now: Moment, outcome: Outcome) {
+        let Some(mut orders) = self.flying.take() else { return };
+        // What an ended charge has ordered is void, whatever came of it.
+        let charges = &self.charges;
+        let held = |order: &Order| {
+            order.sets.slice().is_none_or(|s| charges[s].mine && charges[s].count == order.charge)
+        };
+        match outcome {
+            Outcome::Taken(taken) => {
+                let mut rest = orders.split_off(taken.min(orders.len())).into_iter();
+                if let Some(refused) = rest.next() {
+                    self.tally.refused += 1;
+                    log::warn!("the relay refused {:?}", refused.sets);
+                }
+                let rest = rest.filter(held).collect();
+                self.settle(now, &orders);
+                self.outbox.put_back(rest);
+            }
+            Outcome::Throttled => {
+                orders.retain(held);
+                self.outbox.put_back(orders);
+                self.call_at = Some(now + self.jittered());
+            }
+            Outcome::Invalid(text) => {
+                self.tally.refused += orders.len() as u64;
+                log::error!("the relay takes {} orders for none: {text}", orders.len());
+            }
+            Outcome::Unknown => {
+                orders.retain(held);
+                self.tally.again += 1;
+                self.ended(now, &orders);
+                self.outbox.put_back(orders);
+                self.call_at = Some(now + self.jittered());
+            }
+        }
+    }
+
+    /// These orders have been carried out.
+    fn settle(&mut self, now: Moment, orders: &[Order]) {
+        self.ended(now, orders);
+        for order in orders {
+            if let Sets::Line { slice, server } = order.sets
+                && self.charges[slice].count == order.charge
+            {
+                (self.charges[slice].line, self.charges[slice].written) = (server, Some(now));
+            }
+        }
+    }
+
+    fn ended(&mut self, now: Moment, orders: &[Order]) {
+        for order in orders {
+            if let Sets::Mark { number, .. } = order.sets {
+                let marks = self.marks.iter_mut().filter(|mark| mark.number == number);
+                marks.for_each(|mark| mark.ended = Some(now));
+            }
+        }
+    }
+
+    // --- discovery ---
+
+    fn ask(&mut self, effects: &mut Vec<Effect>) {
+        if !self.asking {
+            self.asking = true;
+            self.ask_at = None;
+            effects.push(Effect::Ask(self.index));
+        }
+    }
+
+    fn listed(&mut self, members: Members, complete: bool, remembered: bool) {
+        if !remembered {
+            self.index = Some(members.index);
+        }
+        if members.endpoints.is_empty() && !complete {
+            return;
+        }
+        let entries = members.endpoints.iter().map(|endpoint| Listing {
+            task: self.names.number(&endpoint.name),
+            standing: endpoint.standing,
+            size: endpoint.weight,
+            started: self.clock.since(endpoint.since_ms),
+        });
+        let entries = entries.collect();
+        self.inbox.push(Input::Listed { complete, remembered, entries });
+    }
+}
+
+fn due(at: &mut Option<Moment>, now: Moment) -> bool {
+    at.take_if(|at| *at <= now).is_some()
+}
+
+fn feed(assigner: &mut Assigner, input: Input) {
+    match input {
+        Input::Listed { complete, remembered, entries } => assigner.listed(complete, remembered, &entries),
+        Input::ListFailed => assigner.list_failed(),
+        Input::Custody(slice, on) => assigner.custody(slice, on),
+        Input::Stored(slice, server) => assigner.stored(slice, server),
+        Input::Joined(proxy) => assigner.joined(proxy),
+        Input::Parted(proxy) => assigner.parted(proxy),
+        Input::Answered(proxy, mark, elapsed) => assigner.answered(proxy, mark, elapsed),
+        Input::Heard { server, tries, lost, elapsed, over, report } => {
+            assigner.heard(server, tries, lost, elapsed, over, &report);
+        }
+        Input::Demand { slice, operation, tries, over } => assigner.demand(slice, operation, tries, over),
+    }
+}
--- /dev/null
+++ b/daemon/src/resp.rs
@@ -0,0 +1,214 @@
+//! The messages at the assigner's address: RESP2 arrays of bulk strings, a kind followed by names and values.
+//! Bytes come in pieces; each message is decoded once into a small typed value.
+
+use std::io;
+
+use actix_codec::{Decoder, Encoder};
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::close::Reason;
+
+/// The protocol's bound on a message.
+const LONGEST: usize = 1 << 20;
+/// The longest line that can open an array or a bulk string of such a message: a sign, digits, line end.
+const HEAD: usize = 16;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    Heartbeat,
+    /// A collector names its zone.
+    Zone(String),
+    Met(Met),
+    Asked(Asked),
+}
+
+/// What the proxies of a zone met at a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Met {
+    pub server: String,
+    pub tries: f64,
+    pub failed: f64,
+    pub mean_ms: f64,
+    pub span_ms: f64,
+    pub load: Vec<(String, f64)>,
+}
+
+/// Invocations of an operation that arrived for a slice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    pub slice: usize,
+    pub operation: String,
+    pub tries: f64,
+    pub span_ms: f64,
+}
+
+#[derive(Debug)]
+pub enum Fault {
+    Bad(Reason, String),
+    Io(io::Error),
+}
+
+impl From<io::Error> for Fault {
+    fn from(e: io::Error) -> Self {
+        Fault::Io(e)
+    }
+}
+
+/// The only answer ever written.
+pub struct Alive;
+
+/// What has come of a message so far; only the piece that is not whole yet is looked at again.
+#[derive(Default)]
+pub struct Resp {
+    /// Words still to come of the array begun.
+    missing: usize,
+    words: Vec<Bytes>,
+    length: Option<usize>,
+    taken: usize,
+}
+
+fn bad(text: &str) -> Fault {
+    Fault::Bad(Reason::BadFrame, text.to_owned())
+}
+
+impl Resp {
+    /// The number in a line that begins with `sign`, once the line is whole.
+    fn head(&mut self, from: &mut BytesMut, sign: u8) -> Result<Option<usize>, Fault> {
+        if from.first().is_some_and(|&b| b != sign) {
+            return Err(bad("no array of bulk strings"));
+        }
+        let seen = &from[..from.len().min(HEAD)];
+        let Some(end) = seen.iter().position(|&b| b == b'\n') else {
+            return if seen.len() == HEAD { Err(bad("endless length")) } else { Ok(None) };
+        };
+        let digits = seen[..end].strip_suffix(b"\r").and_then(|line| line.get(1..)).unwrap_or_default();
+        let digits =
+            digits.iter().all(u8::is_ascii_digit).then(|| std::str::from_utf8(digits).ok()).flatten();
+        let number = digits.and_then(|d| d.parse().ok()).ok_or_else(|| bad("odd length"))?;
+        self.taken += end + 1;
+        from.advance(end + 1);
+        Ok(Some(number))
+    }
+
+    fn room_for(&self, more: usize) -> Result<(), Fault> {
+        if more > LONGEST || self.taken + more > LONGEST {
+            return Err(Fault::Bad(Reason::TooLong, "over 1 MiB".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+impl Decoder for Resp {
+    type Item = Message;
+    type Error = Fault;
+
+    fn decode(&mut self, from: &mut BytesMut) -> Result<Option<Message>, Fault> {
+        loop {
+            if self.missing == 0 {
+                let Some(count) = self.head(from, b'*')? else { return Ok(None) };
+                // The shortest word takes 5 bytes, its line ends included.
+                self.room_for(count.saturating_mul(5))?;
+                if count == 0 {
+                    return Err(bad("an empty array"));
+                }
+                self.missing = count;
+            }
+            let length = match self.length {
+                Some(length) => length,
+                None => {
+                    let Some(length) = self.head(from, b'$')? else { return Ok(None) };
+                    self.room_for(length.saturating_add(2))?;
+                    *self.length.insert(length)
+                }
+            };
+            if from.len() < length + 2 {
+                return Ok(None);
+            }
+            let mut word = from.split_to(length + 2);
+            if &word[length..] != b"\r\n" {
+                return Err(bad("a word without its line end"));
+            }
+            word.truncate(length);
+            self.words.push(word.freeze());
+            (self.length, self.taken) = (None, self.taken + length + 2);
+            self.missing -= 1;
+            if self.missing == 0 {
+                self.taken = 0;
+                return message(&std::mem::take(&mut self.words)).map(Some);
+            }
+        }
+    }
+}
+
+impl Encoder<Alive> for Resp {
+    type Error = Fault;
+
+    fn encode(&mut self, _: Alive, to: &mut BytesMut) -> Result<(), Fault> {
+        to.extend_from_slice(b"*1\r\n$5\r\nhb_ok\r\n");
+        Ok(())
+    }
+}
+
+/// The names and values of one message. A name that isn't known is passed over.
+struct Fields<'a>(Vec<(&'a str, &'a str)>);
+
+impl<'a> Fields<'a> {
+    fn text(&self, name: &str) -> Result<&'a str, Fault> {
+        let found = self.0.iter().find(|(n, _)| *n == name);
+        found.map(|(_, value)| *value).ok_or_else(|| wrong(name))
+    }
+
+    fn number(&self, name: &str) -> Result<f64, Fault> {
+        let number = self.text(name)?.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
+        number.ok_or_else(|| wrong(name))
+    }
+
+    /// A figure that is absent where nothing was met.
+    fn number_or_none(&self, name: &str) -> Result<f64, Fault> {
+        if self.text(name).is_ok_and(|text| !text.is_empty()) { self.number(name) } else { Ok(0.0) }
+    }
+}
+
+fn wrong(name: &str) -> Fault {
+    Fault::Bad(Reason::BadFields, format!("no or odd `{name}`"))
+}
+
+fn message(words: &[Bytes]) -> Result<Message, Fault> {
+    let words = words.iter().map(|word| std::str::from_utf8(word));
+    let words: Vec<&str> = words.collect::<Result<_, _>>().map_err(|_| bad("no text"))?;
+    let (kind, rest) = words.split_first().ok_or_else(|| bad("an empty array"))?;
+    if rest.len() % 2 != 0 {
+        return Err(wrong("a value"));
+    }
+    let fields = Fields(rest.chunks_exact(2).map(|pair| (pair[0], pair[1])).collect());
+    match *kind {
+        "hb" => Ok(Message::Heartbeat),
+        "telemetry" => Ok(Message::Zone(fields.text("zone")?.to_owned())),
+        "upstream_stats" => Ok(Message::Met(Met {
+            server: fields.text("server")?.to_owned(),
+            tries: fields.number("tries")?,
+            failed: fields.number("failed")?,
+            mean_ms: fields.number_or_none("mean_ms")?,
+            span_ms: fields.number("span_ms")?,
+            load: load(fields.text("load").unwrap_or_default())?,
+        })),
+        "range_stats" => Ok(Message::Asked(Asked {
+            slice: fields.number("slice")? as usize,
+            operation: fields.text("class")?.to_owned(),
+            tries: fields.number("tries")?,
+            span_ms: fields.number("span_ms")?,
+        })),
+        other => {
+            let other: String = other.chars().take(40).collect();
+            Err(Fault::Bad(Reason::UnknownKind, format!("{other:?}")))
+        }
+    }
+}
+
+fn load(text: &str) -> Result<Vec<(String, f64)>, Fault> {
+    let pair = |part: &str| {
+        let (name, value) = part.split_once(':')?;
+        Some((name.to_owned(), value.parse().ok()?))
+    };
+    text.split(',').filter(|part| !part.is_empty()).map(|p| pair(p).ok_or_else(|| wrong("load"))).collect()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod rules;
 mod time;
 
+pub use chance::Pcg;
 pub use facts::{Facts, Listing, Operation, Standing};
 pub use orders::Orders;
 pub use rules::Assigner;
