--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -47,9 +47,11 @@
     }
 
     pub fn tell(self: &Rc<Self>, event: Event) {
+        log::trace!("{event:?}");
         let mut effects = Vec::new();
         self.state.borrow_mut().reduce(event, &mut effects);
         for effect in effects {
+            log::trace!("{effect:?}");
             match effect {
                 Effect::WakeAt(at) => {
                     if self.wake_at.replace(Some(at)) != Some(at) {
