--- a/daemon/src/accept.rs
+++ b/daemon/src/accept.rs
@@ -6,6 +6,7 @@
 use actix_codec::Framed;
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
+use actix_service::Service;
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::oneshot;
 
@@ -17,10 +18,29 @@
 /// How long a stranger may take to say something whole, and anyone to read an answer of a few bytes.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-pub async fn serve(stream: TcpStream, hub: Rc<Hub>) {
+pub async fn serve<W: Service<TcpStream>>(stream: TcpStream, hub: Rc<Hub>, web: Rc<W>) {
     let peer = stream.peer_addr().map_or_else(|_| "?".to_owned(), |peer| peer.to_string());
-    let (id, closed) = hub.open();
-    let (reason, detail) = talk(stream, &hub, id, closed).await;
+    let (id, mut closed) = hub.open();
+    let mut first = [0];
+    let first = tokio::select! {
+        peeked = timeout(PATIENCE, stream.peek(&mut first)) => match peeked {
+            Ok(Ok(0)) => Err(Reason::PeerClosed),
+            Ok(Ok(_)) => Ok(first[0]),
+            Ok(Err(_)) => Err(Reason::PeerReset),
+            Err(_) => Err(Reason::Silent),
+        },
+        reason = &mut closed => Err(reason.unwrap_or(Reason::PeerClosed)),
+    };
+    let (reason, detail) = match first {
+        Err(reason) => (reason, String::new()),
+        // HTTP's methods are in capitals; the codec tells what else is wrong.
+        Ok(b'A'..=b'Z') => match timeout(PATIENCE, web.call(stream)).await {
+            Ok(Ok(_)) => (Reason::HttpDone, String::new()),
+            Ok(Err(_)) => (Reason::BadFrame, "http".to_owned()),
+            Err(_) => (Reason::Silent, "http".to_owned()),
+        },
+        Ok(_) => talk(stream, &hub, id, closed).await,
+    };
     hub.closed(id);
     ended("connection", peer, reason, detail);
 }
@@ -32,7 +52,7 @@
     mut closed: oneshot::Receiver<Reason>,
 ) -> (Reason, String) {
     let _ = stream.set_nodelay(true);
-    let mut framed = Framed::new(stream, Resp::default());
+    let mut framed = Framed::new(stream, Resp::new(hub.room()));
     let mut zone = None;
     let told = |zone: &Option<String>| zone.as_ref().map(|z| format!("zone={z}")).unwrap_or_default();
     let mut patience = PATIENCE;
--- a/daemon/src/close.rs
+++ b/daemon/src/close.rs
@@ -16,6 +16,8 @@
     BadFrame,
     UnknownKind,
     BadFields,
+    /// The assigner was told to end.
+    Stopping,
     /// An HTTP exchange on the assigner's address is over.
     HttpDone,
     /// Relay and discovery: the answer has come; none came up; none came in time; broke off; can't be read.
@@ -39,6 +41,7 @@
             Reason::BadFrame => "bad-frame",
             Reason::UnknownKind => "unknown-kind",
             Reason::BadFields => "bad-fields",
+            Reason::Stopping => "stopping",
             Reason::HttpDone => "http-done",
             Reason::Done => "done",
             Reason::Unreachable => "unreachable",
--- a/daemon/src/encode.rs
+++ b/daemon/src/encode.rs
@@ -1,6 +1,5 @@
 //! Orders on their way to the relay: each is encoded once, keeps its turn and is cut into calls by bytes.
 
-use lynxmill::Moment;
 use serde::Serialize;
 
 /// The protocol's bound on a call's body.
@@ -13,7 +12,7 @@
 pub enum Sets {
     Line { slice: usize, server: Option<u32> },
     Levels { slice: usize, mask: u64 },
-    Mark { number: u16, at: Moment },
+    Mark { number: u16 },
 }
 
 impl Sets {
@@ -72,8 +71,8 @@
     op.order(Sets::Levels { slice, mask }, charge)
 }
 
-pub fn mark(number: u16, at: Moment) -> Order {
-    Op::Mark { nonce_out: number, on: 1 }.order(Sets::Mark { number, at }, 0)
+pub fn mark(number: u16) -> Order {
+    Op::Mark { nonce_out: number, on: 1 }.order(Sets::Mark { number }, 0)
 }
 
 /// Orders that wait, in the order they were written; at most one for each thing that can be set.
@@ -98,6 +97,20 @@
         self.waiting.retain(still);
     }
 
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Takes out all orders up to the one looked for, or none.
+    pub fn take_until(&mut self, last: impl Fn(Sets) -> bool) -> Vec<Order> {
+        let end = self.waiting.iter().position(|order| last(order.sets)).map_or(0, |at| at + 1);
+        self.waiting.drain(..end).collect()
+    }
+
+    pub fn waits(&self, sets: Sets) -> bool {
+        self.waiting.iter().any(|order| order.sets == sets)
+    }
+
     pub fn waits_for(&self, slice: usize) -> bool {
         self.waiting.iter().any(|order| order.sets.slice() == Some(slice))
     }
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -11,7 +11,8 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::close::{Reason, ended};
-use crate::reduce::{Effect, Event, State};
+use crate::reduce::{Effect, Event, State, Status};
+use crate::resp::Room;
 use crate::start::{Clock, Start};
 use crate::{discovery, relay};
 
@@ -23,6 +24,7 @@
     discovery: SocketAddr,
     wake_at: Cell<Option<Moment>>,
     wake: Notify,
+    room: Room,
     last_id: Cell<u64>,
     open: RefCell<BTreeMap<u64, oneshot::Sender<Reason>>>,
 }
@@ -33,9 +35,11 @@
         let hub = Rc::new(Hub {
             clock,
             client: Client::builder().connector(connector).disable_timeout().finish(),
+            // A quarter of the memory is for what strangers may leave unfinished.
+            room: Room::new(start.memory / 4),
             relay: start.relay,
             discovery: start.discovery,
-            state: RefCell::new(State::new(clock, start)),
+            state: RefCell::new(State::new(clock, clock.now(), start)),
             wake_at: Cell::new(None),
             wake: Notify::new(),
             last_id: Cell::new(0),
@@ -49,7 +53,7 @@
     pub fn tell(self: &Rc<Self>, event: Event) {
         log::trace!("{event:?}");
         let mut effects = Vec::new();
-        self.state.borrow_mut().reduce(event, &mut effects);
+        self.state.borrow_mut().reduce(self.clock.now(), event, &mut effects);
         for effect in effects {
             log::trace!("{effect:?}");
             match effect {
@@ -118,6 +122,24 @@
         }
     }
 
+    /// Ends all connections with their lines, then the program.
+    pub async fn end(self: Rc<Self>) {
+        for close in std::mem::take(&mut *self.open.borrow_mut()).into_values() {
+            let _ = close.send(Reason::Stopping);
+        }
+        ended("watch", self.relay, Reason::Stopping, "");
+        tokio::task::yield_now().await;
+        std::process::exit(0);
+    }
+
+    pub fn room(&self) -> Room {
+        self.room.clone()
+    }
+
+    pub fn status(&self) -> Status {
+        self.state.borrow().status()
+    }
+
     pub fn open(self: &Rc<Self>) -> (u64, oneshot::Receiver<Reason>) {
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -10,17 +10,33 @@
 mod relay;
 mod resp;
 mod start;
+mod status;
+#[cfg(test)]
+mod tests;
 
+use std::convert::Infallible;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
+use actix_http::{HttpService, KeepAlive, Request};
 use actix_rt::signal::unix::{SignalKind, signal};
 use actix_server::Server;
-use actix_service::{fn_factory, fn_service};
+use actix_service::{ServiceFactory, fn_factory, fn_service};
+
+use tokio::net::TcpSocket;
+use tokio::sync::Notify;
 
 use hub::Hub;
 use start::Clock;
 
+/// Connections that may wait to be accepted.
+const QUEUE: u32 = 1024;
+const LAST_WORDS: Duration = Duration::from_millis(100);
+
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     // A panic must not leave half a program serving: it ends, and whoever started it sees so.
@@ -45,30 +61,55 @@
     }
 }
 
-async fn run(clock: Clock, start: start::Start) -> std::io::Result<()> {
+/// The address is told again at a restart, which must not wait for connections of the one before to fade.
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(at).map_err(|e| io::Error::new(e.kind(), format!("`listen` {at}: {e}")))?;
+    socket.listen(QUEUE)?.into_std()
+}
+
+async fn run(clock: Clock, start: start::Start) -> io::Result<()> {
+    let end = Arc::new(Notify::new());
     for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
-        let mut told = signal(kind)?;
+        let (mut told, end) = (signal(kind)?, end.clone());
         actix_rt::spawn(async move {
             told.recv().await;
             log::info!("told to end");
+            end.notify_one();
+            // The hub's thread ends the program, unless it is too busy to do so at once.
+            actix_rt::time::sleep(LAST_WORDS).await;
             std::process::exit(0);
         });
     }
-    let (listen, sockets) = (start.listen, start.sockets);
-    log::info!("{} listens on {listen}", start.name);
+    let (sockets, listener) = (start.sockets, listen(start.listen)?);
+    log::info!("{} listens on {}", start.name, listener.local_addr()?);
     // The one worker starts the hub, and everything else happens on its thread.
     let start = Arc::new(Mutex::new(Some(start)));
     let factory = move || {
-        let start = start.clone();
+        let (start, end) = (start.clone(), end.clone());
         fn_factory(move || {
             let start = start.lock().ok().and_then(|mut start| start.take());
             let hub = start.map(|start| Hub::start(clock, start));
+            let end = end.clone();
             async move {
                 let hub = hub.ok_or(())?;
+                let last = hub.clone();
+                actix_rt::spawn(async move {
+                    end.notified().await;
+                    last.end().await;
+                });
+                let asked = hub.clone();
+                let web = HttpService::build().keep_alive(KeepAlive::Disabled).h1(fn_service(
+                    move |request: Request| {
+                        std::future::ready(Ok::<_, Infallible>(status::answer(&asked, &request)))
+                    },
+                ));
+                let web = Rc::new(web.tcp().new_service(()).await?);
                 Ok::<_, ()>(fn_service(move |stream| {
-                    let hub = hub.clone();
+                    let (hub, web) = (hub.clone(), web.clone());
                     async move {
-                        accept::serve(stream, hub).await;
+                        accept::serve(stream, hub, web).await;
                         Ok::<_, ()>(())
                     }
                 }))
@@ -76,5 +117,5 @@
         })
     };
     let server = Server::build().workers(1).disable_signals().max_concurrent_connections(sockets);
-    server.bind("assigner", listen, factory)?.run().await
+    server.listen("assigner", listener, factory)?.run().await
 }
--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use lynxmill::{Assigner, Listing, Moment, Orders, Pcg, Span};
+use serde::Serialize;
 
 use crate::close::Reason;
 use crate::discovery::Members;
@@ -104,10 +105,13 @@
     names: &'a Names,
     operations: &'a [String],
     charges: &'a [Charge],
+    flying: &'a [Order],
     outbox: &'a mut Outbox,
     marks: &'a mut Vec<Mark>,
     wake: &'a mut Option<Moment>,
     subscribe: bool,
+    /// Slices published while their shut has not reached the store.
+    hasty: Vec<usize>,
 }
 
 impl Writer<'_> {
@@ -122,6 +126,10 @@
 
 impl Orders for Writer<'_> {
     fn publish(&mut self, slice: usize, task: u32) {
+        let shut = Sets::Line { slice, server: None };
+        if self.outbox.waits(shut) || self.flying.iter().any(|order| order.sets == shut) {
+            self.hasty.push(slice);
+        }
         self.outbox.push(encode::publish(slice, self.charge(slice), task, self.name(task)));
     }
 
@@ -136,7 +144,7 @@
     }
 
     fn mark(&mut self, number: u16) {
-        self.outbox.push(encode::mark(number, self.now));
+        self.outbox.push(encode::mark(number));
         self.marks.retain(|mark| mark.number != number);
         if self.marks.len() >= MARKS {
             self.marks.remove(0);
@@ -162,6 +170,7 @@
 }
 
 pub struct State {
+    name: String,
     clock: Clock,
     assigner: Assigner,
     operations: Vec<String>,
@@ -182,6 +191,7 @@
     joined: BTreeSet<u16>,
     watch_at: Option<Moment>,
     watch_begun: Moment,
+    watching: bool,
     standing: Option<Standing>,
     /// Slices given whose line in the store may be the next piece of news.
     given: BTreeSet<usize>,
@@ -189,28 +199,45 @@
     index: Option<u64>,
     ask_at: Option<Moment>,
     asking: bool,
-    // Connections at the assigner's address that have not said anything yet, and all.
+    // Connections at the assigner's address that have named no zone yet, and all.
     strangers: BTreeSet<u64>,
     open: BTreeSet<u64>,
     most_open: usize,
-    pub tally: Tally,
+    tally: Tally,
 }
 
-/// For those who look: what `GET /status` tells beside the state.
 #[derive(Default)]
-pub struct Tally {
-    pub rounds: u64,
-    pub messages: u64,
-    pub calls: u64,
-    pub again: u64,
-    pub refused: u64,
+struct Tally {
+    rounds: u64,
+    messages: u64,
+    calls: u64,
+    again: u64,
+    refused: u64,
+}
+
+/// For those who look: what `GET /status` tells.
+#[derive(Serialize)]
+pub struct Status {
+    name: String,
+    /// The watch has told all that stands.
+    standing_known: bool,
+    list_index: Option<u64>,
+    proxies: usize,
+    slices: usize,
+    connections: usize,
+    orders_waiting: usize,
+    rounds: u64,
+    messages: u64,
+    calls: u64,
+    calls_of_unknown_fate: u64,
+    orders_refused: u64,
 }
 
 impl State {
-    pub fn new(clock: Clock, start: Start) -> Self {
-        let now = clock.now();
+    pub fn new(clock: Clock, now: Moment, start: Start) -> Self {
         let facts = start.facts;
         let mut state = State {
+            name: start.name,
             clock,
             operations: facts.operations.iter().map(|o| o.name.clone()).collect(),
             report_fields: start.report_fields,
@@ -229,6 +256,7 @@
             joined: BTreeSet::new(),
             watch_at: None,
             watch_begun: now,
+            watching: false,
             standing: None,
             given: BTreeSet::new(),
             index: None,
@@ -247,8 +275,24 @@
         state
     }
 
-    pub fn reduce(&mut self, event: Event, effects: &mut Vec<Effect>) {
-        let now = self.clock.now();
+    pub fn status(&self) -> Status {
+        Status {
+            name: self.name.clone(),
+            standing_known: self.watching && self.standing.is_none(),
+            list_index: self.index,
+            proxies: self.joined.len(),
+            slices: self.charges.iter().filter(|charge| charge.mine).count(),
+            connections: self.open.len(),
+            orders_waiting: self.outbox.len(),
+            rounds: self.tally.rounds,
+            messages: self.tally.messages,
+            calls: self.tally.calls,
+            calls_of_unknown_fate: self.tally.again,
+            orders_refused: self.tally.refused,
+        }
+    }
+
+    pub fn reduce(&mut self, now: Moment, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Begin => {
                 effects.push(Effect::Watch);
@@ -260,7 +304,6 @@
             Event::Wake => {}
             Event::Opened(id) => self.opened(id, effects),
             Event::Said(id, message) => {
-                self.strangers.remove(&id);
                 self.tally.messages += 1;
                 self.said(id, message, effects);
             }
@@ -269,13 +312,16 @@
                 self.open.remove(&id);
             }
             Event::WatchBegun => {
-                self.standing = Some(Standing::default());
+                (self.watching, self.standing) = (true, Some(Standing::default()));
             }
             Event::News(news) => news.into_iter().for_each(|line| self.news(now, line)),
             Event::WatchEnded => {
-                self.flush_given();
-                // What had come of the standing state is no ground to think the rest gone.
-                self.standing = None;
+                // What had come of the standing state is no ground to think the rest gone, and slices whose
+                // line had not come yet will be told again: the module has not heard of them.
+                (self.watching, self.standing) = (false, None);
+                for slice in std::mem::take(&mut self.given) {
+                    self.charge(slice, false);
+                }
                 self.watch_at =
                     Some(if now - self.watch_begun < self.pause(1.0) { now + self.jittered() } else { now });
             }
@@ -343,10 +389,12 @@
             names: &self.names,
             operations: &self.operations,
             charges: &self.charges,
+            flying: self.flying.as_deref().unwrap_or_default(),
             outbox: &mut self.outbox,
             marks: &mut self.marks,
             wake: &mut self.wake_at,
             subscribe: false,
+            hasty: Vec::new(),
         };
         let feed = |assigner: &mut Assigner| {
             inbox.into_iter().for_each(|input| feed(assigner, input));
@@ -354,9 +402,23 @@
         };
         let Ok(()) = self.assigner.round(now, feed, &mut writer);
         self.tally.rounds += 1;
-        if writer.subscribe {
+        let (subscribe, hasty) = (writer.subscribe, writer.hasty);
+        if subscribe {
             self.ask(effects);
         }
+        // Guards against a fence around a shut that the store has not seen: whoever comes back could read the
+        // old owner there. The slice begins anew with what the store holds.
+        for slice in hasty {
+            log::warn!("slice {slice}: published before its shut reached the store, begins anew");
+            self.begin_anew(slice, self.charges[slice].line);
+        }
+    }
+
+    fn begin_anew(&mut self, slice: usize, line: Option<u32>) {
+        self.charge(slice, true);
+        self.charges[slice].line = line;
+        self.inbox.push(Input::Custody(slice, true));
+        self.inbox.extend(line.map(|server| Input::Stored(slice, server)));
     }
 
     // --- who connects ---
@@ -365,7 +427,7 @@
         self.open.insert(id);
         self.strangers.insert(id);
         if self.open.len() > self.most_open {
-            // A stranger makes room; where all have spoken, the newcomer goes.
+            // The oldest stranger makes room; where all are collectors, the newcomer goes.
             let oldest = self.strangers.first().copied().unwrap_or(id);
             effects.push(Effect::Close(oldest, Reason::Crowded));
         }
@@ -373,7 +435,10 @@
 
     fn said(&mut self, id: u64, message: Message, effects: &mut Vec<Effect>) {
         match message {
-            Message::Heartbeat | Message::Zone(_) => {}
+            Message::Heartbeat => {}
+            Message::Zone(_) => {
+                self.strangers.remove(&id);
+            }
             Message::Met(met) => self.met(met),
             Message::Asked(asked) => {
                 if !self.asked(&asked) {
@@ -419,7 +484,7 @@
             _ => self.flush_given(),
         }
         match line {
-            News::Alive => self.stands(now),
+            News::Alive => self.stands(),
             News::Attach { proxy } => {
                 self.joined.insert(proxy);
                 if let Some(standing) = &mut self.standing {
@@ -455,6 +520,9 @@
             None => took,
         };
         self.inbox.push(Input::Answered(proxy.into(), number, elapsed));
+        // A call of unknown fate that a proxy answers was carried out: it need not go again.
+        let carried = self.outbox.take_until(|sets| sets == Sets::Mark { number });
+        self.settle(now, &carried);
     }
 
     fn owner(&mut self, slice: usize, on: bool) {
@@ -512,7 +580,7 @@
 
     /// The standing state is complete: what it lacks has gone in the meantime, and a line that nobody here
     /// wrote shows that a slice has been in other hands.
-    fn stands(&mut self, now: Moment) {
+    fn stands(&mut self) {
         let Some(standing) = self.standing.take() else { return };
         let gone: Vec<u16> = self.joined.difference(&standing.proxies).copied().collect();
         gone.into_iter().for_each(|proxy| self.part(proxy));
@@ -530,13 +598,9 @@
             let written = charge.written.is_some_and(|at| at >= self.watch_begun);
             if line != charge.line && !flying && !written && !self.outbox.waits_for(slice) {
                 log::warn!("slice {slice} was in other hands");
-                self.charge(slice, true);
-                self.charges[slice].line = line;
-                self.inbox.push(Input::Custody(slice, true));
-                self.inbox.extend(line.map(|server| Input::Stored(slice, server)));
+                self.begin_anew(slice, line);
             }
         }
-        log::debug!("the standing state is complete at {now:?}");
     }
 
     // --- calls to the relay ---
@@ -558,23 +622,17 @@
         match outcome {
             Outcome::Taken(taken) => {
                 let mut rest = orders.split_off(taken.min(orders.len())).into_iter();
-                if let Some(refused) = rest.next() {
-                    self.tally.refused += 1;
-                    log::warn!("the relay refused {:?}", refused.sets);
-                }
+                let refused = rest.next();
                 let rest = rest.filter(held).collect();
                 self.settle(now, &orders);
                 self.outbox.put_back(rest);
+                refused.into_iter().for_each(|order| self.refused(now, &order));
             }
             Outcome::Throttled => {
                 orders.retain(held);
                 self.outbox.put_back(orders);
                 self.call_at = Some(now + self.jittered());
             }
-            Outcome::Invalid(text) => {
-                self.tally.refused += orders.len() as u64;
-                log::error!("the relay takes {} orders for none: {text}", orders.len());
-            }
             Outcome::Unknown => {
                 orders.retain(held);
                 self.tally.again += 1;
@@ -585,6 +643,20 @@
         }
     }
 
+    /// An order that the relay can't use is left out, and a slice whose line it was to set begins anew with
+    /// what the store holds, or the module would go on believing in a line that is not there.
+    fn refused(&mut self, now: Moment, order: &Order) {
+        self.tally.refused += 1;
+        log::warn!("the relay refused {:?}", order.sets);
+        self.call_at = Some(now + self.jittered());
+        if let Sets::Line { slice, .. } = order.sets
+            && self.charges[slice].mine
+            && self.charges[slice].count == order.charge
+        {
+            self.begin_anew(slice, self.charges[slice].line);
+        }
+    }
+
     /// These orders have been carried out.
     fn settle(&mut self, now: Moment, orders: &[Order]) {
         self.ended(now, orders);
@@ -599,7 +671,7 @@
 
     fn ended(&mut self, now: Moment, orders: &[Order]) {
         for order in orders {
-            if let Sets::Mark { number, .. } = order.sets {
+            if let Sets::Mark { number } = order.sets {
                 let marks = self.marks.iter_mut().filter(|mark| mark.number == number);
                 marks.for_each(|mark| mark.ended = Some(now));
             }
@@ -620,7 +692,7 @@
         if !remembered {
             self.index = Some(members.index);
         }
-        if members.endpoints.is_empty() && !complete {
+        if members.endpoints.is_empty() && !complete && !self.on_request {
             return;
         }
         let entries = members.endpoints.iter().map(|endpoint| Listing {
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -47,9 +47,8 @@
 pub enum Outcome {
     /// So many orders, counted from the first, were taken.
     Taken(usize),
-    /// Not carried out: later, or never.
+    /// Not carried out: to be tried later.
     Throttled,
-    Invalid(String),
     /// Carried out as if answered, or not at all.
     Unknown,
 }
@@ -81,7 +80,8 @@
             let outcome = if text.contains("Throttling") {
                 Outcome::Throttled
             } else if text.contains("ValidationError") {
-                Outcome::Invalid(text)
+                // Nothing was taken: the first order is at fault, or will be known not to be.
+                Outcome::Taken(0)
             } else {
                 Outcome::Unknown
             };
--- a/daemon/src/resp.rs
+++ b/daemon/src/resp.rs
@@ -1,7 +1,9 @@
 //! The messages at the assigner's address: RESP2 arrays of bulk strings, a kind followed by names and values.
 //! Bytes come in pieces; each message is decoded once into a small typed value.
 
+use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 
 use actix_codec::{Decoder, Encoder};
 use bytes::{Buf, Bytes, BytesMut};
@@ -57,14 +59,34 @@
 /// The only answer ever written.
 pub struct Alive;
 
+/// Bytes that all connections together may hold of messages that are not whole.
+#[derive(Clone)]
+pub struct Room {
+    held: Rc<Cell<usize>>,
+    most: usize,
+}
+
+impl Room {
+    pub fn new(most: usize) -> Self {
+        Room { held: Rc::default(), most }
+    }
+}
+
 /// What has come of a message so far; only the piece that is not whole yet is looked at again.
-#[derive(Default)]
 pub struct Resp {
     /// Words still to come of the array begun.
     missing: usize,
     words: Vec<Bytes>,
     length: Option<usize>,
     taken: usize,
+    room: Room,
+    held: usize,
+}
+
+impl Drop for Resp {
+    fn drop(&mut self) {
+        self.holds(0);
+    }
 }
 
 fn bad(text: &str) -> Fault {
@@ -72,6 +94,17 @@
 }
 
 impl Resp {
+    pub fn new(room: Room) -> Self {
+        Resp { missing: 0, words: Vec::new(), length: None, taken: 0, room, held: 0 }
+    }
+
+    fn holds(&mut self, bytes: usize) -> usize {
+        let all = self.room.held.get() - self.held + bytes;
+        self.room.held.set(all);
+        self.held = bytes;
+        all
+    }
+
     /// The number in a line that begins with `sign`, once the line is whole.
     fn head(&mut self, from: &mut BytesMut, sign: u8) -> Result<Option<usize>, Fault> {
         if from.first().is_some_and(|&b| b != sign) {
@@ -103,6 +136,18 @@
     type Error = Fault;
 
     fn decode(&mut self, from: &mut BytesMut) -> Result<Option<Message>, Fault> {
+        let message = self.piece(from)?;
+        // Guards the memory against many who each keep a long message unfinished; short ones always fit.
+        let held = if message.is_some() { 0 } else { self.taken + from.len() };
+        if self.holds(held) > self.room.most && held > LONGEST / 16 {
+            return Err(Fault::Bad(Reason::Crowded, "too much unfinished".to_owned()));
+        }
+        Ok(message)
+    }
+}
+
+impl Resp {
+    fn piece(&mut self, from: &mut BytesMut) -> Result<Option<Message>, Fault> {
         loop {
             if self.missing == 0 {
                 let Some(count) = self.head(from, b'*')? else { return Ok(None) };
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -15,7 +15,9 @@
     pub discovery: SocketAddr,
     pub relay: SocketAddr,
     pub seed: u64,
+    /// The limits: file descriptors, and bytes of memory.
     pub sockets: usize,
+    pub memory: usize,
     pub known: Option<Members>,
     pub facts: Facts,
     /// What load reports call their values, in the order that the module knows them by.
@@ -36,12 +38,12 @@
 }
 
 /// The variables prevail where both tell.
-fn decode(told: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Start, Fail> {
+pub fn decode(told: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Start, Fail> {
     let word = |name: &str, key: &str| match variable(name) {
         Some(word) => Ok(word),
         None => text(told, key).map(str::to_owned),
     };
-    let settings = field(told, "settings")?;
+    let (settings, limits) = (field(told, "settings")?, field(told, "limits")?);
     let seed = text(told, "seed")?;
     let known = match told.get("known").filter(|known| !known.is_null()) {
         Some(known) => Some(discovery::members(known.clone()).map_err(|e| format!("`known`: {e}"))?),
@@ -53,7 +55,8 @@
         discovery: address(&word("PROXY_DISCOVERY", "discovery")?, "discovery")?,
         relay: address(text(field(told, "registry")?, "address")?, "registry.address")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("`seed` is no hex number: {seed:?}"))?,
-        sockets: number(field(told, "limits")?, "sockets")? as usize,
+        sockets: number(limits, "sockets")? as usize,
+        memory: number(limits, "memory_mb")? as usize * 1_000_000,
         known,
         facts: lynxmill_wire::facts(settings)?,
         report_fields: lynxmill_wire::report_fields(settings)?,
--- /dev/null
+++ b/daemon/src/tests.rs
@@ -0,0 +1,420 @@
+//! The codec with bytes in pieces, and the reducer with the clock in hand.
+
+use actix_codec::Decoder;
+use bytes::BytesMut;
+use lynxmill::{Moment, Span};
+use lynxmill_standin::words;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+use crate::close::Reason;
+use crate::discovery;
+use crate::encode;
+use crate::reduce::{Effect, Event, State};
+use crate::relay::{Lines, News, Outcome};
+use crate::resp::{Fault, Message, Resp, Room};
+use crate::start::{Clock, Start, decode};
+
+fn codec() -> Resp {
+    Resp::new(Room::new(1 << 20))
+}
+
+const MET: [&str; 13] = [
+    "upstream_stats",
+    "zone",
+    "a",
+    "server",
+    "s-a",
+    "tries",
+    "12",
+    "failed",
+    "3",
+    "mean_ms",
+    "41.7",
+    "span_ms",
+    "1000.0",
+];
+
+#[test]
+fn a_message_in_single_bytes_is_read_once_it_is_whole() {
+    let mut bytes = [MET.as_slice(), &["novel", "x", "load", "outstanding:7,util:0.61"]].concat();
+    bytes.extend(["color", "red"]);
+    let (mut codec, mut buffer) = (codec(), BytesMut::new());
+    let stream = [words(&bytes), words(&["hb"])].concat();
+    let mut messages = Vec::new();
+    for byte in stream {
+        buffer.extend_from_slice(&[byte]);
+        messages.extend(codec.decode(&mut buffer).expect("good bytes"));
+    }
+    let [Message::Met(met), Message::Heartbeat] = messages.as_slice() else { panic!("{messages:?}") };
+    assert_eq!((met.server.as_str(), met.tries, met.failed, met.mean_ms), ("s-a", 12.0, 3.0, 41.7));
+    assert_eq!(met.load, [("outstanding".to_owned(), 7.0), ("util".to_owned(), 0.61)]);
+}
+
+#[rstest]
+#[case::no_array(b"+hb\r\n".to_vec(), Reason::BadFrame)]
+#[case::inline(b"hb\r\n".to_vec(), Reason::BadFrame)]
+#[case::empty(b"*0\r\n".to_vec(), Reason::BadFrame)]
+#[case::null(b"*-1\r\n".to_vec(), Reason::BadFrame)]
+#[case::null_word(b"*1\r\n$-1\r\n".to_vec(), Reason::BadFrame)]
+#[case::no_digits(b"*\r\n".to_vec(), Reason::BadFrame)]
+#[case::no_return(b"*1\n".to_vec(), Reason::BadFrame)]
+#[case::endless_count(b"*11111111111111111111111111".to_vec(), Reason::BadFrame)]
+#[case::no_line_end(b"*1\r\n$2\r\nhbxx".to_vec(), Reason::BadFrame)]
+#[case::no_text(b"*1\r\n$2\r\n\xff\xfe\r\n".to_vec(), Reason::BadFrame)]
+#[case::long_word(b"*1\r\n$1048577\r\n".to_vec(), Reason::TooLong)]
+#[case::many_words(b"*99999999\r\n".to_vec(), Reason::TooLong)]
+#[case::long_together([b"*2\r\n$600000\r\n".as_slice(), &vec![b'x'; 600_000], b"\r\n$600000\r\n"].concat(),
+    Reason::TooLong)]
+#[case::kind(words(&["assign"]), Reason::UnknownKind)]
+#[case::odd(words(&["hb", "x"]), Reason::BadFields)]
+#[case::missing(words(&["telemetry"]), Reason::BadFields)]
+#[case::no_number(words(&["range_stats", "slice", "x", "class", "lookup", "tries", "1", "span_ms", "9"]),
+    Reason::BadFields)]
+#[case::below_zero(words(&["range_stats", "slice", "1", "class", "lookup", "tries", "-1", "span_ms", "9"]),
+    Reason::BadFields)]
+#[case::not_a_number(words(&["range_stats", "slice", "1", "class", "l", "tries", "NaN", "span_ms", "9"]),
+    Reason::BadFields)]
+#[case::infinite(words(&["range_stats", "slice", "1", "class", "l", "tries", "inf", "span_ms", "9"]),
+    Reason::BadFields)]
+#[case::load(words(&[MET.as_slice(), &["load", "outstanding"]].concat()), Reason::BadFields)]
+fn bad_input_is_told_by_its_reason(#[case] bytes: Vec<u8>, #[case] expected: Reason) {
+    let (mut codec, mut buffer) = (codec(), BytesMut::from(bytes.as_slice()));
+    match codec.decode(&mut buffer) {
+        Err(Fault::Bad(reason, _)) => assert_eq!(reason, expected),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn unfinished_messages_share_bounded_room_and_give_it_back() {
+    let room = Room::new(300_000);
+    let long = || BytesMut::from([b"*1\r\n$900000\r\n".as_slice(), &vec![b'x'; 200_000]].concat().as_slice());
+    let mut first = Resp::new(room.clone());
+    assert!(matches!(first.decode(&mut long()), Ok(None)));
+    let crowded = Resp::new(room.clone()).decode(&mut long());
+    assert!(matches!(crowded, Err(Fault::Bad(Reason::Crowded, _))), "{crowded:?}");
+    let short = Resp::new(room.clone()).decode(&mut BytesMut::from(words(&["hb"]).as_slice()));
+    assert!(matches!(short, Ok(Some(Message::Heartbeat))));
+    drop(first);
+    assert!(matches!(Resp::new(room).decode(&mut long()), Ok(None)));
+}
+
+#[test]
+fn news_come_in_pieces_and_what_can_not_be_read_ends_the_watch() {
+    let mut lines = Lines::default();
+    let text =
+        b"{}\n{\"type\":\"attach\",\"object\":{\"proxy\":17,\"zone\":\"a\",\"weight\":2.5,\"fresh\":true}}\n";
+    let news: Vec<News> = text.iter().flat_map(|byte| lines.take(&[*byte]).expect("good")).collect();
+    assert_eq!(news, [News::Alive, News::Attach { proxy: 17 }]);
+    let unreadable = lines.take(b"{\"type\":\"attach\",\"object\":{\"proxy\":-1}}\n");
+    assert_eq!(unreadable.expect_err("no proxy").reason, Reason::Unreadable);
+    let endless = Lines::default().take(&vec![b' '; 2 << 20]);
+    assert_eq!(endless.expect_err("endless").reason, Reason::TooLong);
+}
+
+#[test]
+fn calls_are_cut_by_bytes_and_keep_the_order() {
+    let mut outbox = encode::Outbox::default();
+    let name = "s-".repeat(400);
+    (0..200).for_each(|slice| outbox.push(encode::publish(slice, 0, 0, &name)));
+    outbox.push(encode::mark(7));
+    let mut slices = Vec::new();
+    while let Some((orders, body)) = outbox.call() {
+        assert!(body.len() <= 60_000 && serde_json::from_str::<Value>(&body).is_ok());
+        slices.extend(orders.iter().map(|order| order.sets.slice()));
+    }
+    assert_eq!(slices, (0..200).map(Some).chain([None]).collect::<Vec<_>>());
+}
+
+/// An assigner with three listed servers whose time is told by the test.
+struct Bench {
+    state: State,
+    now: f64,
+    effects: Vec<Effect>,
+}
+
+fn start() -> Start {
+    let list = json!({"index": 1, "snapshot": true, "endpoints": []});
+    let told = json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "known": list,
+        "limits": {"memory_mb": 192, "sockets": 8}, "registry": {"address": "127.0.0.1:1"},
+        "settings": lynxmill_standin::settings(),
+    });
+    decode(&told, |_| None).expect("good settings")
+}
+
+impl Bench {
+    fn new() -> Self {
+        let state = State::new(Clock::start(), Moment::default(), start());
+        let mut bench = Bench { state, now: 0.0, effects: Vec::new() };
+        bench.tell(Event::Begin);
+        bench.list(&[("s-a", "ready"), ("s-b", "ready"), ("s-c", "ready")]);
+        bench.tell(Event::WatchBegun);
+        bench.pass(0.01);
+        bench
+    }
+
+    /// One with these proxies joined, slice 0 at s-a and slice 1 at s-b, all told and settled.
+    fn serving(proxies: &[u16]) -> Self {
+        let mut bench = Bench::new();
+        bench.news(proxies.iter().map(|&proxy| News::Attach { proxy }).collect());
+        bench.give(0, "s-a");
+        bench.give(1, "s-b");
+        bench.news(vec![News::Alive]);
+        bench.pass(0.01);
+        let mark = bench.taken();
+        bench.done(proxies, mark);
+        bench.pass(2.0);
+        bench.drain_calls();
+        bench
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.state.reduce(Moment::from_secs(self.now), event, &mut self.effects);
+    }
+
+    fn news(&mut self, news: Vec<News>) {
+        self.tell(Event::News(news));
+    }
+
+    fn give(&mut self, slice: usize, server: &str) {
+        self.news(vec![News::Owner { slice, on: true }, News::Entry { slice, server: server.into() }]);
+    }
+
+    fn list(&mut self, servers: &[(&str, &str)]) {
+        let entry = |(name, status): &(&str, &str)| json!({"name": name, "status": status, "weight": 1.0});
+        let entries: Vec<Value> = servers.iter().map(entry).collect();
+        let list = json!({"index": 1, "snapshot": false, "endpoints": entries});
+        self.tell(Event::Listed(discovery::members(list).expect("a list")));
+    }
+
+    fn done(&mut self, proxies: &[u16], mark: u16) {
+        self.news(proxies.iter().map(|&proxy| News::Done { proxy, mark, took_ms: 0.0 }).collect());
+    }
+
+    /// Lets time go by, waking as often as asked for.
+    fn pass(&mut self, seconds: f64) {
+        let end = self.now + seconds;
+        while self.now < end {
+            self.now += 0.005;
+            self.tell(Event::Wake);
+        }
+    }
+
+    fn call(&mut self) -> Option<Vec<Value>> {
+        let at = self.effects.iter().position(|effect| matches!(effect, Effect::Call(_)))?;
+        let Effect::Call(body) = self.effects.remove(at) else { return None };
+        let body: Value = serde_json::from_str(&body).expect("a body");
+        body["ops"].as_array().cloned()
+    }
+
+    /// Answers the call made as taken whole and returns its mark.
+    fn taken(&mut self) -> u16 {
+        let ops = self.call().expect("a call");
+        self.tell(Event::Called(Outcome::Taken(ops.len())));
+        ops.iter().find_map(|op| op["nonce_out"].as_u64()).expect("a mark") as u16
+    }
+
+    fn drain_calls(&mut self) {
+        while let Some(ops) = self.call() {
+            self.tell(Event::Called(Outcome::Taken(ops.len())));
+        }
+    }
+}
+
+fn line(op: &Value) -> Option<(u64, &str, f64)> {
+    (op["op"] == "share")
+        .then(|| Some((op["table"].as_u64()?, op["server"].as_str()?, op["weight"].as_f64()?)))?
+}
+
+fn lines(ops: &[Value]) -> Vec<(u64, &str, f64)> {
+    ops.iter().filter_map(line).collect()
+}
+
+#[test]
+fn a_slice_waits_for_its_line_in_the_store_that_comes_in_a_later_piece() {
+    let mut bench = Bench::new();
+    bench.news(vec![News::Attach { proxy: 0 }, News::Owner { slice: 0, on: true }]);
+    bench.pass(0.3);
+    assert_eq!(bench.call(), None, "without its line the slice would count as shut");
+    bench.news(vec![News::Entry { slice: 0, server: "s-a".into() }]);
+    bench.pass(0.01);
+    assert_eq!(lines(&bench.call().expect("the owner")), [(0, "s-a", 1.0)]);
+}
+
+#[test]
+fn a_slice_without_a_line_is_given_once_other_news_come() {
+    let mut bench = Bench::new();
+    bench.news(vec![News::Owner { slice: 0, on: true }, News::Alive]);
+    bench.pass(1.0);
+    let calls: Vec<Value> = std::iter::from_fn(|| {
+        let ops = bench.call()?;
+        bench.tell(Event::Called(Outcome::Taken(ops.len())));
+        Some(ops)
+    })
+    .flatten()
+    .collect();
+    assert_eq!(lines(&calls).len(), 1, "an owner is found: {calls:?}");
+}
+
+#[rstest]
+#[case::unknown(Outcome::Unknown)]
+#[case::throttled(Outcome::Throttled)]
+fn a_call_goes_again_before_later_ones_less_slices_no_longer_ours(#[case] outcome: Outcome) {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining"), ("s-b", "draining")]);
+    bench.pass(0.01);
+    let first = bench.call().expect("both shut");
+    assert_eq!(lines(&first), [(0, "s-a", 0.0), (1, "s-b", 0.0)]);
+    bench.news(vec![News::Owner { slice: 0, on: false }]);
+    bench.give(2, "s-c");
+    bench.tell(Event::Called(outcome));
+    bench.pass(0.3);
+    let again = bench.call().expect("the call again");
+    assert_eq!(lines(&again), [(1, "s-b", 0.0), (2, "s-c", 1.0)]);
+    assert_eq!(bench.call(), None, "one call at a time");
+}
+
+#[test]
+fn an_answered_mark_shows_that_a_call_of_unknown_fate_was_carried_out() {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.01);
+    let ops = bench.call().expect("a shut");
+    let mark = ops.last().and_then(|op| op["nonce_out"].as_u64()).expect("a mark") as u16;
+    bench.tell(Event::Called(Outcome::Unknown));
+    bench.done(&[0], mark);
+    bench.pass(0.3);
+    let next = bench.call().expect("the new owner");
+    assert!(lines(&next).iter().all(|(slice, _, weight)| *slice == 0 && *weight == 1.0), "{next:?}");
+}
+
+#[test]
+fn what_the_relay_refuses_is_left_out_and_begins_anew() {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining"), ("s-b", "draining")]);
+    bench.pass(0.01);
+    bench.call().expect("both shut");
+    bench.tell(Event::Called(Outcome::Taken(0)));
+    bench.pass(0.3);
+    let rest = bench.call().expect("the rest");
+    assert_eq!(lines(&rest), [(1, "s-b", 0.0), (0, "s-a", 0.0)], "the slice refused is shut once more");
+}
+
+#[test]
+fn a_fence_counts_from_when_the_relay_got_the_shut() {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.01);
+    for _ in 0..4 {
+        bench.call().expect("the shut, again");
+        bench.tell(Event::Called(Outcome::Throttled));
+        bench.pass(0.2);
+    }
+    let mark = bench.taken();
+    bench.done(&[0], mark);
+    // Writes in hand settle within 50 ms of the shut, which the proxy applied only now.
+    bench.pass(0.03);
+    assert_eq!(bench.call(), None);
+    bench.pass(0.04);
+    assert_eq!(lines(&bench.call().expect("the new owner")).len(), 1);
+}
+
+#[test]
+fn no_owner_is_published_around_a_shut_that_the_store_has_not_seen() {
+    let mut bench = Bench::serving(&[]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.01);
+    bench.call().expect("a shut");
+    bench.tell(Event::Called(Outcome::Throttled));
+    // Without proxies the fence is a lease past the start, which is over: only the store can tell.
+    for _ in 0..20 {
+        bench.pass(0.02);
+        if let Some(ops) = bench.call() {
+            assert!(lines(&ops).iter().all(|(_, _, weight)| *weight == 0.0), "{ops:?}");
+            bench.tell(Event::Called(Outcome::Throttled));
+        }
+    }
+}
+
+#[test]
+fn what_stands_after_a_gap_is_compared_with_what_was_held() {
+    let mut bench = Bench::serving(&[0, 1]);
+    bench.tell(Event::WatchEnded);
+    bench.pass(0.5);
+    assert!(bench.effects.contains(&Effect::Watch));
+    bench.tell(Event::WatchBegun);
+    // Proxy 1 has left, slice 0 stands as it was, slice 1 has gone, slice 2 is new.
+    bench.news(vec![News::Attach { proxy: 0 }]);
+    bench.give(0, "s-a");
+    bench.give(2, "s-b");
+    bench.news(vec![News::Alive]);
+    bench.pass(0.01);
+    assert_eq!(lines(&bench.call().expect("the new slice")), [(2, "s-b", 1.0)]);
+    bench.tell(Event::Called(Outcome::Taken(9)));
+    bench.list(&[("s-a", "draining"), ("s-b", "draining")]);
+    bench.pass(0.01);
+    let mark = {
+        let ops = bench.call().expect("shuts");
+        assert_eq!(lines(&ops), [(0, "s-a", 0.0), (2, "s-b", 0.0)]);
+        bench.tell(Event::Called(Outcome::Taken(ops.len())));
+        ops.last().and_then(|op| op["nonce_out"].as_u64()).expect("a mark") as u16
+    };
+    bench.done(&[0], mark);
+    bench.pass(0.3);
+    assert_eq!(bench.call(), None, "the lease of the proxy that left runs");
+    bench.pass(0.4);
+    assert_eq!(lines(&bench.call().expect("owners")).len(), 2);
+}
+
+#[test]
+fn a_slice_that_was_in_other_hands_begins_anew() {
+    let mut bench = Bench::serving(&[0]);
+    bench.tell(Event::WatchEnded);
+    bench.pass(0.5);
+    bench.tell(Event::WatchBegun);
+    bench.news(vec![News::Attach { proxy: 0 }]);
+    bench.give(0, "s-c");
+    bench.give(1, "s-b");
+    bench.news(vec![News::Alive]);
+    bench.pass(0.01);
+    assert_eq!(lines(&bench.call().expect("its owner")), [(0, "s-c", 1.0)]);
+}
+
+#[test]
+fn strangers_make_room_for_collectors() {
+    let mut bench = Bench::new();
+    bench.tell(Event::Opened(1));
+    bench.tell(Event::Said(1, Message::Zone("a".into())));
+    (2..6).for_each(|id| bench.tell(Event::Opened(id)));
+    let closed = |effect: &&Effect| matches!(effect, Effect::Close(..));
+    let closed: Vec<&Effect> = bench.effects.iter().filter(closed).collect();
+    assert_eq!(closed, [&Effect::Close(2, Reason::Crowded)]);
+}
+
+#[test]
+fn wall_time_maps_to_the_clock_by_one_offset() {
+    let clock = Clock::start();
+    let (early, late) = (clock.since(1e12).expect("told"), clock.since(1e12 + 1500.0).expect("told"));
+    assert_eq!(late - early, Span::from_secs(1.5));
+    assert_eq!(clock.since(0.0), None);
+}
+
+#[rstest]
+#[case::seed("seed", json!("no hex"))]
+#[case::listen("listen", json!("nowhere"))]
+#[case::registry("registry", json!({}))]
+#[case::limits("limits", json!({"sockets": 8}))]
+#[case::known("known", json!({"index": "x"}))]
+#[case::settings("settings", json!({"classes": []}))]
+fn a_wrong_configuration_is_told_by_its_key(#[case] key: &str, #[case] wrong: Value) {
+    let mut told = json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+        "limits": {"memory_mb": 192, "sockets": 8}, "registry": {"address": "127.0.0.1:1"},
+        "settings": lynxmill_standin::settings(),
+    });
+    assert!(decode(&told, |_| None).is_ok());
+    told[key] = wrong;
+    assert!(decode(&told, |_| None).is_err());
+}
--- /dev/null
+++ b/daemon/tests/sockets.rs
@@ -0,0 +1,391 @@
+//! Starts lynxmilld and speaks to it over loopback, with the stand-in as relay, discovery and collectors.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use lynxmill_standin::{Collector, Fate, Standin, State, config, settings, words};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+const ANY: &str = "127.0.0.1:0";
+/// How long what must come may take.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What the program wrote so far.
+type Log = Arc<(Mutex<Vec<String>>, Condvar)>;
+
+struct Daemon {
+    child: Child,
+    log: Log,
+    address: SocketAddr,
+    config: PathBuf,
+}
+
+fn command(config: Option<&PathBuf>) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lynxmilld"));
+    let told = ["PROXY_CONFIG", "PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "RUST_LOG"];
+    for variable in told {
+        command.env_remove(variable);
+    }
+    if let Some(path) = config {
+        command.env("PROXY_CONFIG", path);
+    }
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    command
+}
+
+fn write(config: &Value) -> PathBuf {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("lynxmilld-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config.to_string()).expect("a file");
+    path
+}
+
+impl Daemon {
+    fn start(standin: &Standin) -> Self {
+        Self::start_at(standin, ANY.parse().expect("an address"), Value::Null)
+    }
+
+    fn start_at(standin: &Standin, listen: SocketAddr, known: Value) -> Self {
+        let config = write(&config(listen, standin, known));
+        let mut child = command(Some(&config)).spawn().expect("the program");
+        let log = Log::default();
+        let (lines, stderr) = (log.clone(), child.stderr.take().expect("its log"));
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                lines.0.lock().expect("lines").push(line);
+                lines.1.notify_all();
+            }
+        });
+        let mut daemon = Daemon { child, log, address: listen, config };
+        let line = daemon.told("listens on ");
+        daemon.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("its address");
+        daemon
+    }
+
+    /// Waits for a line of the log with these words.
+    fn told(&self, words: &str) -> String {
+        let (lock, changed) = &*self.log;
+        let end = Instant::now() + PATIENCE;
+        let mut lines = lock.lock().expect("lines");
+        loop {
+            if let Some(line) = lines.iter().find(|line| line.contains(words)) {
+                return line.clone();
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            assert!(!left.is_zero(), "{words:?} is not told in time: {lines:#?}");
+            lines = changed.wait_timeout(lines, left).expect("lines").0;
+        }
+    }
+
+    fn collector(&self) -> Collector {
+        let mut collector = Collector::connect(self.address).expect("a connection");
+        collector.say(&["telemetry", "zone", "a"]).expect("room to write");
+        collector
+    }
+
+    fn alive(&self) -> bool {
+        Collector::connect(self.address).expect("a connection").alive()
+    }
+
+    fn status(&self) -> Value {
+        let mut asked = Collector::connect(self.address).expect("a connection");
+        asked.write(b"GET /status HTTP/1.1\r\nhost: n0\r\n\r\n").expect("room to write");
+        let answer = String::from_utf8(asked.rest().expect("an answer")).expect("text");
+        let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        serde_json::from_str(body).expect("JSON")
+    }
+
+    /// Asks for the status until it is as told.
+    fn until(&self, what: &str, so: impl Fn(&Value) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !so(&self.status()) {
+            assert!(Instant::now() < end, "{what}: {}", self.status());
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// Three servers, eight slices at the first two, and proxies 0 to 2.
+fn standin() -> Standin {
+    let any = || ANY.parse().expect("an address");
+    let lease = settings()["specifics"]["lease"].as_f64().expect("a lease");
+    let standin = Standin::start(any(), any(), Duration::from_secs_f64(lease)).expect("free ports");
+    standin.change(|state| {
+        ["s-a", "s-b", "s-c"].iter().for_each(|server| state.list(server, "ready", 0.0));
+        (0..8).for_each(|slice| state.give(slice, Some(["s-a", "s-b"][slice % 2])));
+        (0..3).for_each(|px| state.attach(px));
+    });
+    standin
+}
+
+fn published(state: &State) -> usize {
+    state.calls.iter().filter(|(fate, _)| *fate == Fate::Answered).map(|(_, ops)| ops.len()).sum()
+}
+
+/// The stand-in and an assigner that has republished all eight owners.
+fn serving() -> (Standin, Daemon) {
+    let standin = standin();
+    let daemon = Daemon::start(&standin);
+    standin.wait("all owners are published again", |state| published(state) > 8);
+    (standin, daemon)
+}
+
+/// Every slice in charge is owned, and by none of those that must not.
+fn owned_by_others(state: &State, not: &str) -> bool {
+    let mine = || state.slices.iter().filter(|(_, slice)| slice.mine);
+    mine().all(|(_, slice)| slice.line.as_deref().is_some_and(|owner| owner != not))
+}
+
+fn never_torn(standin: &Standin) {
+    let torn = &standin.state().torn;
+    assert!(torn.is_empty(), "two owners at a time: {torn:?}");
+}
+
+#[rstest]
+#[case::answered(&[])]
+#[case::throttled(&[Fate::Throttled, Fate::Throttled, Fate::Throttled])]
+#[case::invalid(&[Fate::Invalid, Fate::Invalid])]
+#[case::broken(&[Fate::Broken(false), Fate::Broken(false)])]
+#[case::broken_but_carried_out(&[Fate::Broken(true), Fate::Broken(true)])]
+#[case::silent(&[Fate::Silent(false), Fate::Silent(false)])]
+#[case::silent_but_carried_out(&[Fate::Silent(true), Fate::Silent(true)])]
+#[case::garbled(&[Fate::Garbled(false), Fate::Garbled(true)])]
+#[case::takes_some(&[Fate::Takes(1), Fate::Takes(0), Fate::Takes(2)])]
+fn a_drained_server_gives_up_its_slices_whatever_becomes_of_calls(#[case] fates: &[Fate]) {
+    let (standin, _daemon) = serving();
+    standin.change(|state| {
+        state.fates.extend(fates);
+        state.list("s-a", "draining", 0.0);
+    });
+    standin.wait("all slices have moved", |state| state.fates.is_empty() && owned_by_others(state, "s-a"));
+    never_torn(&standin);
+}
+
+#[test]
+fn a_move_waits_for_a_proxy_that_is_behind() {
+    let (standin, daemon) = serving();
+    standin.change(|state| {
+        state.slow(1, true);
+        state.list("s-a", "draining", 0.0);
+    });
+    standin.wait("the slices are shut", |state| state.owner(0).is_none());
+    assert!(daemon.alive());
+    assert!(standin.state().owner(0).is_none());
+    standin.change(|state| state.slow(1, false));
+    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+    never_torn(&standin);
+}
+
+#[test]
+fn proxies_come_and_go_while_slices_are_on_their_way() {
+    let (standin, _daemon) = serving();
+    standin.change(|state| {
+        state.slow(1, true);
+        state.list("s-a", "draining", 0.0);
+    });
+    standin.wait("the slices are shut", |state| state.owner(0).is_none());
+    standin.change(|state| {
+        state.detach(1);
+        state.attach(3);
+        state.detach(0);
+        state.attach(0);
+    });
+    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+    never_torn(&standin);
+}
+
+#[test]
+fn what_changed_while_the_news_were_cut_is_taken_over() {
+    let (standin, daemon) = serving();
+    standin.change(|state| {
+        state.out_of_reach = true;
+        state.cut();
+        state.detach(1);
+        state.attach(3);
+        state.take(2);
+        state.give(3, Some("s-c"));
+    });
+    daemon.told("watch");
+    standin.change(|state| state.out_of_reach = false);
+    standin.wait("the watch has come back", |state| state.watched == 2);
+    daemon.until("what stands is known", |status| {
+        status["standing_known"] == true && status["slices"] == 7 && status["proxies"] == 3
+    });
+    let before = standin.change(|state| {
+        state.list("s-a", "draining", 0.0);
+        state.calls.len()
+    });
+    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+    let late = format!("{:?}", &standin.state().calls[before..]);
+    assert!(!late.contains("table: 2,"), "orders for a slice that has gone: {late}");
+    assert_eq!(standin.state().owner(3), Some("s-c"));
+    never_torn(&standin);
+}
+
+#[test]
+fn a_watch_without_signs_of_life_is_dialled_again() {
+    let (standin, daemon) = serving();
+    standin.change(|state| state.out_of_reach = true);
+    daemon.told("ended reason=silent");
+    standin.change(|state| state.out_of_reach = false);
+    standin.wait("the watch has come back", |state| state.watched == 2);
+    standin.change(|state| state.list("s-a", "draining", 0.0));
+    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+}
+
+#[test]
+fn news_that_can_not_be_read_end_the_watch_and_it_is_dialled_again() {
+    let (standin, daemon) = serving();
+    standin.change(|state| {
+        let _ = state.watches[0].send(Ok("{\"type\":\"owner\",\"object\":[1,\n".into()));
+    });
+    daemon.told("ended reason=unreadable");
+    standin.wait("the watch has come back", |state| state.watched == 2);
+    assert!(daemon.alive());
+}
+
+#[rstest]
+#[case::changes(false)]
+#[case::a_whole_list(true)]
+fn discovery_is_asked_again_after_its_silence(#[case] whole: bool) {
+    let (standin, daemon) = serving();
+    standin.change(|state| state.mute = true);
+    daemon.told("reason=no-answer");
+    standin.change(|state| {
+        state.list("s-a", "gone", 0.0);
+        (state.whole, state.mute) = (whole, false);
+    });
+    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+}
+
+#[test]
+fn killed_outright_it_starts_again_from_the_store_with_an_old_list() {
+    let standin = standin();
+    let known = standin.change(|state| state.members(None));
+    let mut daemon = Daemon::start_at(&standin, ANY.parse().expect("an address"), known.clone());
+    standin.wait("all owners are published again", |state| published(state) > 8);
+    standin.change(|state| state.slow(1, true));
+    standin.change(|state| state.list("s-a", "draining", 0.0));
+    standin.wait("the slices are shut", |state| state.owner(0).is_none());
+    daemon.child.kill().expect("a process");
+    daemon.child.wait().expect("its end");
+    standin.change(|state| {
+        state.cut();
+        (0..3).for_each(|px| state.detach(px));
+        state.list("s-a", "gone", 0.0);
+    });
+    let again = Daemon::start_at(&standin, daemon.address, known);
+    standin.change(|state| (0..3).for_each(|px| state.attach(px)));
+    standin.wait("all slices have owners", |state| owned_by_others(state, "s-a"));
+    assert!(again.alive());
+    never_torn(&standin);
+}
+
+#[test]
+fn told_to_end_it_ends_at_once() {
+    let (_standin, mut daemon) = serving();
+    let _quiet = daemon.collector();
+    let kill = format!("kill -TERM {}", daemon.child.id());
+    assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    assert_eq!(daemon.child.wait().expect("its end").code(), Some(0));
+}
+
+#[rstest]
+#[case::broken(b"*2\r\n$x\r\n".to_vec(), "bad-frame")]
+#[case::binary(vec![0, 159, 146, 150], "bad-frame")]
+#[case::http(b"GET /\x01 nonsense\r\n\r\n".to_vec(), "")]
+#[case::too_long(b"*1\r\n$2000000\r\n".to_vec(), "too-long")]
+#[case::kind(words(&["assign", "a", "b"]), "unknown-kind")]
+#[case::class(words(&["range_stats", "slice", "1", "class", "dance", "tries", "4", "span_ms", "500"]),
+    "bad-fields")]
+#[case::slice(words(&["range_stats", "slice", "9e9", "class", "vote", "tries", "4", "span_ms", "500"]),
+    "bad-fields")]
+#[case::figure(words(&["upstream_stats", "zone", "a", "server", "s-a", "tries", "many"]), "bad-fields")]
+fn bad_input_closes_that_connection_alone(#[case] bytes: Vec<u8>, #[case] reason: &str) {
+    let (_standin, daemon) = serving();
+    let mut collector = daemon.collector();
+    let mut bad = Collector::connect(daemon.address).expect("a connection");
+    bad.write(&bytes).expect("room to write");
+    bad.rest().expect("it is closed");
+    daemon.told(&format!("ended reason={reason}"));
+    assert!(collector.alive() && daemon.alive());
+}
+
+#[test]
+fn a_flood_of_strangers_leaves_room_for_collectors() {
+    let (_standin, daemon) = serving();
+    let mut collector = daemon.collector();
+    assert!(collector.alive());
+    let flood: Vec<Collector> =
+        (0..150).map(|_| Collector::connect(daemon.address).expect("a connection")).collect();
+    assert!(daemon.alive() && collector.alive());
+    daemon.told("ended reason=crowded");
+    drop(flood);
+}
+
+#[test]
+fn an_unknown_name_beside_known_ones_is_passed_over() {
+    let (_standin, daemon) = serving();
+    let mut collector = daemon.collector();
+    collector
+        .say(&["range_stats", "mood", "fine", "slice", "1", "class", "vote", "tries", "4", "span_ms", "500"])
+        .expect("room to write");
+    collector
+        .say(&[
+            "upstream_stats",
+            "zone",
+            "a",
+            "server",
+            "s-who",
+            "tries",
+            "4",
+            "failed",
+            "0",
+            "mean_ms",
+            "9",
+            "span_ms",
+            "500",
+            "load",
+            "outstanding:1",
+        ])
+        .expect("room to write");
+    assert!(collector.alive());
+}
+
+#[rstest]
+#[case::none(None, "PROXY_CONFIG")]
+#[case::no_json(Some(json!("x")), "settings")]
+#[case::address(Some(json!({"listen": "nowhere"})), "listen")]
+#[case::setting(Some(json!({"settings": {"classes": []}})), "settings")]
+fn a_bad_configuration_is_one_clear_line(#[case] change: Option<Value>, #[case] told: &str) {
+    let standin = standin();
+    let path = change.map(|change| {
+        let mut whole = config(ANY.parse().expect("an address"), &standin, Value::Null);
+        match change.as_object() {
+            Some(change) => change.iter().for_each(|(key, value)| whole[key] = value.clone()),
+            None => whole = change,
+        }
+        write(&whole)
+    });
+    let output = command(path.as_ref()).output().expect("the program");
+    let text = String::from_utf8(output.stderr).expect("text");
+    assert!(!output.status.success());
+    assert_eq!(text.lines().count(), 1, "{text}");
+    assert!(text.contains(told) || text.contains('`'), "{text}");
+    path.iter().for_each(|path| drop(std::fs::remove_file(path)));
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,70 @@
+//! Stands in for the relay, discovery and collectors, as the protocol page tells of them. What they hold and
+//! how they misbehave is a `World` that its owner changes and looks at; the sockets only serve it.
+
+mod collector;
+mod serve;
+mod world;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, MutexGuard};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+pub use collector::{Collector, words};
+pub use world::{Fate, State, World};
+
+/// How long an expected change may take before it is taken for missing.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub struct Standin {
+    world: Arc<World>,
+    pub relay: SocketAddr,
+    pub discovery: SocketAddr,
+}
+
+impl Standin {
+    /// Serves both addresses on a thread of its own until the program ends; port 0 is any free one.
+    pub fn start(relay: SocketAddr, discovery: SocketAddr, lease: Duration) -> std::io::Result<Self> {
+        let world = Arc::new(World::new(lease));
+        let (relay, discovery) = (TcpListener::bind(relay)?, TcpListener::bind(discovery)?);
+        let standin =
+            Standin { world: world.clone(), relay: relay.local_addr()?, discovery: discovery.local_addr()? };
+        std::thread::spawn(move || serve::run(&world, relay, discovery));
+        Ok(standin)
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.world.lock()
+    }
+
+    /// Changes what stands and tells whoever waits for it.
+    pub fn change<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        self.world.change(change)
+    }
+
+    /// Waits until what stands is as told; panics when that takes too long.
+    pub fn wait(&self, what: &str, until: impl Fn(&State) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        let mut state = self.world.lock();
+        while !until(&state) {
+            let left = end.saturating_duration_since(Instant::now());
+            assert!(!left.is_zero(), "{what}: not so in time; calls {:#?}", state.calls);
+            state = self.world.wait(state, left);
+        }
+    }
+}
+
+/// The settings of the stand-in's deployment: eight slices, four proxies, short times.
+pub fn settings() -> Value {
+    serde_json::from_str(include_str!("../settings.json")).unwrap_or_default()
+}
+
+/// An assigner's configuration; `listen` may have port 0.
+pub fn config(listen: SocketAddr, standin: &Standin, known: Value) -> Value {
+    json!({
+        "name": "n0", "listen": listen, "discovery": standin.discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64},
+        "registry": {"address": standin.relay}, "known": known, "settings": settings(),
+    })
+}
