Answered marks tell of their own call; levels taken back, answers to strange marks and idle agents met

Read off the code: an answered mark was looked up by position, so a newer mark waiting hid it and a shut went twice; a slice that began anew kept the store's levels; a slice given once more could be written for before its line came; an agent that answers at once with nothing was asked without end. Tests in daemon/src/tests.rs.

--- a/daemon/src/encode.rs
+++ b/daemon/src/encode.rs
@@ -38,6 +38,8 @@
     pub sets: Sets,
     /// Which charge of its slice it was written in.
     pub charge: u32,
+    /// The mark of a call of unknown fate that it went with.
+    sent_with: Option<u16>,
     text: String,
 }
 
@@ -52,7 +54,7 @@
 impl Op<'_> {
     fn order(self, sets: Sets, charge: u32) -> Order {
         let text = serde_json::to_string(&self).unwrap_or_default();
-        Order { sets, charge, text }
+        Order { sets, charge, sent_with: None, text }
     }
 }
 
@@ -75,6 +77,15 @@
     Op::Mark { nonce_out: number, on: 1 }.order(Sets::Mark { number }, 0)
 }
 
+/// Notes that these went in one call, whose mark will tell whether it was carried out.
+pub fn sent_together(orders: &mut [Order]) {
+    let mark = orders.iter().find_map(|order| match order.sets {
+        Sets::Mark { number } => Some(number),
+        _ => None,
+    });
+    orders.iter_mut().for_each(|order| order.sent_with = mark);
+}
+
 /// Orders that wait, in the order they were written; at most one for each thing that can be set.
 #[derive(Default)]
 pub struct Outbox {
@@ -101,10 +112,12 @@
         self.waiting.len()
     }
 
-    /// Takes out all orders up to the one looked for, or none.
-    pub fn take_until(&mut self, last: impl Fn(Sets) -> bool) -> Vec<Order> {
-        let end = self.waiting.iter().position(|order| last(order.sets)).map_or(0, |at| at + 1);
-        self.waiting.drain(..end).collect()
+    /// Takes out the orders of a call of unknown fate that carried this mark.
+    pub fn take_carried(&mut self, mark: u16) -> Vec<Order> {
+        let (carried, waiting) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|order| order.sent_with == Some(mark));
+        self.waiting = waiting;
+        carried
     }
 
     pub fn waits(&self, sets: Sets) -> bool {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -38,7 +38,8 @@
 const LAST_WORDS: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,actix_server=warn"))
+        .init();
     // A panic must not leave half a program serving: it ends, and whoever started it sees so.
     std::panic::set_hook(Box::new(|panic| {
         log::error!("{panic}");
--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -65,6 +65,8 @@
     count: u32,
     line: Option<u32>,
     written: Option<Moment>,
+    /// Levels may be set in the store.
+    levelled: bool,
 }
 
 struct Mark {
@@ -161,7 +163,7 @@
     }
 
     fn probe(&mut self, task: u32) {
-        log::warn!("no probes on this road, server {}", self.name(task));
+        log::debug!("no probes on this road, server {}", self.name(task));
     }
 
     fn note(&mut self, text: &str) {
@@ -176,6 +178,7 @@
     operations: Vec<String>,
     report_fields: Vec<String>,
     on_request: bool,
+    again: u8,
     step: Span,
     chance: Pcg,
     names: Names,
@@ -198,6 +201,7 @@
     // Discovery.
     index: Option<u64>,
     ask_at: Option<Moment>,
+    asked: Moment,
     asking: bool,
     // Connections at the assigner's address that have named no zone yet, and all.
     strangers: BTreeSet<u64>,
@@ -242,6 +246,7 @@
             operations: facts.operations.iter().map(|o| o.name.clone()).collect(),
             report_fields: start.report_fields,
             on_request: facts.list_on_request,
+            again: facts.again,
             step: Span::from_secs(start.step.as_secs_f64()),
             chance: Pcg::new(start.seed),
             names: Names::default(),
@@ -261,6 +266,7 @@
             given: BTreeSet::new(),
             index: None,
             ask_at: None,
+            asked: now,
             asking: false,
             strangers: BTreeSet::new(),
             open: BTreeSet::new(),
@@ -297,7 +303,7 @@
             Event::Begin => {
                 effects.push(Effect::Watch);
                 if !self.on_request {
-                    self.ask(effects);
+                    self.ask(now, effects);
                 }
                 self.round_at = Some(now);
             }
@@ -329,8 +335,14 @@
             Event::Listed(members) => {
                 self.asking = false;
                 let complete = members.snapshot || self.index.is_none();
+                // Guards against an agent that answers at once and tells nothing: no call on its heels.
+                let idle = members.endpoints.is_empty() && now - self.asked < self.pause(1.0);
                 self.listed(members, complete, false);
-                self.ask(effects);
+                if idle {
+                    self.ask_at = Some(now + self.jittered());
+                } else {
+                    self.ask(now, effects);
+                }
             }
             Event::ListFailed => {
                 self.asking = false;
@@ -354,7 +366,7 @@
             effects.push(Effect::Watch);
         }
         if due(&mut self.ask_at, now) {
-            self.ask(effects);
+            self.ask(now, effects);
         }
         let woken = due(&mut self.wake_at, now);
         if due(&mut self.round_at, now) || woken {
@@ -404,7 +416,7 @@
         self.tally.rounds += 1;
         let (subscribe, hasty) = (writer.subscribe, writer.hasty);
         if subscribe {
-            self.ask(effects);
+            self.ask(now, effects);
         }
         // Guards against a fence around a shut that the store has not seen: whoever comes back could read the
         // old owner there. The slice begins anew with what the store holds.
@@ -414,9 +426,16 @@
         }
     }
 
+    /// A slice in charge is told to the module as if it were given now; levels of before are taken back, as
+    /// the store does when it gives one.
     fn begin_anew(&mut self, slice: usize, line: Option<u32>) {
+        let levelled = self.charges[slice].levelled;
         self.charge(slice, true);
         self.charges[slice].line = line;
+        if levelled {
+            let count = self.charges[slice].count;
+            self.outbox.push(encode::levels(slice, count, u64::MAX, &["*"], 1.0, self.again));
+        }
         self.inbox.push(Input::Custody(slice, true));
         self.inbox.extend(line.map(|server| Input::Stored(slice, server)));
     }
@@ -441,7 +460,7 @@
             }
             Message::Met(met) => self.met(met),
             Message::Asked(asked) => {
-                if !self.asked(&asked) {
+                if !self.demanded(&asked) {
                     effects.push(Effect::Close(id, Reason::BadFields));
                 }
             }
@@ -467,7 +486,7 @@
         });
     }
 
-    fn asked(&mut self, asked: &Asked) -> bool {
+    fn demanded(&mut self, asked: &Asked) -> bool {
         let operation = self.operations.iter().position(|name| *name == asked.operation);
         let Some(operation) = operation.filter(|_| asked.slice < self.charges.len()) else { return false };
         let over = Span::from_secs(asked.span_ms / 1e3);
@@ -514,14 +533,15 @@
     /// The relay counts from when it got the call, the module from when it wrote: what lies between is added,
     /// or a fence would be taken for older than it is.
     fn answered(&mut self, now: Moment, proxy: u16, number: u16, took_ms: f64) {
-        let took = Span::from_secs(took_ms.max(0.0) / 1e3);
-        let elapsed = match self.marks.iter().rfind(|mark| mark.number == number) {
-            Some(mark) => (mark.ended.unwrap_or(now) - mark.ordered + took).min(now - mark.ordered),
-            None => took,
+        let Some(mark) = self.marks.iter().find(|mark| mark.number == number) else {
+            log::debug!("proxy {proxy} answers mark {number}, which is not of this start or long past");
+            return;
         };
+        let took = Span::from_secs(took_ms.max(0.0) / 1e3);
+        let elapsed = (mark.ended.unwrap_or(now) - mark.ordered + took).min(now - mark.ordered);
         self.inbox.push(Input::Answered(proxy.into(), number, elapsed));
         // A call of unknown fate that a proxy answers was carried out: it need not go again.
-        let carried = self.outbox.take_until(|sets| sets == Sets::Mark { number });
+        let carried = self.outbox.take_carried(number);
         self.settle(now, &carried);
     }
 
@@ -544,7 +564,9 @@
         self.charge(slice, on);
         if on {
             self.given.insert(slice);
-        } else {
+        }
+        // One given once more is out of the module's hands until its line has come.
+        if mine || !on {
             self.inbox.push(Input::Custody(slice, false));
         }
     }
@@ -608,6 +630,11 @@
     fn call(&mut self, effects: &mut Vec<Effect>) {
         let Some((orders, body)) = self.outbox.call() else { return };
         self.tally.calls += 1;
+        for order in &orders {
+            if let Sets::Levels { slice, .. } = order.sets {
+                self.charges[slice].levelled = true;
+            }
+        }
         self.flying = Some(orders);
         effects.push(Effect::Call(body));
     }
@@ -637,6 +664,7 @@
                 orders.retain(held);
                 self.tally.again += 1;
                 self.ended(now, &orders);
+                encode::sent_together(&mut orders);
                 self.outbox.put_back(orders);
                 self.call_at = Some(now + self.jittered());
             }
@@ -680,10 +708,9 @@
 
     // --- discovery ---
 
-    fn ask(&mut self, effects: &mut Vec<Effect>) {
+    fn ask(&mut self, now: Moment, effects: &mut Vec<Effect>) {
         if !self.asking {
-            self.asking = true;
-            self.ask_at = None;
+            (self.asking, self.asked, self.ask_at) = (true, now, None);
             effects.push(Effect::Ask(self.index));
         }
     }
--- a/daemon/src/resp.rs
+++ b/daemon/src/resp.rs
@@ -138,7 +138,8 @@
     fn decode(&mut self, from: &mut BytesMut) -> Result<Option<Message>, Fault> {
         let message = self.piece(from)?;
         // Guards the memory against many who each keep a long message unfinished; short ones always fit.
-        let held = if message.is_some() { 0 } else { self.taken + from.len() };
+        let words = self.words.len() * size_of::<Bytes>();
+        let held = if message.is_some() { 0 } else { self.taken + from.len() + words };
         if self.holds(held) > self.room.most && held > LONGEST / 16 {
             return Err(Fault::Bad(Reason::Crowded, "too much unfinished".to_owned()));
         }
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -12,7 +12,7 @@
 use crate::encode;
 use crate::reduce::{Effect, Event, State};
 use crate::relay::{Lines, News, Outcome};
-use crate::resp::{Fault, Message, Resp, Room};
+use crate::resp::{Asked, Fault, Message, Met, Resp, Room};
 use crate::start::{Clock, Start, decode};
 
 fn codec() -> Resp {
@@ -290,6 +290,97 @@
     assert!(lines(&next).iter().all(|(slice, _, weight)| *slice == 0 && *weight == 1.0), "{next:?}");
 }
 
+#[test]
+fn an_answered_mark_tells_of_its_own_call_though_newer_orders_wait() {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.01);
+    let first = bench.call().expect("a shut");
+    let mark = first.last().and_then(|op| op["nonce_out"].as_u64()).expect("a mark") as u16;
+    bench.list(&[("s-b", "draining")]);
+    bench.pass(0.01);
+    bench.tell(Event::Called(Outcome::Unknown));
+    bench.done(&[0], mark);
+    bench.pass(0.2);
+    let next = bench.call().expect("what waited");
+    assert_eq!(
+        lines(&next),
+        [(1, "s-b", 0.0), (0, "s-c", 1.0)],
+        "the first slice moves on, it is not shut again"
+    );
+}
+
+#[test]
+fn an_answer_to_a_mark_of_nobody_counts_for_nothing() {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.01);
+    let mark = bench.taken();
+    bench.done(&[0], mark.wrapping_sub(9));
+    bench.done(&[0], mark.wrapping_add(9));
+    bench.pass(1.0);
+    assert_eq!(bench.call(), None);
+}
+
+#[test]
+fn a_slice_given_once_more_is_left_alone_until_its_line_has_come() {
+    let mut bench = Bench::serving(&[0]);
+    bench.news(vec![News::Owner { slice: 0, on: true }]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.2);
+    assert_eq!(bench.call(), None);
+    bench.news(vec![News::Entry { slice: 0, server: "s-c".into() }]);
+    bench.pass(0.01);
+    assert_eq!(lines(&bench.call().expect("its owner")), [(0, "s-c", 1.0)]);
+}
+
+#[test]
+fn levels_of_before_are_taken_back_where_a_slice_begins_anew() {
+    let mut bench = Bench::serving(&[0]);
+    let met = |server: &str| Met {
+        server: server.into(),
+        tries: 40.0,
+        failed: 0.0,
+        mean_ms: 2000.0,
+        span_ms: 100.0,
+        load: vec![("outstanding".into(), 80.0)],
+    };
+    let levelled = |ops: &[Value]| ops.iter().any(|op| op["op"] == "admit" && op["table"] == 0);
+    let asked =
+        |slice| Message::Asked(Asked { slice, operation: "lookup".into(), tries: 40.0, span_ms: 100.0 });
+    let mut strained = false;
+    for _ in 0..40 {
+        for message in [Message::Met(met("s-a")), asked(0), asked(1)] {
+            bench.tell(Event::Said(1, message));
+        }
+        bench.pass(0.1);
+        while let Some(ops) = bench.call() {
+            strained |= levelled(&ops);
+            bench.tell(Event::Called(Outcome::Taken(ops.len())));
+        }
+    }
+    assert!(strained);
+    bench.tell(Event::WatchEnded);
+    bench.tell(Event::WatchBegun);
+    bench.news(vec![News::Attach { proxy: 0 }]);
+    bench.give(0, "s-c");
+    bench.give(1, "s-b");
+    bench.news(vec![News::Alive]);
+    let ops = bench.call().expect("levels");
+    assert!(ops.iter().any(|op| op["routes"] == json!(["*"]) && op["admit"] == 1.0), "{ops:?}");
+}
+
+#[test]
+fn an_agent_that_answers_at_once_with_nothing_is_not_asked_without_end() {
+    let mut bench = Bench::new();
+    for _ in 0..200 {
+        bench.list(&[]);
+        bench.pass(0.005);
+    }
+    let asked = bench.effects.iter().filter(|effect| matches!(effect, Effect::Ask(_))).count();
+    assert!((5..40).contains(&asked), "asked {asked} times in a second");
+}
+
 #[test]
 fn what_the_relay_refuses_is_left_out_and_begins_anew() {
     let mut bench = Bench::serving(&[0]);
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -17,6 +17,12 @@
     field(of, key)?.as_f64().ok_or_else(|| wrong(of, key))
 }
 
+/// A number of proxies or slices, which the wire numbers in 16 bits.
+fn count(of: &Value, key: &str) -> Result<usize, Fail> {
+    let number = number(of, key)?;
+    if (0.0..=65_535.0).contains(&number) { Ok(number as usize) } else { Err(wrong(of, key)) }
+}
+
 pub fn span(of: &Value, key: &str) -> Result<Span, Fail> {
     number(of, key).map(Span::from_secs)
 }
@@ -56,8 +62,8 @@
     let report_field = |name| fields.iter().position(|f| f == name);
     Ok(Facts {
         operations: operations.collect::<Result<_, Fail>>()?,
-        slices: number(own, "shards")? as usize,
-        proxies: number(own, "proxy_count")? as usize,
+        slices: count(own, "shards")?,
+        proxies: count(own, "proxy_count")?,
         list_on_request: text(of, "registry_mode")? == "on_request",
         ask_within: span(rules, "ask_within")?,
         probes: flag(field(of, "policy_limits")?, "probes")?,
