--- a/benchlink/src/writer.rs
+++ b/benchlink/src/writer.rs
@@ -8,6 +8,12 @@
     pub orders: Vec<Value>,
 }
 
+impl Reply {
+    fn debug(&mut self, line: String) {
+        self.orders.push(json!({"debug": {"line": line}}));
+    }
+}
+
 impl Orders for Reply {
     fn publish(&mut self, slice: usize, task: u32) {
         self.orders.push(json!({"line": {"tbl": slice, "weight": 1, "task": task}}));
@@ -37,7 +43,11 @@
         self.orders.push(json!({"health_check": {"task": task}}));
     }
 
-    fn note(&mut self, text: &str) {
-        self.orders.push(json!({"debug": {"line": text}}));
+    fn answers_no_one(&mut self, task: u32) {
+        self.debug(format!("server {task} answers no one, moving its slices"));
+    }
+
+    fn stays(&mut self, slice: usize) {
+        self.debug(format!("slice {slice} stays with its owner: a proxy keeps silent"));
     }
 }
--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -166,8 +166,12 @@
         log::debug!("no probes on this road, server {}", self.name(task));
     }
 
-    fn note(&mut self, text: &str) {
-        log::info!("{text}");
+    fn answers_no_one(&mut self, task: u32) {
+        log::warn!("server {} answers no one, moving its slices", self.name(task));
+    }
+
+    fn stays(&mut self, slice: usize) {
+        log::warn!("slice {slice} stays with its owner: a proxy keeps silent");
     }
 }
 
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -15,5 +15,8 @@
     fn subscribe(&mut self);
     /// Ask a server whether it is there.
     fn probe(&mut self, task: u32);
-    fn note(&mut self, text: &str);
+    /// For those who watch: the slices of a server that answers no one are on their way.
+    fn answers_no_one(&mut self, task: u32);
+    /// For those who watch: a slice stays with its owner, as a proxy keeps silent.
+    fn stays(&mut self, slice: usize);
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -428,7 +428,7 @@
                 self.fleet.forget_health(i);
             } else if self.fleet.suspect[i].is_none() && silent(&self.fleet, i) && dead * 2 <= ready.len() {
                 self.fleet.suspect[i] = Some(self.now);
-                out.note(&format!("server {} answers no one, moving its slices", self.fleet.task[i]));
+                out.answers_no_one(self.fleet.task[i]);
             }
         }
     }
@@ -545,7 +545,7 @@
                 && self.now - handover.since > self.facts.lease.times(4.0)
                 && self.usable(i)
             {
-                out.note(&format!("slice {tbl} stays with its owner: a proxy keeps silent"));
+                out.stays(tbl);
                 self.publish(tbl, i, out);
             }
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -44,7 +44,8 @@
     fn probe(&mut self, task: u32) {
         self.orders.push(format!("probe {task}"));
     }
-    fn note(&mut self, _: &str) {}
+    fn answers_no_one(&mut self, _: u32) {}
+    fn stays(&mut self, _: usize) {}
 }
 
 fn facts(line: &str) -> Facts {
