--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -19,9 +19,6 @@
 /// Pause before a call that was turned back, or a connection that did not come up, is tried again.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Part of an interval by which a wake may be late.
-const TARDY: f64 = 0.1;
-
 #[derive(Debug)]
 pub enum Event {
     Begin,
@@ -187,8 +184,6 @@
     on_request: bool,
     again: u8,
     step: Span,
-    /// A wake that is later than this is no longer taken for on time.
-    tardy: Span,
     chance: Pcg,
     names: Names,
     inbox: Vec<Input>,
@@ -257,7 +252,6 @@
             on_request: facts.list_on_request,
             again: facts.again,
             step: Span::from_secs(start.step.as_secs_f64()),
-            tardy: facts.interval.times(TARDY),
             chance: Pcg::new(start.seed),
             names: Names::default(),
             inbox: Vec::new(),
@@ -378,13 +372,10 @@
         if due(&mut self.ask_at, now) {
             self.ask(now, effects);
         }
-        let woken = self.wake_at.take_if(|at| *at <= now);
-        if due(&mut self.round_at, now) || woken.is_some() {
+        let woken = due(&mut self.wake_at, now);
+        if due(&mut self.round_at, now) || woken {
             self.round_at = None;
-            // Guards against drift: timers come a little late, and a module that counts each wake from the last
-            // late one slides past the reports, which come by the clock.
-            let on_time = woken.filter(|&at| now - at < self.tardy);
-            self.round(on_time.unwrap_or(now), effects);
+            self.round(now, effects);
         }
         if self.call_at.is_none_or(|at| at <= now) && self.flying.is_none() {
             self.call_at = None;
