--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -9,6 +9,7 @@
 mod reduce;
 mod relay;
 mod resp;
+mod round;
 mod start;
 mod status;
 #[cfg(test)]
--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use lynxmill::{Assigner, Listing, Moment, Orders, Pcg, Span};
+use lynxmill::{Assigner, Listing, Moment, Pcg, Span};
 use serde::Serialize;
 
 use crate::close::Reason;
@@ -12,10 +12,9 @@
 use crate::encode::{self, Order, Outbox, Sets};
 use crate::relay::{News, Outcome};
 use crate::resp::{Asked, Message, Met};
+use crate::round::{Charge, Input, Mark, Names, Writer, feed};
 use crate::start::{Clock, Start};
 
-/// Marks remembered for their answers; they are numbered in 16 bits, and an older one is of no use.
-const MARKS: usize = 256;
 /// Pause before a call that was turned back, or a connection that did not come up, is tried again.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -44,38 +43,6 @@
     Close(u64, Reason),
 }
 
-/// What the module is told in the next round.
-enum Input {
-    Listed { complete: bool, remembered: bool, entries: Vec<Listing> },
-    ListFailed,
-    Custody(usize, bool),
-    Stored(usize, u32),
-    Joined(usize),
-    Parted(usize),
-    Answered(usize, u16, Span),
-    Heard { server: u32, tries: f64, lost: f64, elapsed: Span, over: Span, report: Vec<f64> },
-    Demand { slice: usize, operation: usize, tries: f64, over: Span },
-}
-
-/// A slice's charge, and what the store is known to hold of it.
-#[derive(Clone, Default)]
-struct Charge {
-    mine: bool,
-    /// Raised whenever the charge begins or ends: orders of an earlier one must not go out any more.
-    count: u32,
-    line: Option<u32>,
-    written: Option<Moment>,
-    /// Levels may be set in the store.
-    levelled: bool,
-}
-
-struct Mark {
-    number: u16,
-    ordered: Moment,
-    /// When a call that carried it ended last.
-    ended: Option<Moment>,
-}
-
 /// What of the standing state a new watch has told so far.
 #[derive(Default)]
 struct Standing {
@@ -83,98 +50,6 @@
     slices: BTreeMap<usize, Option<u32>>,
 }
 
-#[derive(Default)]
-struct Names {
-    numbers: BTreeMap<String, u32>,
-    names: Vec<String>,
-}
-
-impl Names {
-    fn number(&mut self, name: &str) -> u32 {
-        if let Some(&number) = self.numbers.get(name) {
-            return number;
-        }
-        let number = self.names.len() as u32;
-        self.numbers.insert(name.to_owned(), number);
-        self.names.push(name.to_owned());
-        number
-    }
-}
-
-/// What the module writes in a round.
-struct Writer<'a> {
-    now: Moment,
-    names: &'a Names,
-    operations: &'a [String],
-    charges: &'a [Charge],
-    flying: &'a [Order],
-    outbox: &'a mut Outbox,
-    marks: &'a mut Vec<Mark>,
-    wake: &'a mut Option<Moment>,
-    subscribe: bool,
-    /// Slices published while their shut has not reached the store.
-    hasty: Vec<usize>,
-}
-
-impl Writer<'_> {
-    fn name(&self, task: u32) -> &str {
-        self.names.names.get(task as usize).map_or("", String::as_str)
-    }
-
-    fn charge(&self, slice: usize) -> u32 {
-        self.charges.get(slice).map_or(0, |charge| charge.count)
-    }
-}
-
-impl Orders for Writer<'_> {
-    fn publish(&mut self, slice: usize, task: u32) {
-        let shut = Sets::Line { slice, server: None };
-        if self.outbox.waits(shut) || self.flying.iter().any(|order| order.sets == shut) {
-            self.hasty.push(slice);
-        }
-        self.outbox.push(encode::publish(slice, self.charge(slice), task, self.name(task)));
-    }
-
-    fn shut(&mut self, slice: usize, task: u32) {
-        self.outbox.push(encode::shut(slice, self.charge(slice), self.name(task)));
-    }
-
-    fn let_in(&mut self, slice: usize, mask: u64, level: f64, again: u8) {
-        let names = self.operations.iter().enumerate().filter(|(k, _)| mask >> k & 1 == 1);
-        let names: Vec<&str> = names.map(|(_, name)| name.as_str()).collect();
-        self.outbox.push(encode::levels(slice, self.charge(slice), mask, &names, level, again));
-    }
-
-    fn mark(&mut self, number: u16) {
-        self.outbox.push(encode::mark(number));
-        self.marks.retain(|mark| mark.number != number);
-        if self.marks.len() >= MARKS {
-            self.marks.remove(0);
-        }
-        self.marks.push(Mark { number, ordered: self.now, ended: None });
-    }
-
-    fn wake(&mut self, after: Span) {
-        *self.wake = Some(self.now + after);
-    }
-
-    fn subscribe(&mut self) {
-        self.subscribe = true;
-    }
-
-    fn probe(&mut self, task: u32) {
-        log::debug!("no probes on this road, server {}", self.name(task));
-    }
-
-    fn answers_no_one(&mut self, task: u32) {
-        log::warn!("server {} answers no one, moving its slices", self.name(task));
-    }
-
-    fn stays(&mut self, slice: usize) {
-        log::warn!("slice {slice} stays with its owner: a proxy keeps silent");
-    }
-}
-
 pub struct State {
     name: String,
     clock: Clock,
@@ -473,7 +348,7 @@
 
     fn met(&mut self, met: Met) {
         // A server that neither list nor store has named is nobody's owner: its report tells nothing yet.
-        let Some(&server) = self.names.numbers.get(&met.server) else { return };
+        let Some(server) = self.names.known(&met.server) else { return };
         let value = |field: &String| met.load.iter().find(|(name, _)| name == field).map(|(_, value)| *value);
         let report = if met.load.is_empty() {
             Vec::new()
@@ -740,19 +615,3 @@
 fn due(at: &mut Option<Moment>, now: Moment) -> bool {
     at.take_if(|at| *at <= now).is_some()
 }
-
-fn feed(assigner: &mut Assigner, input: Input) {
-    match input {
-        Input::Listed { complete, remembered, entries } => assigner.listed(complete, remembered, &entries),
-        Input::ListFailed => assigner.list_failed(),
-        Input::Custody(slice, on) => assigner.custody(slice, on),
-        Input::Stored(slice, server) => assigner.stored(slice, server),
-        Input::Joined(proxy) => assigner.joined(proxy),
-        Input::Parted(proxy) => assigner.parted(proxy),
-        Input::Answered(proxy, mark, elapsed) => assigner.answered(proxy, mark, elapsed),
-        Input::Heard { server, tries, lost, elapsed, over, report } => {
-            assigner.heard(server, tries, lost, elapsed, over, &report);
-        }
-        Input::Demand { slice, operation, tries, over } => assigner.demand(slice, operation, tries, over),
-    }
-}
--- /dev/null
+++ b/daemon/src/round.rs
@@ -0,0 +1,154 @@
+//! The module's side of a round: what it is told, in the order in which it came, and what it writes.
+
+use std::collections::BTreeMap;
+
+use lynxmill::{Assigner, Listing, Moment, Orders, Span};
+
+use crate::encode::{self, Order, Outbox, Sets};
+
+/// Marks remembered for their answers; they are numbered in 16 bits, and an older one is of no use.
+const MARKS: usize = 256;
+
+/// What the module is told in the next round.
+pub enum Input {
+    Listed { complete: bool, remembered: bool, entries: Vec<Listing> },
+    ListFailed,
+    Custody(usize, bool),
+    Stored(usize, u32),
+    Joined(usize),
+    Parted(usize),
+    Answered(usize, u16, Span),
+    Heard { server: u32, tries: f64, lost: f64, elapsed: Span, over: Span, report: Vec<f64> },
+    Demand { slice: usize, operation: usize, tries: f64, over: Span },
+}
+
+pub fn feed(assigner: &mut Assigner, input: Input) {
+    match input {
+        Input::Listed { complete, remembered, entries } => assigner.listed(complete, remembered, &entries),
+        Input::ListFailed => assigner.list_failed(),
+        Input::Custody(slice, on) => assigner.custody(slice, on),
+        Input::Stored(slice, server) => assigner.stored(slice, server),
+        Input::Joined(proxy) => assigner.joined(proxy),
+        Input::Parted(proxy) => assigner.parted(proxy),
+        Input::Answered(proxy, mark, elapsed) => assigner.answered(proxy, mark, elapsed),
+        Input::Heard { server, tries, lost, elapsed, over, report } => {
+            assigner.heard(server, tries, lost, elapsed, over, &report);
+        }
+        Input::Demand { slice, operation, tries, over } => assigner.demand(slice, operation, tries, over),
+    }
+}
+
+/// A slice's charge, and what the store is known to hold of it.
+#[derive(Clone, Default)]
+pub struct Charge {
+    pub mine: bool,
+    /// Raised whenever the charge begins or ends: orders of an earlier one must not go out any more.
+    pub count: u32,
+    pub line: Option<u32>,
+    pub written: Option<Moment>,
+    /// Levels may be set in the store.
+    pub levelled: bool,
+}
+
+pub struct Mark {
+    pub number: u16,
+    pub ordered: Moment,
+    /// When a call that carried it ended last.
+    pub ended: Option<Moment>,
+}
+
+#[derive(Default)]
+pub struct Names {
+    numbers: BTreeMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Names {
+    pub fn known(&self, name: &str) -> Option<u32> {
+        self.numbers.get(name).copied()
+    }
+
+    pub fn number(&mut self, name: &str) -> u32 {
+        if let Some(number) = self.known(name) {
+            return number;
+        }
+        let number = self.names.len() as u32;
+        self.numbers.insert(name.to_owned(), number);
+        self.names.push(name.to_owned());
+        number
+    }
+}
+
+/// What the module writes in a round.
+pub struct Writer<'a> {
+    pub now: Moment,
+    pub names: &'a Names,
+    pub operations: &'a [String],
+    pub charges: &'a [Charge],
+    pub flying: &'a [Order],
+    pub outbox: &'a mut Outbox,
+    pub marks: &'a mut Vec<Mark>,
+    pub wake: &'a mut Option<Moment>,
+    pub subscribe: bool,
+    /// Slices published while their shut has not reached the store.
+    pub hasty: Vec<usize>,
+}
+
+impl Writer<'_> {
+    fn name(&self, task: u32) -> &str {
+        self.names.names.get(task as usize).map_or("", String::as_str)
+    }
+
+    fn charge(&self, slice: usize) -> u32 {
+        self.charges.get(slice).map_or(0, |charge| charge.count)
+    }
+}
+
+impl Orders for Writer<'_> {
+    fn publish(&mut self, slice: usize, task: u32) {
+        let shut = Sets::Line { slice, server: None };
+        if self.outbox.waits(shut) || self.flying.iter().any(|order| order.sets == shut) {
+            self.hasty.push(slice);
+        }
+        self.outbox.push(encode::publish(slice, self.charge(slice), task, self.name(task)));
+    }
+
+    fn shut(&mut self, slice: usize, task: u32) {
+        self.outbox.push(encode::shut(slice, self.charge(slice), self.name(task)));
+    }
+
+    fn let_in(&mut self, slice: usize, mask: u64, level: f64, again: u8) {
+        let names = self.operations.iter().enumerate().filter(|(k, _)| mask >> k & 1 == 1);
+        let names: Vec<&str> = names.map(|(_, name)| name.as_str()).collect();
+        self.outbox.push(encode::levels(slice, self.charge(slice), mask, &names, level, again));
+    }
+
+    fn mark(&mut self, number: u16) {
+        self.outbox.push(encode::mark(number));
+        self.marks.retain(|mark| mark.number != number);
+        if self.marks.len() >= MARKS {
+            self.marks.remove(0);
+        }
+        self.marks.push(Mark { number, ordered: self.now, ended: None });
+    }
+
+    fn wake(&mut self, after: Span) {
+        *self.wake = Some(self.now + after);
+    }
+
+    fn subscribe(&mut self) {
+        self.subscribe = true;
+    }
+
+    fn probe(&mut self, task: u32) {
+        log::debug!("no probes on this road, server {}", self.name(task));
+    }
+
+    fn answers_no_one(&mut self, task: u32) {
+        log::warn!("server {} answers no one, moving its slices", self.name(task));
+    }
+
+    fn stays(&mut self, slice: usize) {
+        log::warn!("slice {slice} stays with its owner: a proxy keeps silent");
+    }
+}
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -243,6 +243,20 @@
     assert_eq!(lines(&bench.call().expect("the owner")), [(0, "s-a", 1.0)]);
 }
 
+#[test]
+fn a_slice_whose_line_was_cut_off_waits_for_the_next_watch() {
+    let mut bench = Bench::new();
+    bench.news(vec![News::Owner { slice: 0, on: true }]);
+    bench.tell(Event::WatchEnded);
+    bench.tell(Event::WatchBegun);
+    bench.news(vec![News::Attach { proxy: 0 }]);
+    bench.pass(0.3);
+    assert_eq!(bench.call(), None);
+    bench.give(0, "s-a");
+    bench.pass(0.01);
+    assert_eq!(lines(&bench.call().expect("the owner")), [(0, "s-a", 1.0)]);
+}
+
 #[test]
 fn a_slice_without_a_line_is_given_once_other_news_come() {
     let mut bench = Bench::new();
@@ -459,6 +473,37 @@
     assert_eq!(lines(&bench.call().expect("owners")).len(), 2);
 }
 
+#[test]
+fn answers_lost_in_a_gap_are_asked_for_anew() {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.01);
+    bench.taken();
+    // The proxy answers while nobody listens.
+    bench.tell(Event::WatchEnded);
+    bench.tell(Event::WatchBegun);
+    bench.news(vec![News::Attach { proxy: 0 }, News::Owner { slice: 0, on: true }]);
+    bench.give(1, "s-b");
+    bench.news(vec![News::Alive]);
+    bench.pass(0.2);
+    let mark = bench.taken();
+    bench.done(&[0], mark);
+    bench.pass(0.2);
+    assert_eq!(lines(&bench.call().expect("the new owner")).len(), 1);
+}
+
+#[test]
+fn what_waits_for_a_slice_that_leaves_does_not_go_out() {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining"), ("s-b", "draining")]);
+    bench.pass(0.01);
+    bench.call().expect("both shut");
+    bench.tell(Event::Called(Outcome::Throttled));
+    bench.news(vec![News::Owner { slice: 0, on: false }]);
+    bench.pass(0.3);
+    assert_eq!(lines(&bench.call().expect("the rest")), [(1, "s-b", 0.0)]);
+}
+
 #[test]
 fn a_slice_that_was_in_other_hands_begins_anew() {
     let mut bench = Bench::serving(&[0]);
