--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -43,7 +43,7 @@
 }
 
 /// What came of a call.
-#[derive(Debug)]
+#[derive(Debug, PartialEq)]
 pub enum Outcome {
     /// So many orders, counted from the first, were taken.
     Taken(usize),
@@ -65,28 +65,32 @@
     taken: usize,
 }
 
+/// What an answer tells, and what there is to say of one that is no plain yes.
+pub fn outcome(ok: bool, answer: &[u8]) -> (Outcome, Option<Failed>) {
+    if ok {
+        return match serde_json::from_slice::<Taken>(answer) {
+            Ok(Taken { taken }) => (Outcome::Taken(taken), None),
+            Err(e) => (Outcome::Unknown, Some(Failed::new(Reason::Unreadable, e))),
+        };
+    }
+    let text = String::from_utf8_lossy(answer);
+    let outcome = if text.contains("Throttling") {
+        Outcome::Throttled
+    } else if text.contains("ValidationError") {
+        // Nothing was taken: the first order is at fault, or will be known not to be.
+        Outcome::Taken(0)
+    } else {
+        Outcome::Unknown
+    };
+    (outcome, Some(Failed::new(Reason::TurnedBack, text)))
+}
+
 /// Each call has a connection of its own: the relay closes idle ones unseen, and on such a one the call's
 /// fate would be unknown.
 pub async fn call(client: &Client, at: SocketAddr, body: String) -> (Outcome, Option<Failed>) {
     let call = client.post(format!("http://{at}/v1/txn")).force_close().content_type("application/json");
     match timeout(ANSWER, body_of(call.send_body(body), LONGEST)).await {
-        Ok(Ok((true, answer))) => match serde_json::from_slice::<Taken>(&answer) {
-            Ok(Taken { taken }) => (Outcome::Taken(taken), None),
-            Err(e) => (Outcome::Unknown, Some(Failed::new(Reason::Unreadable, e))),
-        },
-        Ok(Ok((false, answer))) => {
-            let text = String::from_utf8_lossy(&answer).into_owned();
-            let failed = Failed::new(Reason::TurnedBack, &text);
-            let outcome = if text.contains("Throttling") {
-                Outcome::Throttled
-            } else if text.contains("ValidationError") {
-                // Nothing was taken: the first order is at fault, or will be known not to be.
-                Outcome::Taken(0)
-            } else {
-                Outcome::Unknown
-            };
-            (outcome, Some(failed))
-        }
+        Ok(Ok((ok, answer))) => outcome(ok, &answer),
         Ok(Err(failed)) => (Outcome::Unknown, Some(failed)),
         Err(_) => (Outcome::Unknown, Some(Failed::new(Reason::NoAnswer, "in time"))),
     }
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -9,9 +9,9 @@
 
 use crate::close::Reason;
 use crate::discovery;
-use crate::encode;
+use crate::encode::{self, Sets};
 use crate::reduce::{Effect, Event, State};
-use crate::relay::{Lines, News, Outcome};
+use crate::relay::{Lines, News, Outcome, outcome};
 use crate::resp::{Asked, Fault, Message, Met, Resp, Room};
 use crate::start::{Clock, Start, decode};
 
@@ -127,6 +127,34 @@
     assert_eq!(slices, (0..200).map(Some).chain([None]).collect::<Vec<_>>());
 }
 
+#[test]
+fn of_orders_that_set_the_same_the_last_one_waits_in_its_own_turn() {
+    let mut outbox = encode::Outbox::default();
+    for order in [
+        encode::shut(1, 0, "s-a"),
+        encode::mark(7),
+        encode::shut(2, 0, "s-a"),
+        encode::publish(1, 0, 0, "s-b"),
+        encode::mark(8),
+    ] {
+        outbox.push(order);
+    }
+    let (orders, _) = outbox.call().expect("a call");
+    let (line, mark) = (Sets::Line { slice: 1, server: Some(0) }, Sets::Mark { number: 8 });
+    let sets: Vec<Sets> = orders.iter().map(|order| order.sets).collect();
+    assert_eq!(sets, [Sets::Line { slice: 2, server: None }, line, mark]);
+}
+
+#[rstest]
+#[case::taken(true, "{\"taken\":2}", Outcome::Taken(2))]
+#[case::cut_off(true, "{\"taken\":", Outcome::Unknown)]
+#[case::throttled(false, "{\"error\":\"Throttling\"}", Outcome::Throttled)]
+#[case::no_such_call(false, "{\"error\":\"ValidationError\"}", Outcome::Taken(0))]
+#[case::failed(false, "{\"error\":\"InternalFailure\"}", Outcome::Unknown)]
+fn an_answer_tells_what_came_of_a_call(#[case] ok: bool, #[case] text: &str, #[case] expected: Outcome) {
+    assert_eq!(outcome(ok, text.as_bytes()).0, expected);
+}
+
 /// An assigner with three listed servers whose time is told by the test.
 struct Bench {
     state: State,
@@ -544,6 +572,11 @@
 #[case::limits("limits", json!({"sockets": 8}))]
 #[case::known("known", json!({"index": "x"}))]
 #[case::settings("settings", json!({"classes": []}))]
+#[case::slices("settings", {
+    let mut settings = lynxmill_standin::settings();
+    settings["specifics"]["shards"] = json!(1e12);
+    settings
+})]
 fn a_wrong_configuration_is_told_by_its_key(#[case] key: &str, #[case] wrong: Value) {
     let mut told = json!({
         "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
