Orders of an earlier charge never land after a gap in the news: calls wait until what stands is told

Found by a walk: the reducer against a relay without sockets whose calls, proxies, slices and news go wrong by chance (daemon/src/tests.rs). Now a line that neither the store held nor an order of unknown fate set begins anew, and no call goes between the break of the watch and the first sign of life.

--- a/daemon/src/encode.rs
+++ b/daemon/src/encode.rs
@@ -38,7 +38,8 @@
     pub sets: Sets,
     /// Which charge of its slice it was written in.
     pub charge: u32,
-    /// The mark of a call of unknown fate that it went with.
+    /// It went with a call of unknown fate, and the mark of that call.
+    sent: bool,
     sent_with: Option<u16>,
     text: String,
 }
@@ -54,7 +55,7 @@
 impl Op<'_> {
     fn order(self, sets: Sets, charge: u32) -> Order {
         let text = serde_json::to_string(&self).unwrap_or_default();
-        Order { sets, charge, sent_with: None, text }
+        Order { sets, charge, sent: false, sent_with: None, text }
     }
 }
 
@@ -83,7 +84,7 @@
         Sets::Mark { number } => Some(number),
         _ => None,
     });
-    orders.iter_mut().for_each(|order| order.sent_with = mark);
+    orders.iter_mut().for_each(|order| (order.sent, order.sent_with) = (true, mark));
 }
 
 /// Orders that wait, in the order they were written; at most one for each thing that can be set.
@@ -124,8 +125,9 @@
         self.waiting.iter().any(|order| order.sets == sets)
     }
 
-    pub fn waits_for(&self, slice: usize) -> bool {
-        self.waiting.iter().any(|order| order.sets.slice() == Some(slice))
+    /// Orders that a call of unknown fate may have carried out.
+    pub fn sent(&self) -> impl Iterator<Item = &Order> {
+        self.waiting.iter().filter(|order| order.sent)
     }
 
     /// The next call: as many orders as fit, and its body.
--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -74,6 +74,8 @@
     watch_at: Option<Moment>,
     watch_begun: Moment,
     watching: bool,
+    /// Since the watch broke nobody has told what stands.
+    blind: bool,
     standing: Option<Standing>,
     /// Slices given whose line in the store may be the next piece of news.
     given: BTreeSet<usize>,
@@ -141,6 +143,7 @@
             watch_at: None,
             watch_begun: now,
             watching: false,
+            blind: false,
             standing: None,
             given: BTreeSet::new(),
             index: None,
@@ -177,6 +180,12 @@
         }
     }
 
+    /// The owner that the store is believed to hold.
+    #[cfg(test)]
+    pub fn line(&self, slice: usize) -> Option<&str> {
+        self.charges[slice].line.map(|server| self.names.name(server))
+    }
+
     pub fn reduce(&mut self, now: Moment, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Begin => {
@@ -203,7 +212,7 @@
             Event::WatchEnded => {
                 // What had come of the standing state is no ground to think the rest gone, and slices whose
                 // line had not come yet will be told again: the module has not heard of them.
-                (self.watching, self.standing) = (false, None);
+                (self.watching, self.standing, self.blind) = (false, None, true);
                 for slice in std::mem::take(&mut self.given) {
                     self.charge(slice, false);
                 }
@@ -252,11 +261,13 @@
             self.round_at = None;
             self.round(now, effects);
         }
-        if self.call_at.is_none_or(|at| at <= now) && self.flying.is_none() {
+        // Guards against orders of an earlier charge: a slice may have been in other hands in the meantime.
+        if self.call_at.is_none_or(|at| at <= now) && self.flying.is_none() && !self.blind {
             self.call_at = None;
             self.call(effects);
         }
-        let dues = [self.round_at, self.wake_at, self.watch_at, self.ask_at, self.call_at];
+        let call_at = self.call_at.filter(|_| !self.blind && self.flying.is_none());
+        let dues = [self.round_at, self.wake_at, self.watch_at, self.ask_at, call_at];
         if let Some(at) = dues.into_iter().flatten().min() {
             effects.push(Effect::WakeAt(at));
         }
@@ -483,6 +494,7 @@
     /// wrote shows that a slice has been in other hands.
     fn stands(&mut self) {
         let Some(standing) = self.standing.take() else { return };
+        self.blind = false;
         let gone: Vec<u16> = self.joined.difference(&standing.proxies).copied().collect();
         gone.into_iter().for_each(|proxy| self.part(proxy));
         for slice in 0..self.charges.len() {
@@ -495,9 +507,11 @@
                 self.inbox.push(Input::Custody(slice, false));
                 continue;
             };
-            let flying = self.flying.iter().flatten().any(|order| order.sets.slice() == Some(slice));
+            // Orders under way may have set the line, or not yet; any other line is somebody else's.
+            let set = |order: &Order| order.sets == Sets::Line { slice, server: line };
+            let under_way = self.flying.iter().flatten().chain(self.outbox.sent()).any(set);
             let written = charge.written.is_some_and(|at| at >= self.watch_begun);
-            if line != charge.line && !flying && !written && !self.outbox.waits_for(slice) {
+            if line != charge.line && !under_way && !written {
                 log::warn!("slice {slice} was in other hands");
                 self.begin_anew(slice, line);
             }
--- a/daemon/src/round.rs
+++ b/daemon/src/round.rs
@@ -68,6 +68,10 @@
         self.numbers.get(name).copied()
     }
 
+    pub fn name(&self, number: u32) -> &str {
+        self.names.get(number as usize).map_or("", String::as_str)
+    }
+
     pub fn number(&mut self, name: &str) -> u32 {
         if let Some(number) = self.known(name) {
             return number;
@@ -96,7 +100,7 @@
 
 impl Writer<'_> {
     fn name(&self, task: u32) -> &str {
-        self.names.names.get(task as usize).map_or("", String::as_str)
+        self.names.name(task)
     }
 
     fn charge(&self, slice: usize) -> u32 {
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -1,11 +1,15 @@
 //! The codec with bytes in pieces, and the reducer with the clock in hand.
 
+use std::time::Duration;
+
 use actix_codec::Decoder;
 use bytes::BytesMut;
-use lynxmill::{Moment, Span};
-use lynxmill_standin::words;
+use lynxmill::{Moment, Pcg, Span};
+use lynxmill_standin::{Fate, settings, words};
 use rstest::rstest;
 use serde_json::{Value, json};
+use tokio::sync::mpsc::error::TryRecvError;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use crate::close::Reason;
 use crate::discovery;
@@ -281,6 +285,7 @@
     bench.pass(0.3);
     assert_eq!(bench.call(), None);
     bench.give(0, "s-a");
+    bench.news(vec![News::Alive]);
     bench.pass(0.01);
     assert_eq!(lines(&bench.call().expect("the owner")), [(0, "s-a", 1.0)]);
 }
@@ -546,6 +551,214 @@
     assert_eq!(lines(&bench.call().expect("its owner")), [(0, "s-c", 1.0)]);
 }
 
+#[test]
+fn whatever_bytes_come_nothing_panics() {
+    let mut chance = Pcg::new(7);
+    let mut below = |most: usize| (chance.unit() * most as f64) as usize;
+    let good = [words(&MET), words(&["hb"]), words(&["telemetry", "zone", "a"])].concat();
+    let news = b"{}\n{\"type\":\"done\",\"object\":{\"proxy\":1,\"mark\":2,\"took_ms\":0.5}}\n";
+    for _ in 0..3000 {
+        let (mut bytes, mut text) = (good.clone(), news.to_vec());
+        for _ in 0..=below(4) {
+            let (at, there) = (below(bytes.len()), below(text.len()));
+            bytes[at] = below(256) as u8;
+            text[there] = below(256) as u8;
+        }
+        let (mut codec, mut buffer) = (codec(), BytesMut::from(bytes.as_slice()));
+        while let Ok(Some(_)) = codec.decode(&mut buffer) {}
+        let _ = Lines::default().take(&text);
+    }
+}
+
+/// A relay without sockets whose calls, proxies, slices and news go wrong by chance, and an assigner for it.
+struct Walk {
+    bench: Bench,
+    world: lynxmill_standin::State,
+    told: Option<UnboundedReceiver<lynxmill_standin::News>>,
+    lines: Lines,
+    chance: Pcg,
+    steps: usize,
+    /// The outcome of a call, and when it is known.
+    answer: Option<(f64, Outcome)>,
+}
+
+const SERVERS: [&str; 3] = ["s-a", "s-b", "s-c"];
+
+impl Walk {
+    fn new(seed: u64) -> Self {
+        let lease = settings()["specifics"]["lease"].as_f64().expect("a lease");
+        let mut world = lynxmill_standin::State::new(Duration::from_secs_f64(lease));
+        SERVERS.iter().for_each(|server| world.list(server, "ready", 0.0));
+        (0..8).for_each(|slice| world.give(slice, Some(SERVERS[slice % 3])));
+        (0..4).for_each(|px| world.attach(px));
+        let state = State::new(Clock::start(), Moment::default(), start());
+        let bench = Bench { state, now: 0.0, effects: Vec::new() };
+        let chance = Pcg::new(seed);
+        let mut walk =
+            Walk { bench, world, told: None, lines: Lines::default(), chance, steps: 0, answer: None };
+        walk.bench.tell(Event::Begin);
+        walk.list();
+        walk
+    }
+
+    fn below(&mut self, most: usize) -> usize {
+        (self.chance.unit() * most as f64) as usize
+    }
+
+    fn list(&mut self) {
+        let members = discovery::members(self.world.members(None)).expect("a list");
+        self.bench.tell(Event::Listed(members));
+    }
+
+    /// One thing goes wrong, or another way.
+    fn stumble(&mut self) {
+        let (px, slice) = (self.below(4) as u16, self.below(8));
+        match self.below(40) {
+            0 => self.world.detach(px),
+            1..3 => self.world.attach(px),
+            3 => self.world.slow(px, true),
+            4..6 => self.world.slow(px, false),
+            6 => self.world.take(slice),
+            7 if !self.world.slices[&slice].mine => {
+                let server = SERVERS.get(self.below(4)).copied();
+                self.world.give(slice, server);
+            }
+            8 => {
+                let (server, status) = (SERVERS[self.below(3)], ["ready", "draining", "gone"][self.below(3)]);
+                self.world.list(server, status, 0.0);
+                self.list();
+            }
+            9 => {
+                self.world.out_of_reach = !self.world.out_of_reach;
+                if self.world.out_of_reach {
+                    self.world.cut();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A fiftieth of a second: what was asked for is done, or goes wrong.
+    fn step(&mut self, rough: bool) {
+        self.bench.now += 0.02;
+        self.world.told_time = Duration::from_secs_f64(self.bench.now);
+        self.steps += 1;
+        if self.steps.is_multiple_of(50) && !self.world.out_of_reach {
+            self.world.watches.retain(|watch| watch.send(Ok("{}\n".into())).is_ok());
+        }
+        if rough {
+            self.stumble();
+        }
+        self.news();
+        if self.answer.as_ref().is_some_and(|(at, _)| *at <= self.bench.now)
+            && let Some((_, outcome)) = self.answer.take()
+        {
+            self.bench.tell(Event::Called(outcome));
+        }
+        self.bench.tell(Event::Wake);
+        if let Some(ops) = self.bench.call() {
+            let ops = serde_json::from_value(Value::Array(ops)).expect("orders");
+            if rough {
+                let fate = match self.below(12) {
+                    0 => Fate::Throttled,
+                    1 => Fate::Broken(false),
+                    2..4 => Fate::Broken(true),
+                    4 => Fate::Takes(self.below(3)),
+                    _ => Fate::Answered,
+                };
+                self.world.fates.push_back(fate);
+            }
+            let outcome = match self.world.out_of_reach {
+                true => Outcome::Unknown,
+                false => match self.world.call(ops) {
+                    (Fate::Throttled, _) => Outcome::Throttled,
+                    (Fate::Broken(_), _) => Outcome::Unknown,
+                    (_, taken) => Outcome::Taken(taken),
+                },
+            };
+            self.world.fates.clear();
+            let late = if rough { 0.1 * self.chance.unit() } else { 0.0 };
+            self.answer = Some((self.bench.now + late, outcome));
+        }
+        let asked = |effect: &Effect| *effect == Effect::Watch;
+        if !self.world.out_of_reach && self.bench.effects.iter().any(asked) {
+            self.bench.effects.retain(|effect| !asked(effect));
+            let (tell, told) = unbounded_channel();
+            let _ = tell.send(Ok(self.world.standing()));
+            let _ = tell.send(Ok("{}\n".into()));
+            self.world.watches.push(tell);
+            (self.told, self.lines) = (Some(told), Lines::default());
+            self.bench.tell(Event::WatchBegun);
+        }
+    }
+
+    fn news(&mut self) {
+        while let Some(told) = &mut self.told {
+            match told.try_recv() {
+                Ok(Ok(text)) => {
+                    // Now and then bytes come in two pieces.
+                    let (first, second) = text.as_bytes().split_at(text.len() / 2);
+                    for piece in [first, second] {
+                        let news = self.lines.take(piece).expect("news");
+                        self.bench.tell(Event::News(news));
+                    }
+                }
+                Err(TryRecvError::Empty) => return,
+                Ok(Err(_)) | Err(TryRecvError::Disconnected) => {
+                    self.told = None;
+                    self.bench.tell(Event::WatchEnded);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn whatever_goes_wrong_no_slice_is_torn_and_belief_and_store_come_together() {
+    for seed in 0..24 {
+        let mut walk = Walk::new(seed);
+        (0..3000).for_each(|_| walk.step(true));
+        walk.world.out_of_reach = false;
+        SERVERS.iter().for_each(|server| walk.world.list(server, "ready", 0.0));
+        walk.list();
+        (0..4).for_each(|px| walk.world.slow(px, false));
+        (0..1000).for_each(|_| walk.step(false));
+        assert!(walk.world.torn.is_empty(), "seed {seed}: {:?}", walk.world.torn);
+        for (slice, held) in walk.world.slices.iter().filter(|(_, held)| held.mine) {
+            assert!(held.line.is_some(), "seed {seed}: slice {slice} has no owner");
+            let believed = walk.bench.state.line(*slice);
+            assert_eq!(believed, held.line.as_deref(), "seed {seed}: slice {slice}");
+        }
+    }
+}
+
+#[test]
+fn orders_of_an_earlier_charge_do_not_go_out_after_a_gap() {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.01);
+    let mark = bench.taken();
+    bench.done(&[0], mark);
+    bench.pass(0.1);
+    assert_eq!(lines(&bench.call().expect("the new owner")).len(), 1);
+    bench.tell(Event::WatchEnded);
+    bench.tell(Event::Called(Outcome::Throttled));
+    bench.pass(0.5);
+    assert_eq!(bench.call(), None, "nobody has told whose the slices are now");
+    // Meanwhile another assigner has had slice 0 and has moved it.
+    bench.tell(Event::WatchBegun);
+    bench.news(vec![News::Attach { proxy: 0 }]);
+    bench.give(0, "s-b");
+    bench.give(1, "s-b");
+    bench.pass(0.5);
+    assert_eq!(bench.call(), None);
+    bench.news(vec![News::Alive]);
+    bench.call().expect("what is left, a mark");
+    bench.tell(Event::Called(Outcome::Taken(1)));
+    bench.pass(0.01);
+    assert_eq!(lines(&bench.call().expect("its owner")), [(0, "s-b", 1.0)]);
+}
+
 #[test]
 fn strangers_make_room_for_collectors() {
     let mut bench = Bench::new();
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 
 pub use collector::{Collector, words};
-pub use world::{Fate, State, World};
+pub use world::{Fate, News, State, World};
 
 /// How long an expected change may take before it is taken for missing.
 const PATIENCE: Duration = Duration::from_secs(20);
--- a/standin/src/world.rs
+++ b/standin/src/world.rs
@@ -45,7 +45,7 @@
     tables: BTreeMap<usize, String>,
     slow: bool,
     owes: Vec<u16>,
-    parted: Option<Instant>,
+    parted: Option<Duration>,
 }
 
 pub type News = Result<String, std::io::Error>;
@@ -70,6 +70,9 @@
     /// Slices that had two owners at some time.
     pub torn: Vec<String>,
     lease: Duration,
+    begun: Option<Instant>,
+    /// Time, where whoever plays with the state tells it.
+    pub told_time: Duration,
 }
 
 pub struct World {
@@ -80,7 +83,7 @@
 
 impl World {
     pub fn new(lease: Duration) -> Self {
-        let state = State { lease, ..State::default() };
+        let state = State { begun: Some(Instant::now()), ..State::new(lease) };
         World { state: Mutex::new(state), changed: Condvar::new(), listed: Notify::new() }
     }
 
@@ -101,6 +104,15 @@
 }
 
 impl State {
+    /// One without sockets, whose time is told.
+    pub fn new(lease: Duration) -> Self {
+        State { lease, ..State::default() }
+    }
+
+    fn now(&self) -> Duration {
+        self.begun.map_or(self.told_time, |begun| begun.elapsed())
+    }
+
     // --- the relay ---
 
     fn news(&mut self, kind: &str, object: Value) {
@@ -130,6 +142,9 @@
 
     /// A proxy joins; it reads the store.
     pub fn attach(&mut self, px: u16) {
+        if self.proxies.get(&px).is_some_and(|proxy| proxy.parted.is_none()) {
+            return;
+        }
         let lines = self.slices.iter().filter_map(|(slice, held)| Some((*slice, held.line.clone()?)));
         let tables = lines.collect();
         self.proxies.insert(px, Proxy { tables, ..Proxy::default() });
@@ -137,10 +152,11 @@
     }
 
     pub fn detach(&mut self, px: u16) {
-        if let Some(proxy) = self.proxies.get_mut(&px) {
-            proxy.parted = Some(Instant::now());
+        let now = self.now();
+        if let Some(proxy) = self.proxies.get_mut(&px).filter(|proxy| proxy.parted.is_none()) {
+            proxy.parted = Some(now);
+            self.news("detach", json!({"proxy": px}));
         }
-        self.news("detach", json!({"proxy": px}));
     }
 
     /// The store gives the assigner a slice, as it stands or with another line. Whoever had it before has
@@ -237,7 +253,8 @@
 
     /// No two proxies may write at different owners: those joined, and those gone for less than a lease.
     fn check(&mut self, table: usize) {
-        let writes = |proxy: &&Proxy| proxy.parted.is_none_or(|at| at.elapsed() < self.lease);
+        let now = self.now();
+        let writes = |proxy: &&Proxy| proxy.parted.is_none_or(|at| now - at < self.lease);
         let writing = self.proxies.values().filter(writes);
         let mut owners: Vec<&str> = writing.filter_map(|p| Some(p.tables.get(&table)?.as_str())).collect();
         owners.sort_unstable();
