--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -70,6 +70,7 @@
     call_at: Option<Moment>,
     marks: Vec<Mark>,
     charges: Vec<Charge>,
+    proxies: u16,
     joined: BTreeSet<u16>,
     watch_at: Option<Moment>,
     watch_begun: Moment,
@@ -139,6 +140,7 @@
             call_at: None,
             marks: Vec::new(),
             charges: vec![Charge::default(); facts.slices],
+            proxies: facts.proxies.try_into().unwrap_or(u16::MAX),
             joined: BTreeSet::new(),
             watch_at: None,
             watch_begun: now,
@@ -249,7 +251,8 @@
         if !self.inbox.is_empty() && self.round_at.is_none() {
             self.round_at = Some(now + self.step);
         }
-        if due(&mut self.watch_at, now) {
+        // What stands is asked for once no call is under way that could change it meanwhile.
+        if self.flying.is_none() && due(&mut self.watch_at, now) {
             self.watch_begun = now;
             effects.push(Effect::Watch);
         }
@@ -267,7 +270,8 @@
             self.call(effects);
         }
         let call_at = self.call_at.filter(|_| !self.blind && self.flying.is_none());
-        let dues = [self.round_at, self.wake_at, self.watch_at, self.ask_at, call_at];
+        let watch_at = self.watch_at.filter(|_| self.flying.is_none());
+        let dues = [self.round_at, self.wake_at, watch_at, self.ask_at, call_at];
         if let Some(at) = dues.into_iter().flatten().min() {
             effects.push(Effect::WakeAt(at));
         }
@@ -494,9 +498,14 @@
     /// wrote shows that a slice has been in other hands.
     fn stands(&mut self) {
         let Some(standing) = self.standing.take() else { return };
-        self.blind = false;
-        let gone: Vec<u16> = self.joined.difference(&standing.proxies).copied().collect();
-        gone.into_iter().for_each(|proxy| self.part(proxy));
+        // At the start there is nothing to compare with.
+        if !std::mem::take(&mut self.blind) {
+            return;
+        }
+        // Whoever isn't there may have come, read the store and left again unseen: its lease runs from now.
+        let absent = (0..self.proxies).filter(|proxy| !standing.proxies.contains(proxy));
+        self.inbox.extend(absent.map(|proxy| Input::Parted(proxy.into())));
+        self.joined.retain(|proxy| standing.proxies.contains(proxy));
         for slice in 0..self.charges.len() {
             let charge = &self.charges[slice];
             if !charge.mine {
@@ -507,11 +516,10 @@
                 self.inbox.push(Input::Custody(slice, false));
                 continue;
             };
-            // Orders under way may have set the line, or not yet; any other line is somebody else's.
+            // Orders of unknown fate may have set the line, or not yet; any other line is somebody else's.
             let set = |order: &Order| order.sets == Sets::Line { slice, server: line };
-            let under_way = self.flying.iter().flatten().chain(self.outbox.sent()).any(set);
-            let written = charge.written.is_some_and(|at| at >= self.watch_begun);
-            if line != charge.line && !under_way && !written {
+            let ours = line == charge.line || self.outbox.sent().any(set);
+            if !ours {
                 log::warn!("slice {slice} was in other hands");
                 self.begin_anew(slice, line);
             }
@@ -585,7 +593,7 @@
             if let Sets::Line { slice, server } = order.sets
                 && self.charges[slice].count == order.charge
             {
-                (self.charges[slice].line, self.charges[slice].written) = (server, Some(now));
+                self.charges[slice].line = server;
             }
         }
     }
--- a/daemon/src/round.rs
+++ b/daemon/src/round.rs
@@ -45,7 +45,6 @@
     /// Raised whenever the charge begins or ends: orders of an earlier one must not go out any more.
     pub count: u32,
     pub line: Option<u32>,
-    pub written: Option<Moment>,
     /// Levels may be set in the store.
     pub levelled: bool,
 }
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -521,7 +521,7 @@
     bench.pass(0.2);
     let mark = bench.taken();
     bench.done(&[0], mark);
-    bench.pass(0.2);
+    bench.pass(0.5);
     assert_eq!(lines(&bench.call().expect("the new owner")).len(), 1);
 }
 
@@ -732,6 +732,27 @@
     }
 }
 
+#[test]
+fn a_proxy_may_have_come_and_gone_unseen_in_a_gap() {
+    let mut bench = Bench::serving(&[0, 1]);
+    bench.news(vec![News::Detach { proxy: 1 }]);
+    bench.pass(1.0);
+    bench.tell(Event::WatchEnded);
+    bench.tell(Event::WatchBegun);
+    bench.news(vec![News::Attach { proxy: 0 }]);
+    bench.give(0, "s-a");
+    bench.give(1, "s-b");
+    bench.news(vec![News::Alive]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.01);
+    let mark = bench.taken();
+    bench.done(&[0], mark);
+    bench.pass(0.3);
+    assert_eq!(bench.call(), None, "its lease of 0.4 s runs from the end of the gap");
+    bench.pass(0.3);
+    assert_eq!(lines(&bench.call().expect("the new owner")).len(), 1);
+}
+
 #[test]
 fn orders_of_an_earlier_charge_do_not_go_out_after_a_gap() {
     let mut bench = Bench::serving(&[0]);
