--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -554,7 +554,9 @@
                 let rest = rest.filter(held).collect();
                 self.settle(now, &orders);
                 self.outbox.put_back(rest);
-                refused.into_iter().for_each(|order| self.refused(now, &order));
+                if let Some(order) = refused {
+                    self.refused(now, order);
+                }
             }
             Outcome::Throttled => {
                 orders.retain(held);
@@ -572,17 +574,23 @@
         }
     }
 
-    /// An order that the relay can't use is left out, and a slice whose line it was to set begins anew with
-    /// what the store holds, or the module would go on believing in a line that is not there.
-    fn refused(&mut self, now: Moment, order: &Order) {
+    /// An order that the relay can't use is left out, but for a mark, and a slice whose line it was to set
+    /// begins anew with what the store holds: the module must not believe in a line that is not there.
+    fn refused(&mut self, now: Moment, order: Order) {
         self.tally.refused += 1;
         log::warn!("the relay refused {:?}", order.sets);
         self.call_at = Some(now + self.jittered());
-        if let Sets::Line { slice, .. } = order.sets
-            && self.charges[slice].mine
-            && self.charges[slice].count == order.charge
-        {
-            self.begin_anew(slice, self.charges[slice].line);
+        match order.sets {
+            Sets::Line { slice, server }
+                if self.charges[slice].mine && self.charges[slice].count == order.charge =>
+            {
+                // An owner sent before with a call of unknown fate may stand there already.
+                let line = server.filter(|_| order.sent).or(self.charges[slice].line);
+                self.begin_anew(slice, line);
+            }
+            // Moves wait for the answers to it.
+            Sets::Mark { .. } => self.outbox.put_back(vec![order]),
+            _ => {}
         }
     }
 
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -440,6 +440,36 @@
     assert_eq!(lines(&rest), [(1, "s-b", 0.0), (0, "s-a", 0.0)], "the slice refused is shut once more");
 }
 
+#[test]
+fn a_refused_mark_goes_again_as_moves_wait_for_it() {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.01);
+    bench.call().expect("a shut and a mark");
+    bench.tell(Event::Called(Outcome::Taken(1)));
+    bench.pass(0.2);
+    let ops = bench.call().expect("the mark");
+    assert_eq!((ops.len(), &ops[0]["op"]), (1, &json!("mark")));
+}
+
+#[test]
+fn an_owner_refused_after_a_call_of_unknown_fate_may_stand_all_the_same() {
+    let mut bench = Bench::serving(&[0]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.01);
+    let mark = bench.taken();
+    bench.done(&[0], mark);
+    bench.pass(0.1);
+    let published = bench.call().expect("the new owner");
+    bench.tell(Event::Called(Outcome::Unknown));
+    bench.pass(0.2);
+    assert_eq!(lines(&bench.call().expect("again")), lines(&published));
+    bench.tell(Event::Called(Outcome::Taken(0)));
+    bench.pass(0.2);
+    bench.drain_calls();
+    assert_eq!(bench.state.line(0), Some(lines(&published)[0].1));
+}
+
 #[test]
 fn a_fence_counts_from_when_the_relay_got_the_shut() {
     let mut bench = Bench::serving(&[0]);
