--- a/daemon/src/encode.rs
+++ b/daemon/src/encode.rs
@@ -38,8 +38,7 @@
     pub sets: Sets,
     /// Which charge of its slice it was written in.
     pub charge: u32,
-    /// It went with a call of unknown fate, and the mark of that call.
-    sent: bool,
+    /// The mark of a call of unknown fate that it went with.
     sent_with: Option<u16>,
     text: String,
 }
@@ -55,7 +54,7 @@
 impl Op<'_> {
     fn order(self, sets: Sets, charge: u32) -> Order {
         let text = serde_json::to_string(&self).unwrap_or_default();
-        Order { sets, charge, sent: false, sent_with: None, text }
+        Order { sets, charge, sent_with: None, text }
     }
 }
 
@@ -84,7 +83,7 @@
         Sets::Mark { number } => Some(number),
         _ => None,
     });
-    orders.iter_mut().for_each(|order| (order.sent, order.sent_with) = (true, mark));
+    orders.iter_mut().for_each(|order| order.sent_with = mark);
 }
 
 /// Orders that wait, in the order they were written; at most one for each thing that can be set.
@@ -125,11 +124,6 @@
         self.waiting.iter().any(|order| order.sets == sets)
     }
 
-    /// Orders that a call of unknown fate may have carried out.
-    pub fn sent(&self) -> impl Iterator<Item = &Order> {
-        self.waiting.iter().filter(|order| order.sent)
-    }
-
     /// The next call: as many orders as fit, and its body.
     pub fn call(&mut self) -> Option<(Vec<Order>, String)> {
         let mut body = String::from(OPEN);
--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -516,12 +516,9 @@
                 self.inbox.push(Input::Custody(slice, false));
                 continue;
             };
-            // Orders of unknown fate may have set the line, or not yet; any other line is somebody else's.
-            let set = |order: &Order| order.sets == Sets::Line { slice, server: line };
-            let perhaps = line.is_some() && line == charge.perhaps;
-            let ours = line == charge.line || perhaps || self.outbox.sent().any(set);
-            if !ours {
-                log::warn!("slice {slice} was in other hands");
+            // Another line was set by somebody else, or by a call whose fate is known now: it is the truth.
+            if line != charge.line {
+                log::warn!("slice {slice} has another line than was known, begins anew");
                 self.begin_anew(slice, line);
             }
         }
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -769,6 +769,32 @@
     }
 }
 
+#[test]
+fn the_watch_is_dialled_at_once_but_not_in_circles_nor_beside_a_call() {
+    let mut bench = Bench::serving(&[0]);
+    let dialled = |bench: &Bench| bench.effects.iter().filter(|effect| **effect == Effect::Watch).count();
+    let before = dialled(&bench);
+    bench.tell(Event::WatchEnded);
+    assert_eq!(dialled(&bench), before + 1);
+    bench.tell(Event::WatchEnded);
+    assert_eq!(dialled(&bench), before + 1, "it ended at once: a pause");
+    bench.pass(0.2);
+    assert_eq!(dialled(&bench), before + 2);
+    bench.tell(Event::WatchBegun);
+    bench.news(vec![News::Attach { proxy: 0 }]);
+    bench.give(0, "s-a");
+    bench.give(1, "s-b");
+    bench.news(vec![News::Alive]);
+    bench.list(&[("s-a", "draining")]);
+    bench.pass(0.2);
+    bench.call().expect("a shut");
+    bench.tell(Event::WatchEnded);
+    bench.pass(0.1);
+    assert_eq!(dialled(&bench), before + 2, "the call could change what stands while it is told");
+    bench.tell(Event::Called(Outcome::Unknown));
+    assert_eq!(dialled(&bench), before + 3);
+}
+
 #[test]
 fn a_proxy_may_have_come_and_gone_unseen_in_a_gap() {
     let mut bench = Bench::serving(&[0, 1]);
--- a/daemon/tests/sockets.rs
+++ b/daemon/tests/sockets.rs
@@ -299,10 +299,13 @@
 #[test]
 fn told_to_end_it_ends_at_once() {
     let (_standin, mut daemon) = serving();
-    let _quiet = daemon.collector();
+    assert!(daemon.collector().alive());
+    let mut quiet = daemon.collector();
+    assert!(quiet.alive());
     let kill = format!("kill -TERM {}", daemon.child.id());
     assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
     assert_eq!(daemon.child.wait().expect("its end").code(), Some(0));
+    daemon.told("ended reason=stopping zone=a");
 }
 
 #[rstest]
