--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -647,8 +647,23 @@
         self.bench.tell(Event::Listed(members));
     }
 
+    /// Killed outright and started again from nothing: its streams break.
+    fn restart(&mut self) {
+        (0..4).for_each(|px| self.world.detach(px));
+        self.world.watches.clear();
+        (self.told, self.answer) = (None, None);
+        let now = Moment::from_secs(self.bench.now);
+        self.bench.state = State::new(Clock::start(), now, start());
+        self.bench.effects.clear();
+        self.bench.tell(Event::Begin);
+        self.list();
+    }
+
     /// One thing goes wrong, or another way.
     fn stumble(&mut self) {
+        if self.below(800) == 0 {
+            self.restart();
+        }
         let (px, slice) = (self.below(4) as u16, self.below(8));
         match self.below(40) {
             0 => self.world.detach(px),
@@ -752,7 +767,7 @@
 
 #[test]
 fn whatever_goes_wrong_no_slice_is_torn_and_belief_and_store_come_together() {
-    for seed in (0..20).chain([81, 290, 828, 1597, 1824]) {
+    for seed in 0..24 {
         let mut walk = Walk::new(seed);
         (0..3000).for_each(|_| walk.step(true));
         walk.world.out_of_reach = false;
