--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -202,6 +202,16 @@
         bench
     }
 
+    /// One whose slice 0 has been shut and may have its next owner.
+    fn fenced() -> Self {
+        let mut bench = Bench::serving(&[0]);
+        bench.drains(&["s-a"]);
+        let mark = bench.taken();
+        bench.done(&[0], mark);
+        bench.pass(0.1);
+        bench
+    }
+
     fn tell(&mut self, event: Event) {
         self.state.reduce(Moment::from_secs(self.now), event, &mut self.effects);
     }
@@ -221,6 +231,20 @@
         self.tell(Event::Listed(discovery::members(list).expect("a list")));
     }
 
+    fn drains(&mut self, servers: &[&str]) {
+        let servers: Vec<(&str, &str)> = servers.iter().map(|&server| (server, "draining")).collect();
+        self.list(&servers);
+        self.pass(0.01);
+    }
+
+    /// What stands is told by a new watch: proxy 0 and these slices.
+    fn watch_again(&mut self, slices: &[(usize, &str)]) {
+        self.tell(Event::WatchBegun);
+        self.news(vec![News::Attach { proxy: 0 }]);
+        slices.iter().for_each(|(slice, server)| self.give(*slice, server));
+        self.news(vec![News::Alive]);
+    }
+
     fn done(&mut self, proxies: &[u16], mark: u16) {
         self.news(proxies.iter().map(|&proxy| News::Done { proxy, mark, took_ms: 0.0 }).collect());
     }
@@ -310,8 +334,7 @@
 #[case::throttled(Outcome::Throttled)]
 fn a_call_goes_again_before_later_ones_less_slices_no_longer_ours(#[case] outcome: Outcome) {
     let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining"), ("s-b", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a", "s-b"]);
     let first = bench.call().expect("both shut");
     assert_eq!(lines(&first), [(0, "s-a", 0.0), (1, "s-b", 0.0)]);
     bench.news(vec![News::Owner { slice: 0, on: false }]);
@@ -326,8 +349,7 @@
 #[test]
 fn an_answered_mark_shows_that_a_call_of_unknown_fate_was_carried_out() {
     let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a"]);
     let ops = bench.call().expect("a shut");
     let mark = ops.last().and_then(|op| op["nonce_out"].as_u64()).expect("a mark") as u16;
     bench.tell(Event::Called(Outcome::Unknown));
@@ -340,8 +362,7 @@
 #[test]
 fn an_answered_mark_tells_of_its_own_call_though_newer_orders_wait() {
     let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a"]);
     let first = bench.call().expect("a shut");
     let mark = first.last().and_then(|op| op["nonce_out"].as_u64()).expect("a mark") as u16;
     bench.list(&[("s-b", "draining")]);
@@ -360,8 +381,7 @@
 #[test]
 fn an_answer_to_a_mark_of_nobody_counts_for_nothing() {
     let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a"]);
     let mark = bench.taken();
     bench.done(&[0], mark.wrapping_sub(9));
     bench.done(&[0], mark.wrapping_add(9));
@@ -408,11 +428,7 @@
     }
     assert!(strained);
     bench.tell(Event::WatchEnded);
-    bench.tell(Event::WatchBegun);
-    bench.news(vec![News::Attach { proxy: 0 }]);
-    bench.give(0, "s-c");
-    bench.give(1, "s-b");
-    bench.news(vec![News::Alive]);
+    bench.watch_again(&[(0, "s-c"), (1, "s-b")]);
     let ops = bench.call().expect("levels");
     assert!(ops.iter().any(|op| op["routes"] == json!(["*"]) && op["admit"] == 1.0), "{ops:?}");
 }
@@ -431,8 +447,7 @@
 #[test]
 fn what_the_relay_refuses_is_left_out_and_begins_anew() {
     let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining"), ("s-b", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a", "s-b"]);
     bench.call().expect("both shut");
     bench.tell(Event::Called(Outcome::Taken(0)));
     bench.pass(0.3);
@@ -443,8 +458,7 @@
 #[test]
 fn a_refused_mark_goes_again_as_moves_wait_for_it() {
     let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a"]);
     bench.call().expect("a shut and a mark");
     bench.tell(Event::Called(Outcome::Taken(1)));
     bench.pass(0.2);
@@ -456,12 +470,7 @@
 #[case::sent_again(false)]
 #[case::shut_meanwhile(true)]
 fn an_owner_refused_after_a_call_of_unknown_fate_may_stand_all_the_same(#[case] then_drained: bool) {
-    let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining")]);
-    bench.pass(0.01);
-    let mark = bench.taken();
-    bench.done(&[0], mark);
-    bench.pass(0.1);
+    let mut bench = Bench::fenced();
     let published = bench.call().expect("the new owner");
     bench.tell(Event::Called(Outcome::Unknown));
     if then_drained {
@@ -480,8 +489,7 @@
 #[test]
 fn a_fence_counts_from_when_the_relay_got_the_shut() {
     let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a"]);
     for _ in 0..4 {
         bench.call().expect("the shut, again");
         bench.tell(Event::Called(Outcome::Throttled));
@@ -499,8 +507,7 @@
 #[test]
 fn no_owner_is_published_around_a_shut_that_the_store_has_not_seen() {
     let mut bench = Bench::serving(&[]);
-    bench.list(&[("s-a", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a"]);
     bench.call().expect("a shut");
     bench.tell(Event::Called(Outcome::Throttled));
     // Without proxies the fence is a lease past the start, which is over: only the store can tell.
@@ -519,17 +526,12 @@
     bench.tell(Event::WatchEnded);
     bench.pass(0.5);
     assert!(bench.effects.contains(&Effect::Watch));
-    bench.tell(Event::WatchBegun);
     // Proxy 1 has left, slice 0 stands as it was, slice 1 has gone, slice 2 is new.
-    bench.news(vec![News::Attach { proxy: 0 }]);
-    bench.give(0, "s-a");
-    bench.give(2, "s-b");
-    bench.news(vec![News::Alive]);
+    bench.watch_again(&[(0, "s-a"), (2, "s-b")]);
     bench.pass(0.01);
     assert_eq!(lines(&bench.call().expect("the new slice")), [(2, "s-b", 1.0)]);
     bench.tell(Event::Called(Outcome::Taken(9)));
-    bench.list(&[("s-a", "draining"), ("s-b", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a", "s-b"]);
     let mark = {
         let ops = bench.call().expect("shuts");
         assert_eq!(lines(&ops), [(0, "s-a", 0.0), (2, "s-b", 0.0)]);
@@ -546,8 +548,7 @@
 #[test]
 fn answers_lost_in_a_gap_are_asked_for_anew() {
     let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a"]);
     bench.taken();
     // The proxy answers while nobody listens.
     bench.tell(Event::WatchEnded);
@@ -565,8 +566,7 @@
 #[test]
 fn what_waits_for_a_slice_that_leaves_does_not_go_out() {
     let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining"), ("s-b", "draining")]);
-    bench.pass(0.01);
+    bench.drains(&["s-a", "s-b"]);
     bench.call().expect("both shut");
     bench.tell(Event::Called(Outcome::Throttled));
     bench.news(vec![News::Owner { slice: 0, on: false }]);
@@ -579,11 +579,7 @@
     let mut bench = Bench::serving(&[0]);
     bench.tell(Event::WatchEnded);
     bench.pass(0.5);
-    bench.tell(Event::WatchBegun);
-    bench.news(vec![News::Attach { proxy: 0 }]);
-    bench.give(0, "s-c");
-    bench.give(1, "s-b");
-    bench.news(vec![News::Alive]);
+    bench.watch_again(&[(0, "s-c"), (1, "s-b")]);
     bench.pass(0.01);
     assert_eq!(lines(&bench.call().expect("its owner")), [(0, "s-c", 1.0)]);
 }
@@ -795,11 +791,7 @@
     assert_eq!(dialled(&bench), before + 1, "it ended at once: a pause");
     bench.pass(0.2);
     assert_eq!(dialled(&bench), before + 2);
-    bench.tell(Event::WatchBegun);
-    bench.news(vec![News::Attach { proxy: 0 }]);
-    bench.give(0, "s-a");
-    bench.give(1, "s-b");
-    bench.news(vec![News::Alive]);
+    bench.watch_again(&[(0, "s-a"), (1, "s-b")]);
     bench.list(&[("s-a", "draining")]);
     bench.pass(0.2);
     bench.call().expect("a shut");
@@ -816,13 +808,8 @@
     bench.news(vec![News::Detach { proxy: 1 }]);
     bench.pass(1.0);
     bench.tell(Event::WatchEnded);
-    bench.tell(Event::WatchBegun);
-    bench.news(vec![News::Attach { proxy: 0 }]);
-    bench.give(0, "s-a");
-    bench.give(1, "s-b");
-    bench.news(vec![News::Alive]);
-    bench.list(&[("s-a", "draining")]);
-    bench.pass(0.01);
+    bench.watch_again(&[(0, "s-a"), (1, "s-b")]);
+    bench.drains(&["s-a"]);
     let mark = bench.taken();
     bench.done(&[0], mark);
     bench.pass(0.3);
@@ -833,12 +820,7 @@
 
 #[test]
 fn orders_of_an_earlier_charge_do_not_go_out_after_a_gap() {
-    let mut bench = Bench::serving(&[0]);
-    bench.list(&[("s-a", "draining")]);
-    bench.pass(0.01);
-    let mark = bench.taken();
-    bench.done(&[0], mark);
-    bench.pass(0.1);
+    let mut bench = Bench::fenced();
     assert_eq!(lines(&bench.call().expect("the new owner")).len(), 1);
     bench.tell(Event::WatchEnded);
     bench.tell(Event::Called(Outcome::Throttled));
