--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -859,6 +859,17 @@
     assert_eq!(clock.since(0.0), None);
 }
 
+#[test]
+fn variables_prevail_over_the_file() {
+    let told = json!({
+        "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
+        "limits": {"memory_mb": 192, "sockets": 8}, "registry": {"address": "127.0.0.1:3"}, "settings": settings(),
+    });
+    let start = decode(&told, |variable| (variable == "PROXY_LISTEN").then(|| "127.0.0.9:7".to_owned()));
+    let start = start.expect("good settings");
+    assert_eq!((start.listen, start.discovery.port()), ("127.0.0.9:7".parse().expect("an address"), 2));
+}
+
 #[rstest]
 #[case::seed("seed", json!("no hex"))]
 #[case::listen("listen", json!("nowhere"))]
--- a/daemon/tests/sockets.rs
+++ b/daemon/tests/sockets.rs
@@ -329,6 +329,19 @@
     assert!(collector.alive() && daemon.alive());
 }
 
+#[rstest]
+#[case::nothing(b"")]
+#[case::half_a_message(b"*1\r\n$2\r\nh")]
+fn a_stranger_that_says_nothing_whole_is_closed(#[case] bytes: &[u8]) {
+    let (_standin, daemon) = serving();
+    let mut collector = daemon.collector();
+    let mut stranger = Collector::connect(daemon.address).expect("a connection");
+    stranger.write(bytes).expect("room to write");
+    assert_eq!(stranger.rest().expect("it is closed"), b"");
+    daemon.told("ended reason=silent");
+    assert!(collector.alive(), "a collector may be quiet");
+}
+
 #[test]
 fn a_flood_of_strangers_leaves_room_for_collectors() {
     let (_standin, daemon) = serving();
@@ -370,6 +383,17 @@
     assert!(collector.alive());
 }
 
+#[test]
+fn an_address_in_use_is_one_clear_line() {
+    let standin = standin();
+    let path = write(&config(standin.relay, &standin, Value::Null));
+    let output = command(Some(&path)).output().expect("the program");
+    let text = String::from_utf8(output.stderr).expect("text");
+    assert!(!output.status.success());
+    assert!(text.lines().count() == 1 && text.contains("`listen`"), "{text}");
+    let _ = std::fs::remove_file(path);
+}
+
 #[rstest]
 #[case::none(None, "PROXY_CONFIG")]
 #[case::no_json(Some(json!("x")), "settings")]
