--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,5 +1,5 @@
-//! lynxmilld: the assigner on real sockets. One thread reads, decides and writes; actix-server's accept thread
-//! only hands connections over.
+//! lynxmilld: the assigner on real sockets. One thread reads, decides and writes; actix-server has another
+//! that only accepts connections.
 
 mod accept;
 mod close;
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -863,7 +863,8 @@
 fn variables_prevail_over_the_file() {
     let told = json!({
         "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
-        "limits": {"memory_mb": 192, "sockets": 8}, "registry": {"address": "127.0.0.1:3"}, "settings": settings(),
+        "limits": {"memory_mb": 192, "sockets": 8}, "registry": {"address": "127.0.0.1:3"},
+        "settings": settings(),
     });
     let start = decode(&told, |variable| (variable == "PROXY_LISTEN").then(|| "127.0.0.9:7".to_owned()));
     let start = start.expect("good settings");
--- a/standin/src/world.rs
+++ b/standin/src/world.rs
@@ -127,7 +127,8 @@
         lines.extend(joined.map(|(px, _)| json!({"type": "attach", "object": attach(*px)})));
         for (slice, held) in self.slices.iter().filter(|(_, held)| held.mine) {
             lines.push(json!({"type": "owner", "object": {"slice": slice, "on": true}}));
-            let entry = |server| json!({"type": "entry", "object": {"slice": slice, "server": server, "weight": 1.0}});
+            let entry = |server| json!({"slice": slice, "server": server, "weight": 1.0});
+            let entry = |server| json!({"type": "entry", "object": entry(server)});
             lines.extend(held.line.iter().map(entry));
         }
         lines.iter().map(|line| format!("{line}\n")).collect()
