Once-over: one check of an order's charge, one path for calls that go again, less written twice

Read once more from start to end. The check that an order is of its slice's present charge stood three times (Charge::holds now); turned-back and unknown calls shared all but one step; the step went from span to duration and back, which could overflow on an odd setting; the list call's comment told of a connection it does not keep. In the stand-in and the tests: one spelling of a line of news, one reading of the store, one configuration, one start. A counter nobody read is gone. Behaviour and assertions as they were.

--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -50,8 +50,7 @@
     serde_json::from_value(from)
 }
 
-/// One call: the whole list, or what has come since a version. The list has no own connection: the next call
-/// may go on the one that answered, for the agent is on this machine and a call may be made twice.
+/// One call, on a connection of its own: the whole list, or what has come since a version.
 pub async fn ask(client: &Client, at: SocketAddr, from: Option<u64>) -> Result<Members, Failed> {
     let (path, patience) = match from {
         Some(index) => (format!("?from={index}&hold_ms={}", HOLD.as_millis()), HOLD + LATE),
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -27,7 +27,6 @@
 use actix_rt::signal::unix::{SignalKind, signal};
 use actix_server::Server;
 use actix_service::{ServiceFactory, fn_factory, fn_service};
-
 use tokio::net::TcpSocket;
 use tokio::sync::Notify;
 
--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -2,7 +2,6 @@
 //! round is due and asks for effects. It reads and writes nothing itself and decides nothing.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use lynxmill::{Assigner, Listing, Moment, Pcg, Span};
 use serde::Serialize;
@@ -16,7 +15,7 @@
 use crate::start::{Clock, Start};
 
 /// Pause before a call that was turned back, or a connection that did not come up, is tried again.
-const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE_S: f64 = 0.1;
 
 #[derive(Debug)]
 pub enum Event {
@@ -129,7 +128,7 @@
             report_fields: start.report_fields,
             on_request: facts.list_on_request,
             again: facts.again,
-            step: Span::from_secs(start.step.as_secs_f64()),
+            step: start.step,
             chance: Pcg::new(start.seed),
             names: Names::default(),
             inbox: Vec::new(),
@@ -219,14 +218,14 @@
                     self.charge(slice, false);
                 }
                 self.watch_at =
-                    Some(if now - self.watch_begun < self.pause(1.0) { now + self.jittered() } else { now });
+                    Some(if now - self.watch_begun < pause() { now + self.jittered() } else { now });
             }
             Event::Called(outcome) => self.called(now, outcome),
             Event::Listed(members) => {
                 self.asking = false;
                 let complete = members.snapshot || self.index.is_none();
                 // Guards against an agent that answers at once and tells nothing: no call on its heels.
-                let idle = members.endpoints.is_empty() && now - self.asked < self.pause(1.0);
+                let idle = members.endpoints.is_empty() && now - self.asked < pause();
                 self.listed(members, complete, false);
                 if idle {
                     self.ask_at = Some(now + self.jittered());
@@ -277,13 +276,8 @@
         }
     }
 
-    fn pause(&self, times: f64) -> Span {
-        Span::from_secs(PAUSE.as_secs_f64() * times)
-    }
-
     fn jittered(&mut self) -> Span {
-        let unit = self.chance.unit();
-        self.pause(0.5 + unit)
+        pause().times(0.5 + self.chance.unit())
     }
 
     // --- rounds ---
@@ -542,9 +536,7 @@
         let Some(mut orders) = self.flying.take() else { return };
         // What an ended charge has ordered is void, whatever came of it.
         let charges = &self.charges;
-        let held = |order: &Order| {
-            order.sets.slice().is_none_or(|s| charges[s].mine && charges[s].count == order.charge)
-        };
+        let held = |order: &Order| order.sets.slice().is_none_or(|slice| charges[slice].holds(order));
         match outcome {
             Outcome::Taken(taken) => {
                 let mut rest = orders.split_off(taken.min(orders.len())).into_iter();
@@ -556,27 +548,29 @@
                     self.refused(now, order);
                 }
             }
-            Outcome::Throttled => {
-                orders.retain(held);
-                self.outbox.put_back(orders);
-                self.call_at = Some(now + self.jittered());
-            }
-            Outcome::Unknown => {
+            Outcome::Throttled | Outcome::Unknown => {
                 orders.retain(held);
-                for order in &orders {
-                    if let Sets::Line { slice, server: Some(server) } = order.sets {
-                        self.charges[slice].perhaps = Some(server);
-                    }
+                if outcome == Outcome::Unknown {
+                    self.may_stand(now, &mut orders);
                 }
-                self.tally.again += 1;
-                self.ended(now, &orders);
-                encode::sent_together(&mut orders);
                 self.outbox.put_back(orders);
                 self.call_at = Some(now + self.jittered());
             }
         }
     }
 
+    /// These orders were carried out or not: nobody knows yet.
+    fn may_stand(&mut self, now: Moment, orders: &mut [Order]) {
+        self.tally.again += 1;
+        self.ended(now, orders);
+        encode::sent_together(orders);
+        for order in orders {
+            if let Sets::Line { slice, server: Some(server) } = order.sets {
+                self.charges[slice].perhaps = Some(server);
+            }
+        }
+    }
+
     /// An order that the relay can't use is left out, but for a mark, and a slice whose line it was to set
     /// begins anew with what the store holds: the module must not believe in a line that is not there.
     fn refused(&mut self, now: Moment, order: Order) {
@@ -584,9 +578,7 @@
         log::warn!("the relay refused {:?}", order.sets);
         self.call_at = Some(now + self.jittered());
         match order.sets {
-            Sets::Line { slice, .. }
-                if self.charges[slice].mine && self.charges[slice].count == order.charge =>
-            {
+            Sets::Line { slice, .. } if self.charges[slice].holds(&order) => {
                 let Charge { perhaps, line, .. } = self.charges[slice];
                 self.begin_anew(slice, perhaps.or(line));
             }
@@ -601,7 +593,7 @@
         self.ended(now, orders);
         for order in orders {
             if let Sets::Line { slice, server } = order.sets
-                && self.charges[slice].count == order.charge
+                && self.charges[slice].holds(order)
             {
                 (self.charges[slice].line, self.charges[slice].perhaps) = (server, None);
             }
@@ -644,6 +636,10 @@
     }
 }
 
+fn pause() -> Span {
+    Span::from_secs(PAUSE_S)
+}
+
 fn due(at: &mut Option<Moment>, now: Moment) -> bool {
     at.take_if(|at| *at <= now).is_some()
 }
--- a/daemon/src/round.rs
+++ b/daemon/src/round.rs
@@ -51,6 +51,13 @@
     pub levelled: bool,
 }
 
+impl Charge {
+    /// Whether an order for its slice was written in this charge.
+    pub fn holds(&self, order: &Order) -> bool {
+        self.mine && self.count == order.charge
+    }
+}
+
 pub struct Mark {
     pub number: u16,
     pub ordered: Moment,
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use lynxmill::{Facts, Moment};
+use lynxmill::{Facts, Moment, Span};
 use lynxmill_wire::{Fail, field, number, span, text};
 use serde_json::Value;
 
@@ -23,7 +23,7 @@
     /// What load reports call their values, in the order that the module knows them by.
     pub report_fields: Vec<String>,
     /// Least span between two rounds.
-    pub step: Duration,
+    pub step: Span,
 }
 
 pub fn read() -> Result<Start, Fail> {
@@ -60,7 +60,7 @@
         known,
         facts: lynxmill_wire::facts(settings)?,
         report_fields: lynxmill_wire::report_fields(settings)?,
-        step: Duration::from_secs_f64(span(settings, "step")?.secs().max(0.0)),
+        step: span(settings, "step")?.max(Span::default()),
     })
 }
 
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -166,21 +166,29 @@
     effects: Vec<Effect>,
 }
 
+/// A configuration, as its file tells it.
+fn told() -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:2", "seed": "1",
+        "limits": {"memory_mb": 192, "sockets": 8}, "registry": {"address": "127.0.0.1:3"},
+        "known": {"index": 1, "snapshot": true, "endpoints": []}, "settings": settings(),
+    })
+}
+
 fn start() -> Start {
-    let list = json!({"index": 1, "snapshot": true, "endpoints": []});
-    let told = json!({
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "known": list,
-        "limits": {"memory_mb": 192, "sockets": 8}, "registry": {"address": "127.0.0.1:1"},
-        "settings": lynxmill_standin::settings(),
-    });
-    decode(&told, |_| None).expect("good settings")
+    decode(&told(), |_| None).expect("good settings")
 }
 
 impl Bench {
-    fn new() -> Self {
-        let state = State::new(Clock::start(), Moment::default(), start());
-        let mut bench = Bench { state, now: 0.0, effects: Vec::new() };
+    fn begin(now: f64) -> Self {
+        let state = State::new(Clock::start(), Moment::from_secs(now), start());
+        let mut bench = Bench { state, now, effects: Vec::new() };
         bench.tell(Event::Begin);
+        bench
+    }
+
+    fn new() -> Self {
+        let mut bench = Bench::begin(0.0);
         bench.list(&[("s-a", "ready"), ("s-b", "ready"), ("s-c", "ready")]);
         bench.tell(Event::WatchBegun);
         bench.pass(0.01);
@@ -269,7 +277,7 @@
     fn taken(&mut self) -> u16 {
         let ops = self.call().expect("a call");
         self.tell(Event::Called(Outcome::Taken(ops.len())));
-        ops.iter().find_map(|op| op["nonce_out"].as_u64()).expect("a mark") as u16
+        mark_of(&ops)
     }
 
     fn drain_calls(&mut self) {
@@ -279,6 +287,10 @@
     }
 }
 
+fn mark_of(ops: &[Value]) -> u16 {
+    ops.iter().find_map(|op| op["nonce_out"].as_u64()).expect("a mark") as u16
+}
+
 fn line(op: &Value) -> Option<(u64, &str, f64)> {
     (op["op"] == "share")
         .then(|| Some((op["table"].as_u64()?, op["server"].as_str()?, op["weight"].as_f64()?)))?
@@ -351,7 +363,7 @@
     let mut bench = Bench::serving(&[0]);
     bench.drains(&["s-a"]);
     let ops = bench.call().expect("a shut");
-    let mark = ops.last().and_then(|op| op["nonce_out"].as_u64()).expect("a mark") as u16;
+    let mark = mark_of(&ops);
     bench.tell(Event::Called(Outcome::Unknown));
     bench.done(&[0], mark);
     bench.pass(0.3);
@@ -364,7 +376,7 @@
     let mut bench = Bench::serving(&[0]);
     bench.drains(&["s-a"]);
     let first = bench.call().expect("a shut");
-    let mark = first.last().and_then(|op| op["nonce_out"].as_u64()).expect("a mark") as u16;
+    let mark = mark_of(&first);
     bench.list(&[("s-b", "draining")]);
     bench.pass(0.01);
     bench.tell(Event::Called(Outcome::Unknown));
@@ -536,7 +548,7 @@
         let ops = bench.call().expect("shuts");
         assert_eq!(lines(&ops), [(0, "s-a", 0.0), (2, "s-b", 0.0)]);
         bench.tell(Event::Called(Outcome::Taken(ops.len())));
-        ops.last().and_then(|op| op["nonce_out"].as_u64()).expect("a mark") as u16
+        mark_of(&ops)
     };
     bench.done(&[0], mark);
     bench.pass(0.3);
@@ -624,12 +636,10 @@
         SERVERS.iter().for_each(|server| world.list(server, "ready", 0.0));
         (0..8).for_each(|slice| world.give(slice, Some(SERVERS[slice % 3])));
         (0..4).for_each(|px| world.attach(px));
-        let state = State::new(Clock::start(), Moment::default(), start());
-        let bench = Bench { state, now: 0.0, effects: Vec::new() };
+        let bench = Bench::begin(0.0);
         let chance = Pcg::new(seed);
         let mut walk =
             Walk { bench, world, told: None, lines: Lines::default(), chance, steps: 0, answer: None };
-        walk.bench.tell(Event::Begin);
         walk.list();
         walk
     }
@@ -648,10 +658,7 @@
         (0..4).for_each(|px| self.world.detach(px));
         self.world.watches.clear();
         (self.told, self.answer) = (None, None);
-        let now = Moment::from_secs(self.bench.now);
-        self.bench.state = State::new(Clock::start(), now, start());
-        self.bench.effects.clear();
-        self.bench.tell(Event::Begin);
+        self.bench = Bench::begin(self.bench.now);
         self.list();
     }
 
@@ -861,12 +868,7 @@
 
 #[test]
 fn variables_prevail_over_the_file() {
-    let told = json!({
-        "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
-        "limits": {"memory_mb": 192, "sockets": 8}, "registry": {"address": "127.0.0.1:3"},
-        "settings": settings(),
-    });
-    let start = decode(&told, |variable| (variable == "PROXY_LISTEN").then(|| "127.0.0.9:7".to_owned()));
+    let start = decode(&told(), |variable| (variable == "PROXY_LISTEN").then(|| "127.0.0.9:7".to_owned()));
     let start = start.expect("good settings");
     assert_eq!((start.listen, start.discovery.port()), ("127.0.0.9:7".parse().expect("an address"), 2));
 }
@@ -879,16 +881,12 @@
 #[case::known("known", json!({"index": "x"}))]
 #[case::settings("settings", json!({"classes": []}))]
 #[case::slices("settings", {
-    let mut settings = lynxmill_standin::settings();
+    let mut settings = settings();
     settings["specifics"]["shards"] = json!(1e12);
     settings
 })]
 fn a_wrong_configuration_is_told_by_its_key(#[case] key: &str, #[case] wrong: Value) {
-    let mut told = json!({
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
-        "limits": {"memory_mb": 192, "sockets": 8}, "registry": {"address": "127.0.0.1:1"},
-        "settings": lynxmill_standin::settings(),
-    });
+    let mut told = told();
     assert!(decode(&told, |_| None).is_ok());
     told[key] = wrong;
     assert!(decode(&told, |_| None).is_err());
--- a/daemon/tests/sockets.rs
+++ b/daemon/tests/sockets.rs
@@ -151,6 +151,20 @@
     mine().all(|(_, slice)| slice.line.as_deref().is_some_and(|owner| owner != not))
 }
 
+/// All slices of the drained server have others.
+fn moved(standin: &Standin) {
+    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+}
+
+/// Drains a server while proxy 1 is behind: its slices are shut and can't go on yet.
+fn shut_with_one_behind(standin: &Standin) {
+    standin.change(|state| {
+        state.slow(1, true);
+        state.list("s-a", "draining", 0.0);
+    });
+    standin.wait("the slices are shut", |state| state.owner(0).is_none());
+}
+
 fn never_torn(standin: &Standin) {
     let torn = &standin.state().torn;
     assert!(torn.is_empty(), "two owners at a time: {torn:?}");
@@ -179,33 +193,25 @@
 #[test]
 fn a_move_waits_for_a_proxy_that_is_behind() {
     let (standin, daemon) = serving();
-    standin.change(|state| {
-        state.slow(1, true);
-        state.list("s-a", "draining", 0.0);
-    });
-    standin.wait("the slices are shut", |state| state.owner(0).is_none());
+    shut_with_one_behind(&standin);
     assert!(daemon.alive());
     assert!(standin.state().owner(0).is_none());
     standin.change(|state| state.slow(1, false));
-    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+    moved(&standin);
     never_torn(&standin);
 }
 
 #[test]
 fn proxies_come_and_go_while_slices_are_on_their_way() {
     let (standin, _daemon) = serving();
-    standin.change(|state| {
-        state.slow(1, true);
-        state.list("s-a", "draining", 0.0);
-    });
-    standin.wait("the slices are shut", |state| state.owner(0).is_none());
+    shut_with_one_behind(&standin);
     standin.change(|state| {
         state.detach(1);
         state.attach(3);
         state.detach(0);
         state.attach(0);
     });
-    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+    moved(&standin);
     never_torn(&standin);
 }
 
@@ -230,7 +236,7 @@
         state.list("s-a", "draining", 0.0);
         state.calls.len()
     });
-    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+    moved(&standin);
     let late = format!("{:?}", &standin.state().calls[before..]);
     assert!(!late.contains("table: 2,"), "orders for a slice that has gone: {late}");
     assert_eq!(standin.state().owner(3), Some("s-c"));
@@ -245,7 +251,7 @@
     standin.change(|state| state.out_of_reach = false);
     standin.wait("the watch has come back", |state| state.watched == 2);
     standin.change(|state| state.list("s-a", "draining", 0.0));
-    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+    moved(&standin);
 }
 
 #[test]
@@ -270,7 +276,7 @@
         state.list("s-a", "gone", 0.0);
         (state.whole, state.mute) = (whole, false);
     });
-    standin.wait("all slices have moved", |state| owned_by_others(state, "s-a"));
+    moved(&standin);
 }
 
 #[test]
@@ -279,9 +285,7 @@
     let known = standin.change(|state| state.members(None));
     let mut daemon = Daemon::start_at(&standin, ANY.parse().expect("an address"), known.clone());
     standin.wait("all owners are published again", |state| published(state) > 8);
-    standin.change(|state| state.slow(1, true));
-    standin.change(|state| state.list("s-a", "draining", 0.0));
-    standin.wait("the slices are shut", |state| state.owner(0).is_none());
+    shut_with_one_behind(&standin);
     daemon.child.kill().expect("a process");
     daemon.child.wait().expect("its end");
     standin.change(|state| {
--- a/standin/src/serve.rs
+++ b/standin/src/serve.rs
@@ -152,7 +152,6 @@
         query.split('&').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name)?.1.parse().ok()
     };
     let (from, hold) = (number("from"), Duration::from_millis(number("hold_ms").unwrap_or(0)));
-    world.change(|state| state.asked += 1);
     let news = async {
         loop {
             let changed = world.listed.notified();
--- a/standin/src/world.rs
+++ b/standin/src/world.rs
@@ -61,10 +61,9 @@
     /// Watches that have begun so far; none is taken while the relay is out of reach.
     pub watched: usize,
     pub out_of_reach: bool,
-    /// The list, each entry with the version that it changed in; asked so often; silent; whole lists only.
+    /// The list, each entry with the version that it changed in; silent; a whole list next.
     members: BTreeMap<String, (u64, Value)>,
     pub index: u64,
-    pub asked: usize,
     pub mute: bool,
     pub whole: bool,
     /// Slices that had two owners at some time.
@@ -116,22 +115,25 @@
     // --- the relay ---
 
     fn news(&mut self, kind: &str, object: Value) {
-        let line = format!("{}\n", json!({"type": kind, "object": object}));
+        let line = line(kind, object);
         self.watches.retain(|watch| watch.send(Ok(line.clone())).is_ok());
     }
 
     /// What a watch is told first.
     pub fn standing(&self) -> String {
-        let mut lines = Vec::new();
         let joined = self.proxies.iter().filter(|(_, p)| p.parted.is_none());
-        lines.extend(joined.map(|(px, _)| json!({"type": "attach", "object": attach(*px)})));
+        let mut lines: String = joined.map(|(px, _)| line("attach", attach(*px))).collect();
         for (slice, held) in self.slices.iter().filter(|(_, held)| held.mine) {
-            lines.push(json!({"type": "owner", "object": {"slice": slice, "on": true}}));
-            let entry = |server| json!({"slice": slice, "server": server, "weight": 1.0});
-            let entry = |server| json!({"type": "entry", "object": entry(server)});
-            lines.extend(held.line.iter().map(entry));
+            lines += &line("owner", owner(*slice, true));
+            lines.extend(held.line.iter().map(|server| line("entry", entry(*slice, server))));
         }
-        lines.iter().map(|line| format!("{line}\n")).collect()
+        lines
+    }
+
+    /// The tables of a proxy that has read the store.
+    fn store(&self) -> BTreeMap<usize, String> {
+        let lines = self.slices.iter().filter_map(|(slice, held)| Some((*slice, held.line.clone()?)));
+        lines.collect()
     }
 
     /// Breaks all watches off.
@@ -146,8 +148,7 @@
         if self.proxies.get(&px).is_some_and(|proxy| proxy.parted.is_none()) {
             return;
         }
-        let lines = self.slices.iter().filter_map(|(slice, held)| Some((*slice, held.line.clone()?)));
-        let tables = lines.collect();
+        let tables = self.store();
         self.proxies.insert(px, Proxy { tables, ..Proxy::default() });
         self.news("attach", attach(px));
     }
@@ -169,22 +170,22 @@
             proxy.tables.extend(line.clone().filter(|_| proxy.parted.is_none()).map(|line| (slice, line)));
         }
         self.slices.insert(slice, Slice { mine: true, line, ..Slice::default() });
-        self.news("owner", json!({"slice": slice, "on": true}));
+        self.news("owner", owner(slice, true));
         if let Some(server) = server {
-            self.news("entry", json!({"slice": slice, "server": server, "weight": 1.0}));
+            self.news("entry", entry(slice, server));
         }
     }
 
     pub fn take(&mut self, slice: usize) {
         self.slices.entry(slice).or_default().mine = false;
-        self.news("owner", json!({"slice": slice, "on": false}));
+        self.news("owner", owner(slice, false));
     }
 
     pub fn owner(&self, slice: usize) -> Option<&str> {
         self.slices.get(&slice)?.line.as_deref()
     }
 
-    /// Takes a call: how many orders the store took, or None if it was not carried out.
+    /// Takes a call: what becomes of it, and how many orders the store took.
     pub fn call(&mut self, ops: Vec<Op>) -> (Fate, usize) {
         let fate = self.fates.pop_front().unwrap_or(Fate::Answered);
         let carried = match fate {
@@ -241,8 +242,7 @@
 
     /// Lets a proxy fall behind, or catch up: it applies all that it was sent and answers the marks.
     pub fn slow(&mut self, px: u16, slow: bool) {
-        let lines = self.slices.iter().filter_map(|(slice, held)| Some((*slice, held.line.clone()?)));
-        let tables = lines.collect();
+        let tables = self.store();
         let Some(proxy) = self.proxies.get_mut(&px) else { return };
         proxy.slow = slow;
         if !slow {
@@ -290,6 +290,18 @@
     }
 }
 
+fn line(kind: &str, object: Value) -> String {
+    format!("{}\n", json!({"type": kind, "object": object}))
+}
+
+fn owner(slice: usize, on: bool) -> Value {
+    json!({"slice": slice, "on": on})
+}
+
+fn entry(slice: usize, server: &str) -> Value {
+    json!({"slice": slice, "server": server, "weight": 1.0})
+}
+
 fn attach(px: u16) -> Value {
     json!({"proxy": px, "zone": "a", "weight": 20.0, "fresh": true})
 }
