SIGHUP moves relay and discovery; strangers end after 1 s, spoilt reports alone

Changed: a signal task rereads the file and tells the reducer the addresses; it asks for the watch and the list call to be left and dialled anew, the call under way has its answer at the old address, and what stands is compared as after any gap. A connection that has not joined a zone of the settings is closed 1 s after it came; a joined one whose message does not become whole within 3 s too. A spoilt message with sound framing is a value of its own: it is counted, told once a second and left out. reduce.rs is split along its jobs. The stand-in serves at other addresses and ends old ones.

--- a/daemon/src/accept.rs
+++ b/daemon/src/accept.rs
@@ -5,25 +5,29 @@
 
 use actix_codec::Framed;
 use actix_rt::net::TcpStream;
-use actix_rt::time::timeout;
+use actix_rt::time::{Instant, sleep_until, timeout};
 use actix_service::Service;
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::oneshot;
+use tokio::time::timeout_at;
 
 use crate::close::{Reason, ended};
 use crate::hub::Hub;
 use crate::reduce::Event;
 use crate::resp::{Alive, Fault, Message, Resp};
 
-/// How long a stranger may take to say something whole, and anyone to read an answer of a few bytes.
-const PATIENCE: Duration = Duration::from_secs(10);
+/// From then on, says the protocol, a connection that has not joined may be closed.
+const JOINING: Duration = Duration::from_secs(1);
+/// Within this a connection is owed its end that sends what never becomes whole, or doesn't read its answers.
+const PATIENCE: Duration = Duration::from_secs(3);
 
 pub async fn serve<W: Service<TcpStream>>(stream: TcpStream, hub: Rc<Hub>, web: Rc<W>) {
+    let deadline = Instant::now() + JOINING;
     let peer = stream.peer_addr().map_or_else(|_| "?".to_owned(), |peer| peer.to_string());
     let (id, mut closed) = hub.open();
     let mut first = [0];
     let first = tokio::select! {
-        peeked = timeout(PATIENCE, stream.peek(&mut first)) => match peeked {
+        peeked = timeout_at(deadline, stream.peek(&mut first)) => match peeked {
             Ok(Ok(0)) => Err(Reason::PeerClosed),
             Ok(Ok(_)) => Ok(first[0]),
             Ok(Err(_)) => Err(Reason::PeerReset),
@@ -34,12 +38,15 @@
     let (reason, detail) = match first {
         Err(reason) => (reason, String::new()),
         // HTTP's methods are in capitals; the codec tells what else is wrong.
-        Ok(b'A'..=b'Z') => match timeout(PATIENCE, web.call(stream)).await {
-            Ok(Ok(_)) => (Reason::HttpDone, String::new()),
-            Ok(Err(_)) => (Reason::BadFrame, "http".to_owned()),
-            Err(_) => (Reason::Silent, "http".to_owned()),
+        Ok(b'A'..=b'Z') => tokio::select! {
+            done = timeout_at(deadline, web.call(stream)) => match done {
+                Ok(Ok(_)) => (Reason::HttpDone, String::new()),
+                Ok(Err(_)) => (Reason::BadFrame, "http".to_owned()),
+                Err(_) => (Reason::Silent, "http".to_owned()),
+            },
+            reason = &mut closed => (reason.unwrap_or(Reason::PeerClosed), "http".to_owned()),
         },
-        Ok(_) => talk(stream, &hub, id, closed).await,
+        Ok(_) => talk(stream, &hub, id, closed, deadline).await,
     };
     hub.closed(id);
     ended("connection", peer, reason, detail);
@@ -50,26 +57,39 @@
     hub: &Rc<Hub>,
     id: u64,
     mut closed: oneshot::Receiver<Reason>,
+    mut deadline: Instant,
 ) -> (Reason, String) {
     let _ = stream.set_nodelay(true);
     let mut framed = Framed::new(stream, Resp::new(hub.room()));
     let mut zone = None;
     let told = |zone: &Option<String>| zone.as_ref().map(|z| format!("zone={z}")).unwrap_or_default();
-    let mut patience = PATIENCE;
+    // What may end a stranger at its deadline, and whether a joined one had a message begun at the last look.
+    let (mut late, mut begun) = (Reason::Silent, false);
     loop {
         let next = tokio::select! {
-            next = timeout(patience, framed.next()) => next,
+            biased;
             reason = &mut closed => return (reason.unwrap_or(Reason::PeerClosed), told(&zone)),
+            next = framed.next() => next,
+            () = sleep_until(deadline) => {
+                if zone.is_none() {
+                    return (late, String::new());
+                }
+                // Guards against bytes that drip: only whole messages count. One that has joined may be quiet.
+                if begun {
+                    return (Reason::Unfinished, told(&zone));
+                }
+                begun = framed.codec_ref().begun();
+                deadline = Instant::now() + PATIENCE / 2;
+                continue;
+            }
         };
         let message = match next {
-            Err(_) => return (Reason::Silent, told(&zone)),
-            Ok(None) => return (Reason::PeerClosed, told(&zone)),
-            Ok(Some(Ok(message))) => message,
-            Ok(Some(Err(Fault::Bad(reason, detail)))) => return (reason, detail),
-            Ok(Some(Err(Fault::Io(e)))) => return (Reason::PeerReset, format!("{} {e}", told(&zone))),
+            None => return (Reason::PeerClosed, told(&zone)),
+            Some(Ok(message)) => message,
+            Some(Err(Fault::Bad(reason, detail))) => return (reason, detail),
+            Some(Err(Fault::Io(e))) => return (Reason::PeerReset, format!("{} {e}", told(&zone))),
         };
-        // One that has spoken may be quiet: a collector has nothing to say while nothing happens.
-        patience = Duration::from_secs(u32::MAX.into());
+        begun = false;
         match &message {
             Message::Heartbeat => match timeout(PATIENCE, framed.send(Alive)).await {
                 Ok(Ok(())) => {}
@@ -80,5 +100,10 @@
             _ => {}
         }
         hub.tell(Event::Said(id, message));
+        // Guards against strangers that ask for signs of life without end, or hold on after one.
+        late = Reason::NotJoined;
+        if zone.is_none() && Instant::now() >= deadline {
+            return (late, String::new());
+        }
     }
 }
--- a/daemon/src/close.rs
+++ b/daemon/src/close.rs
@@ -7,15 +7,20 @@
     /// The other side closed it between two messages, or broke it.
     PeerClosed,
     PeerReset,
-    /// A stranger that sent no whole message in time, or was the oldest such when sockets ran out.
+    /// A stranger that sent no whole message in time, or none that names a zone; the oldest such when sockets ran
+    /// out.
     Silent,
+    NotJoined,
     Crowded,
+    /// Joined, but a message that it began did not become whole.
+    Unfinished,
     /// It doesn't read its answers.
     Unread,
     TooLong,
     BadFrame,
     UnknownKind,
     BadFields,
+    NoSuchZone,
     /// The assigner was told to end.
     Stopping,
     /// An HTTP exchange on the assigner's address is over.
@@ -27,6 +32,8 @@
     Broken,
     Unreadable,
     TurnedBack,
+    /// A new configuration names another address.
+    Moved,
 }
 
 impl Reason {
@@ -35,12 +42,15 @@
             Reason::PeerClosed => "peer-closed",
             Reason::PeerReset => "peer-reset",
             Reason::Silent => "silent",
+            Reason::NotJoined => "not-joined",
             Reason::Crowded => "crowded",
+            Reason::Unfinished => "unfinished",
             Reason::Unread => "unread",
             Reason::TooLong => "too-long",
             Reason::BadFrame => "bad-frame",
             Reason::UnknownKind => "unknown-kind",
             Reason::BadFields => "bad-fields",
+            Reason::NoSuchZone => "no-such-zone",
             Reason::Stopping => "stopping",
             Reason::HttpDone => "http-done",
             Reason::Done => "done",
@@ -49,6 +59,7 @@
             Reason::Broken => "broken",
             Reason::Unreadable => "unreadable",
             Reason::TurnedBack => "turned-back",
+            Reason::Moved => "moved",
         }
     }
 }
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_rt::task::JoinHandle;
 use awc::{Client, Connector};
 use lynxmill::Moment;
 use tokio::sync::{Notify, oneshot};
@@ -20,8 +21,10 @@
     clock: Clock,
     state: RefCell<State>,
     client: Client,
-    relay: SocketAddr,
-    discovery: SocketAddr,
+    relay: Cell<SocketAddr>,
+    discovery: Cell<SocketAddr>,
+    watching: Cell<Option<JoinHandle<()>>>,
+    asking: Cell<Option<JoinHandle<()>>>,
     wake_at: Cell<Option<Moment>>,
     wake: Notify,
     room: Room,
@@ -37,8 +40,10 @@
             client: Client::builder().connector(connector).disable_timeout().finish(),
             // A quarter of the memory is for what strangers may leave unfinished.
             room: Room::new(start.memory / 4),
-            relay: start.relay,
-            discovery: start.discovery,
+            relay: Cell::new(start.addresses.relay),
+            discovery: Cell::new(start.addresses.discovery),
+            watching: Cell::new(None),
+            asking: Cell::new(None),
             state: RefCell::new(State::new(clock, clock.now(), start)),
             wake_at: Cell::new(None),
             wake: Notify::new(),
@@ -62,9 +67,11 @@
                         self.wake.notify_one();
                     }
                 }
-                Effect::Watch => drop(actix_rt::spawn(self.clone().watch())),
+                Effect::Watch => self.watching.set(Some(actix_rt::spawn(self.clone().watch()))),
                 Effect::Call(body) => drop(actix_rt::spawn(self.clone().call(body))),
-                Effect::Ask(from) => drop(actix_rt::spawn(self.clone().ask(from))),
+                Effect::Ask(from) => self.asking.set(Some(actix_rt::spawn(self.clone().ask(from)))),
+                Effect::MoveRelay(to) => leave("watch", &self.watching, self.relay.replace(to)),
+                Effect::MoveDiscovery(to) => leave("list", &self.asking, self.discovery.replace(to)),
                 Effect::Close(id, reason) => {
                     if let Some(close) = self.open.borrow_mut().remove(&id) {
                         let _ = close.send(reason);
@@ -92,31 +99,33 @@
     }
 
     async fn watch(self: Rc<Self>) {
-        let hub = self.clone();
-        let failed = relay::watch(&self.client, self.relay, move |news| match news {
+        let (hub, at) = (self.clone(), self.relay.get());
+        let failed = relay::watch(&self.client, at, move |news| match news {
             None => hub.tell(Event::WatchBegun),
             Some(news) => hub.tell(Event::News(news)),
         })
         .await;
-        ended("watch", self.relay, failed.reason, failed.detail);
+        ended("watch", at, failed.reason, failed.detail);
         self.tell(Event::WatchEnded);
     }
 
     async fn call(self: Rc<Self>, body: String) {
-        let (outcome, failed) = relay::call(&self.client, self.relay, body).await;
+        let at = self.relay.get();
+        let (outcome, failed) = relay::call(&self.client, at, body).await;
         let (reason, detail) = failed.map_or((Reason::Done, String::new()), |f| (f.reason, f.detail));
-        ended("call", self.relay, reason, format!("{detail} {outcome:?}"));
+        ended("call", at, reason, format!("{detail} {outcome:?}"));
         self.tell(Event::Called(outcome));
     }
 
     async fn ask(self: Rc<Self>, from: Option<u64>) {
-        match discovery::ask(&self.client, self.discovery, from).await {
+        let at = self.discovery.get();
+        match discovery::ask(&self.client, at, from).await {
             Ok(members) => {
-                ended("list", self.discovery, Reason::Done, format!("index={}", members.index));
+                ended("list", at, Reason::Done, format!("index={}", members.index));
                 self.tell(Event::Listed(members));
             }
             Err(failed) => {
-                ended("list", self.discovery, failed.reason, failed.detail);
+                ended("list", at, failed.reason, failed.detail);
                 self.tell(Event::ListFailed);
             }
         }
@@ -127,7 +136,7 @@
         for close in std::mem::take(&mut *self.open.borrow_mut()).into_values() {
             let _ = close.send(Reason::Stopping);
         }
-        ended("watch", self.relay, Reason::Stopping, "");
+        ended("watch", self.relay.get(), Reason::Stopping, "");
         tokio::task::yield_now().await;
         std::process::exit(0);
     }
@@ -154,3 +163,11 @@
         self.tell(Event::Ended(id));
     }
 }
+
+/// Ends what is under way at an address that is no longer to be used.
+fn leave(road: &str, task: &Cell<Option<JoinHandle<()>>>, from: SocketAddr) {
+    if let Some(task) = task.take().filter(|task| !task.is_finished()) {
+        task.abort();
+        ended(road, from, Reason::Moved, "");
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -28,10 +28,11 @@
 use actix_server::Server;
 use actix_service::{ServiceFactory, fn_factory, fn_service};
 use tokio::net::TcpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use hub::Hub;
-use start::Clock;
+use reduce::Event;
+use start::{Clock, File, Start};
 
 /// Connections that may wait to be accepted.
 const QUEUE: u32 = 1024;
@@ -46,14 +47,14 @@
         std::process::abort();
     }));
     let clock = Clock::start();
-    let start = match start::read() {
-        Ok(start) => start,
+    let (file, start) = match start::path().and_then(File::open).and_then(|file| Ok((file.start()?, file))) {
+        Ok((start, file)) => (file, start),
         Err(fail) => {
             eprintln!("lynxmilld: {fail}");
             return ExitCode::FAILURE;
         }
     };
-    match actix_rt::System::new().block_on(run(clock, start)) {
+    match actix_rt::System::new().block_on(run(clock, file, start)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fail) => {
             eprintln!("lynxmilld: {fail}");
@@ -70,7 +71,20 @@
     socket.listen(QUEUE)?.into_std()
 }
 
-async fn run(clock: Clock, start: start::Start) -> io::Result<()> {
+async fn run(clock: Clock, mut file: File, start: Start) -> io::Result<()> {
+    let (moved, moves) = mpsc::unbounded_channel();
+    let mut reread = signal(SignalKind::hangup())?;
+    actix_rt::spawn(async move {
+        while reread.recv().await.is_some() {
+            match file.reread() {
+                Ok(addresses) => {
+                    log::info!("configuration read again: {addresses:?}");
+                    let _ = moved.send(addresses);
+                }
+                Err(fail) => log::error!("{fail}; the configuration of before serves on"),
+            }
+        }
+    });
     let end = Arc::new(Notify::new());
     for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
         let (mut told, end) = (signal(kind)?, end.clone());
@@ -86,16 +100,21 @@
     let (sockets, listener) = (start.sockets, listen(start.listen)?);
     log::info!("{} listens on {}", start.name, listener.local_addr()?);
     // The one worker starts the hub, and everything else happens on its thread.
-    let start = Arc::new(Mutex::new(Some(start)));
+    let start = Arc::new(Mutex::new(Some((start, moves))));
     let factory = move || {
         let (start, end) = (start.clone(), end.clone());
         fn_factory(move || {
             let start = start.lock().ok().and_then(|mut start| start.take());
-            let hub = start.map(|start| Hub::start(clock, start));
+            let hub = start.map(|(start, moves)| (Hub::start(clock, start), moves));
             let end = end.clone();
             async move {
-                let hub = hub.ok_or(())?;
-                let last = hub.clone();
+                let (hub, mut moves) = hub.ok_or(())?;
+                let (last, moving) = (hub.clone(), hub.clone());
+                actix_rt::spawn(async move {
+                    while let Some(to) = moves.recv().await {
+                        moving.tell(Event::Moved(to));
+                    }
+                });
                 actix_rt::spawn(async move {
                     end.notified().await;
                     last.end().await;
--- /dev/null
+++ b/daemon/src/reduce/list.rs
@@ -0,0 +1,33 @@
+//! Discovery's list.
+
+use lynxmill::{Listing, Moment};
+
+use super::{Effect, State};
+use crate::discovery::Members;
+use crate::round::Input;
+
+impl State {
+    pub(super) fn ask(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        if !self.asking {
+            (self.asking, self.asked, self.ask_at) = (true, now, None);
+            effects.push(Effect::Ask(self.index));
+        }
+    }
+
+    pub(super) fn listed(&mut self, members: Members, complete: bool, remembered: bool) {
+        if !remembered {
+            self.index = Some(members.index);
+        }
+        if members.endpoints.is_empty() && !complete && !self.on_request {
+            return;
+        }
+        let entries = members.endpoints.iter().map(|endpoint| Listing {
+            task: self.names.number(&endpoint.name),
+            standing: endpoint.standing,
+            size: endpoint.weight,
+            started: self.clock.since(endpoint.since_ms),
+        });
+        let entries = entries.collect();
+        self.inbox.push(Input::Listed { complete, remembered, entries });
+    }
+}
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_rt::time::timeout;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, SendClientRequest};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -33,6 +33,8 @@
 
     fn sending(e: &SendRequestError) -> Self {
         let reason = match e {
+            // awc names so what breaks off before an answer, too.
+            SendRequestError::Connect(ConnectError::Disconnected) => Reason::Broken,
             SendRequestError::Connect(_) => Reason::Unreachable,
             SendRequestError::Timeout => Reason::NoAnswer,
             SendRequestError::Response(_) => Reason::Unreadable,
@@ -47,7 +49,7 @@
 pub enum Outcome {
     /// So many orders, counted from the first, were taken.
     Taken(usize),
-    /// Not carried out: to be tried later.
+    /// Turned back or never sent: not carried out, to be tried later.
     Throttled,
     /// Carried out as if answered, or not at all.
     Unknown,
@@ -91,6 +93,7 @@
     let call = client.post(format!("http://{at}/v1/txn")).force_close().content_type("application/json");
     match timeout(ANSWER, body_of(call.send_body(body), LONGEST)).await {
         Ok(Ok((ok, answer))) => outcome(ok, &answer),
+        Ok(Err(failed)) if failed.reason == Reason::Unreachable => (Outcome::Throttled, Some(failed)),
         Ok(Err(failed)) => (Outcome::Unknown, Some(failed)),
         Err(_) => (Outcome::Unknown, Some(Failed::new(Reason::NoAnswer, "in time"))),
     }
--- a/daemon/src/resp.rs
+++ b/daemon/src/resp.rs
@@ -22,11 +22,14 @@
     Zone(String),
     Met(Met),
     Asked(Asked),
+    /// A message whose framing is sound, but not what it says: the ones around it count all the same.
+    Spoilt(String),
 }
 
 /// What the proxies of a zone met at a server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Met {
+    pub zone: String,
     pub server: String,
     pub tries: f64,
     pub failed: f64,
@@ -98,6 +101,11 @@
         Resp { missing: 0, words: Vec::new(), length: None, taken: 0, room, held: 0 }
     }
 
+    /// Part of a message has come.
+    pub fn begun(&self) -> bool {
+        self.held > 0
+    }
+
     fn holds(&mut self, bytes: usize) -> usize {
         let all = self.room.held.get() - self.held + bytes;
         self.room.held.set(all);
@@ -199,62 +207,84 @@
 struct Fields<'a>(Vec<(&'a str, &'a str)>);
 
 impl<'a> Fields<'a> {
-    fn text(&self, name: &str) -> Result<&'a str, Fault> {
+    fn text(&self, name: &str) -> Result<&'a str, Spoilt> {
         let found = self.0.iter().find(|(n, _)| *n == name);
         found.map(|(_, value)| *value).ok_or_else(|| wrong(name))
     }
 
-    fn number(&self, name: &str) -> Result<f64, Fault> {
+    fn number(&self, name: &str) -> Result<f64, Spoilt> {
         let number = self.text(name)?.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
         number.ok_or_else(|| wrong(name))
     }
 
+    /// What a sum covers: never nothing.
+    fn span(&self, name: &str) -> Result<f64, Spoilt> {
+        self.number(name).and_then(|span| if span > 0.0 { Ok(span) } else { Err(wrong(name)) })
+    }
+
     /// A figure that is absent where nothing was met.
-    fn number_or_none(&self, name: &str) -> Result<f64, Fault> {
+    fn number_or_none(&self, name: &str) -> Result<f64, Spoilt> {
         if self.text(name).is_ok_and(|text| !text.is_empty()) { self.number(name) } else { Ok(0.0) }
     }
 }
 
-fn wrong(name: &str) -> Fault {
-    Fault::Bad(Reason::BadFields, format!("no or odd `{name}`"))
+/// What is wrong with a message whose framing is sound.
+type Spoilt = String;
+
+fn wrong(name: &str) -> Spoilt {
+    format!("no or odd `{name}`")
 }
 
+/// Guards the sound reports around a spoilt one: only a kind that nobody knows ends the connection.
 fn message(words: &[Bytes]) -> Result<Message, Fault> {
-    let words = words.iter().map(|word| std::str::from_utf8(word));
-    let words: Vec<&str> = words.collect::<Result<_, _>>().map_err(|_| bad("no text"))?;
-    let (kind, rest) = words.split_first().ok_or_else(|| bad("an empty array"))?;
-    if rest.len() % 2 != 0 {
-        return Err(wrong("a value"));
-    }
-    let fields = Fields(rest.chunks_exact(2).map(|pair| (pair[0], pair[1])).collect());
-    match *kind {
-        "hb" => Ok(Message::Heartbeat),
-        "telemetry" => Ok(Message::Zone(fields.text("zone")?.to_owned())),
-        "upstream_stats" => Ok(Message::Met(Met {
-            server: fields.text("server")?.to_owned(),
-            tries: fields.number("tries")?,
-            failed: fields.number("failed")?,
-            mean_ms: fields.number_or_none("mean_ms")?,
-            span_ms: fields.number("span_ms")?,
-            load: load(fields.text("load").unwrap_or_default())?,
-        })),
-        "range_stats" => Ok(Message::Asked(Asked {
-            slice: fields.number("slice")? as usize,
-            operation: fields.text("class")?.to_owned(),
-            tries: fields.number("tries")?,
-            span_ms: fields.number("span_ms")?,
-        })),
+    let read = match words.first().map(|kind| &kind[..]) {
+        Some(b"hb") => |_: &Fields| Ok(Message::Heartbeat),
+        Some(b"telemetry") => |fields: &Fields| Ok(Message::Zone(fields.text("zone")?.to_owned())),
+        Some(b"upstream_stats") => |fields: &Fields| met(fields).map(Message::Met),
+        Some(b"range_stats") => |fields: &Fields| asked(fields).map(Message::Asked),
         other => {
-            let other: String = other.chars().take(40).collect();
-            Err(Fault::Bad(Reason::UnknownKind, format!("{other:?}")))
+            let kind: String = String::from_utf8_lossy(other.unwrap_or_default()).chars().take(40).collect();
+            return Err(Fault::Bad(Reason::UnknownKind, format!("{kind:?}")));
         }
+    };
+    Ok(fields(&words[1..]).and_then(|fields| read(&fields)).unwrap_or_else(Message::Spoilt))
+}
+
+fn fields(words: &[Bytes]) -> Result<Fields<'_>, Spoilt> {
+    let (pairs, odd) = words.as_chunks::<2>();
+    if !odd.is_empty() {
+        return Err(wrong("a value"));
     }
+    let text = |word| std::str::from_utf8(word).map_err(|_| "no text".to_owned());
+    pairs.iter().map(|[name, value]| Ok((text(name)?, text(value)?))).collect::<Result<_, _>>().map(Fields)
+}
+
+fn met(fields: &Fields) -> Result<Met, Spoilt> {
+    let met = Met {
+        zone: fields.text("zone")?.to_owned(),
+        server: fields.text("server")?.to_owned(),
+        tries: fields.number("tries")?,
+        failed: fields.number("failed")?,
+        mean_ms: fields.number_or_none("mean_ms")?,
+        span_ms: fields.span("span_ms")?,
+        load: load(fields.text("load").unwrap_or_default())?,
+    };
+    if met.failed > met.tries { Err(wrong("failed")) } else { Ok(met) }
+}
+
+fn asked(fields: &Fields) -> Result<Asked, Spoilt> {
+    Ok(Asked {
+        slice: fields.text("slice")?.parse().map_err(|_| wrong("slice"))?,
+        operation: fields.text("class")?.to_owned(),
+        tries: fields.number("tries")?,
+        span_ms: fields.span("span_ms")?,
+    })
 }
 
-fn load(text: &str) -> Result<Vec<(String, f64)>, Fault> {
+fn load(text: &str) -> Result<Vec<(String, f64)>, Spoilt> {
     let pair = |part: &str| {
         let (name, value) = part.split_once(':')?;
-        Some((name.to_owned(), value.parse().ok()?))
+        Some((name.to_owned(), value.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)?))
     };
     text.split(',').filter(|part| !part.is_empty()).map(|p| pair(p).ok_or_else(|| wrong("load"))).collect()
 }
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -1,4 +1,5 @@
-//! What an assigner is told at its start: its variables and the file that PROXY_CONFIG names, decoded once.
+//! What an assigner is told at its start: its variables and the file that PROXY_CONFIG names, decoded once; and
+//! what the file tells later.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -12,8 +13,7 @@
 pub struct Start {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub relay: SocketAddr,
+    pub addresses: Addresses,
     pub seed: u64,
     /// The limits: file descriptors, and bytes of memory.
     pub sockets: usize,
@@ -22,15 +22,59 @@
     pub facts: Facts,
     /// What load reports call their values, in the order that the module knows them by.
     pub report_fields: Vec<String>,
+    pub zones: Vec<String>,
     /// Least span between two rounds.
     pub step: Span,
 }
 
-pub fn read() -> Result<Start, Fail> {
-    let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG names no file".to_owned())?;
-    let bytes = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    let told: Value = serde_json::from_slice(&bytes).map_err(|e| format!("{path}: {e}"))?;
-    decode(&told, |variable| std::env::var(variable).ok()).map_err(|e| format!("{path}: {e}"))
+/// What a new configuration can move while the assigner serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    pub relay: SocketAddr,
+    pub discovery: SocketAddr,
+}
+
+pub fn path() -> Result<String, Fail> {
+    std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG names no file".to_owned())
+}
+
+/// The file that PROXY_CONFIG names, as it was read last.
+pub struct File {
+    path: String,
+    told: Value,
+}
+
+impl File {
+    pub fn open(path: String) -> Result<Self, Fail> {
+        Ok(File { told: Self::read(&path)?, path })
+    }
+
+    fn read(path: &str) -> Result<Value, Fail> {
+        let bytes = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
+        serde_json::from_slice(&bytes).map_err(|e| format!("{path}: {e}"))
+    }
+
+    pub fn start(&self) -> Result<Start, Fail> {
+        decode(&self.told, |variable| std::env::var(variable).ok()).map_err(|e| format!("{}: {e}", self.path))
+    }
+
+    /// Reads the file again. Its addresses beat the variables, which are as old as the program; one that can't
+    /// be read or is wrong changes nothing.
+    pub fn reread(&mut self) -> Result<Addresses, Fail> {
+        let told = Self::read(&self.path)?;
+        let start = decode(&told, |_| None).map_err(|e| format!("{}: {e}", self.path))?;
+        for key in kept(&self.told, &told) {
+            log::warn!("`{key}` has changed in {}, which takes a restart", self.path);
+        }
+        self.told = told;
+        Ok(start.addresses)
+    }
+}
+
+/// Keys whose new values are not taken over. Chance and the last list only matter at a start.
+pub fn kept(before: &Value, now: &Value) -> Vec<&'static str> {
+    let changed = |key: &&str| before.get(key) != now.get(key);
+    ["name", "listen", "limits", "settings"].into_iter().filter(changed).collect()
 }
 
 fn address(of: &str, what: &str) -> Result<SocketAddr, Fail> {
@@ -52,13 +96,16 @@
     Ok(Start {
         name: word("PROXY_NAME", "name")?,
         listen: address(&word("PROXY_LISTEN", "listen")?, "listen")?,
-        discovery: address(&word("PROXY_DISCOVERY", "discovery")?, "discovery")?,
-        relay: address(text(field(told, "registry")?, "address")?, "registry.address")?,
+        addresses: Addresses {
+            relay: address(text(field(told, "registry")?, "address")?, "registry.address")?,
+            discovery: address(&word("PROXY_DISCOVERY", "discovery")?, "discovery")?,
+        },
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("`seed` is no hex number: {seed:?}"))?,
         sockets: number(limits, "sockets")? as usize,
         memory: number(limits, "memory_mb")? as usize * 1_000_000,
         known,
         facts: lynxmill_wire::facts(settings)?,
+        zones: lynxmill_wire::zones(settings)?,
         report_fields: lynxmill_wire::report_fields(settings)?,
         step: span(settings, "step")?.max(Span::default()),
     })
--- a/standin/src/serve.rs
+++ b/standin/src/serve.rs
@@ -4,12 +4,13 @@
 use std::net::{Shutdown, TcpListener};
 use std::os::fd::{AsFd, OwnedFd};
 use std::sync::Arc;
+use std::sync::mpsc::Sender;
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::{HttpService, Request, Response, StatusCode};
 use actix_rt::net::TcpStream;
-use actix_server::Server;
+use actix_server::{Server, ServerHandle};
 use actix_service::{ServiceFactoryExt, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt, stream};
@@ -21,11 +22,13 @@
 /// The socket behind an exchange, to break it off.
 struct Plug(OwnedFd);
 
-pub fn run(world: &Arc<World>, relay: TcpListener, discovery: TcpListener) {
+pub fn run(world: &Arc<World>, relay: TcpListener, discovery: TcpListener, tell: &Sender<ServerHandle>) {
     let serving = actix_rt::System::new().block_on(async {
         let server = Server::build().workers(1).disable_signals();
         let server = server.listen("relay", relay, http(world, relayed))?;
-        server.listen("discovery", discovery, http(world, discovered))?.run().await
+        let server = server.listen("discovery", discovery, http(world, discovered))?.run();
+        let _ = tell.send(server.handle());
+        server.await
     });
     if let Err(fail) = serving {
         eprintln!("stand-in: {fail}");
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -49,6 +49,14 @@
     Ok(names.iter().filter_map(|name| name.as_str().map(str::to_owned)).collect())
 }
 
+/// The zones that collectors may name.
+pub fn zones(settings: &Value) -> Result<Vec<String>, Fail> {
+    Ok(list(settings, "failure_domains")?
+        .iter()
+        .filter_map(|zone| zone.as_str().map(str::to_owned))
+        .collect())
+}
+
 pub fn facts(of: &Value) -> Result<Facts, Fail> {
     let (own, rules) = (field(of, "specifics")?, field(of, "rules")?);
     let operations = list(of, "classes")?.iter().map(|class| {
