Figures of reports past 32 bits count as spoilt

All passed, as number() in resp.rs asked only for a finite figure not below 0; one such demand makes a slice the hottest of all for good. The other spoilt values (-3, nan, nothing, names that do not exist) were left out already. The wire counts in 32 bits, so that is the bound.

--- a/daemon/src/resp.rs
+++ b/daemon/src/resp.rs
@@ -203,6 +203,11 @@
     }
 }
 
+/// Guards against figures out of range: what the wire counts fits into 32 bits, be it tries, milliseconds or load.
+fn figure(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|n| (0.0..=f64::from(u32::MAX)).contains(n))
+}
+
 /// The names and values of one message. A name that isn't known is passed over.
 struct Fields<'a>(Vec<(&'a str, &'a str)>);
 
@@ -213,8 +218,7 @@
     }
 
     fn number(&self, name: &str) -> Result<f64, Spoilt> {
-        let number = self.text(name)?.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
-        number.ok_or_else(|| wrong(name))
+        figure(self.text(name)?).ok_or_else(|| wrong(name))
     }
 
     /// What a sum covers: never nothing.
@@ -284,7 +288,7 @@
 fn load(text: &str) -> Result<Vec<(String, f64)>, Spoilt> {
     let pair = |part: &str| {
         let (name, value) = part.split_once(':')?;
-        Some((name.to_owned(), value.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)?))
+        Some((name.to_owned(), figure(value)?))
     };
     text.split(',').filter(|part| !part.is_empty()).map(|p| pair(p).ok_or_else(|| wrong("load"))).collect()
 }
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -87,6 +87,7 @@
 #[case::below_zero(&["range_stats", "slice", "1", "class", "lookup", "tries", "-1", "span_ms", "9"])]
 #[case::not_a_number(&["range_stats", "slice", "1", "class", "l", "tries", "NaN", "span_ms", "9"])]
 #[case::infinite(&["range_stats", "slice", "1", "class", "l", "tries", "inf", "span_ms", "9"])]
+#[case::out_of_range(&["range_stats", "slice", "1", "class", "l", "tries", "38654705664", "span_ms", "9"])]
 #[case::no_span(&["range_stats", "slice", "1", "class", "l", "tries", "1", "span_ms", "0"])]
 #[case::load(&[MET.as_slice(), &["load", "outstanding"]].concat())]
 #[case::load_below_zero(&[MET.as_slice(), &["load", "outstanding:-3"]].concat())]
