Calls of unknown fate await an answer to their mark before they go again

At 400 proxies one message of 11 orders is 11,200 lines, twice that is past the limit, and the module's account knows of one. calls.rs called() paused 50 to 150 ms only.

The first answer to a mark came 0.21 to 0.44 s after its call on 50 of 51 calls. So a call of unknown fate now waits for the longest delay of the settings before it goes again, as long as somebody is joined to answer; an answer to its mark settles it and lets the next call go at once.

--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -70,6 +70,8 @@
     on_request: bool,
     again: u8,
     step: Span,
+    /// The longest that the first answer to a mark may take.
+    answer_due: Span,
     chance: Pcg,
     names: Names,
     inbox: Vec<Input>,
@@ -148,6 +150,7 @@
             on_request: facts.list_on_request,
             again: facts.again,
             step: start.step,
+            answer_due: facts.push_delay_max,
             chance: Pcg::new(start.seed),
             names: Names::default(),
             inbox: Vec::new(),
--- a/daemon/src/reduce/calls.rs
+++ b/daemon/src/reduce/calls.rs
@@ -43,16 +43,21 @@
             }
             Outcome::Throttled | Outcome::Unknown => {
                 orders.retain(held);
+                let mut pause = self.jittered();
                 if outcome == Outcome::Unknown {
                     self.may_stand(now, &mut orders);
+                    if !self.joined.is_empty() {
+                        pause = pause.max(self.answer_due);
+                    }
                 }
                 self.outbox.put_back(orders);
-                self.call_at = Some(now + self.jittered());
+                self.call_at = Some(now + pause);
             }
         }
     }
 
-    /// These orders were carried out or not: nobody knows yet.
+    /// These orders were carried out or not: nobody knows yet. Guards the channel's limits: sent again at once they
+    /// would wait there twice, so an answer to their mark is awaited for as long as one may take.
     fn may_stand(&mut self, now: Moment, orders: &mut [Order]) {
         self.tally.again += 1;
         self.ended(now, orders);
--- a/daemon/src/reduce/news.rs
+++ b/daemon/src/reduce/news.rs
@@ -53,6 +53,9 @@
         self.inbox.push(Input::Answered(proxy.into(), number, elapsed));
         // A call of unknown fate that a proxy answers was carried out: it need not go again.
         let carried = self.outbox.take_carried(number);
+        if !carried.is_empty() {
+            self.call_at = None;
+        }
         self.settle(now, &carried);
     }
 
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -192,7 +192,11 @@
 
 impl Bench {
     fn begin(now: f64) -> Self {
-        let state = State::new(Clock::start(), Moment::from_secs(now), start());
+        Bench::of(now, start())
+    }
+
+    fn of(now: f64, start: Start) -> Self {
+        let state = State::new(Clock::start(), Moment::from_secs(now), start);
         let mut bench = Bench { state, now, effects: Vec::new() };
         bench.tell(Event::Begin);
         bench
@@ -382,6 +386,30 @@
     assert!(lines(&next).iter().all(|(slice, _, weight)| *slice == 0 && *weight == 1.0), "{next:?}");
 }
 
+#[test]
+fn a_call_of_unknown_fate_waits_for_an_answer_before_it_fills_the_channel_twice() {
+    let mut told = told();
+    told["settings"]["specifics"]["push_delay_max"] = json!(0.75);
+    for carried_out in [true, false] {
+        let mut bench = Bench::of(0.0, decode(&told, |_| None).expect("good settings"));
+        bench.list(&[("s-a", "ready"), ("s-b", "ready")]);
+        bench.tell(Event::WatchBegun);
+        bench.news(vec![News::Attach { proxy: 0 }]);
+        bench.give(0, "s-a");
+        bench.news(vec![News::Alive]);
+        bench.pass(0.01);
+        let mark = mark_of(&bench.call().expect("its owner"));
+        bench.tell(Event::Called(Outcome::Unknown));
+        bench.pass(0.7);
+        assert_eq!(bench.call(), None, "the answer may still come");
+        if carried_out {
+            bench.done(&[0], mark);
+        }
+        bench.pass(0.1);
+        assert_eq!(bench.call().map(|ops| mark_of(&ops)), (!carried_out).then_some(mark));
+    }
+}
+
 #[test]
 fn an_answered_mark_tells_of_its_own_call_though_newer_orders_wait() {
     let mut bench = Bench::serving(&[0]);
@@ -392,8 +420,10 @@
     bench.pass(0.01);
     bench.tell(Event::Called(Outcome::Unknown));
     bench.done(&[0], mark);
+    assert_eq!(lines(&bench.call().expect("what waited")), [(1, "s-b", 0.0)]);
+    bench.tell(Event::Called(Outcome::Throttled));
     bench.pass(0.2);
-    let next = bench.call().expect("what waited");
+    let next = bench.call().expect("both");
     assert_eq!(
         lines(&next),
         [(1, "s-b", 0.0), (0, "s-c", 1.0)],
