A new configuration's watch takes over from the old one without a gap in the news

The watch was left at once and what stands was known only at the relay's next sign of life, 1 s on; then every proxy counted as joined anew (news.rs attach in a standing state), so all answers had to be asked for anew, and what was shut at 8.96 s was published at 14.08 s, where the fence would have closed at 10.9 s. Ruled out: the discovery calls (first answer from the new address at its usual time) and the relay's answers (all done, all taken).

Changed: the old watch goes on until one at the new address has told all that stands, then that one takes over; what both tell goes on, the rest is told as news. Answers count from both. If either ends too soon it is a gap like any other.

--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -17,14 +17,19 @@
 use crate::start::{Clock, Start};
 use crate::{discovery, relay};
 
+/// What is under way at an address.
+type Task = (JoinHandle<()>, SocketAddr);
+
 pub struct Hub {
     clock: Clock,
     state: RefCell<State>,
     client: Client,
     relay: Cell<SocketAddr>,
     discovery: Cell<SocketAddr>,
-    watching: Cell<Option<JoinHandle<()>>>,
-    asking: Cell<Option<JoinHandle<()>>>,
+    watching: Cell<Option<Task>>,
+    /// A watch that is to succeed the one that serves, and whether it has yet to.
+    next: Cell<Option<(Task, Rc<Cell<bool>>)>>,
+    asking: Cell<Option<Task>>,
     wake_at: Cell<Option<Moment>>,
     wake: Notify,
     room: Room,
@@ -43,6 +48,7 @@
             relay: Cell::new(start.addresses.relay),
             discovery: Cell::new(start.addresses.discovery),
             watching: Cell::new(None),
+            next: Cell::new(None),
             asking: Cell::new(None),
             state: RefCell::new(State::new(clock, clock.now(), start)),
             wake_at: Cell::new(None),
@@ -67,11 +73,28 @@
                         self.wake.notify_one();
                     }
                 }
-                Effect::Watch => self.watching.set(Some(actix_rt::spawn(self.clone().watch()))),
+                Effect::Watch => self.watching.set(Some(self.dial(Rc::default()))),
+                Effect::NextWatch => {
+                    let next = Rc::new(Cell::new(true));
+                    self.next.set(Some((self.dial(next.clone()), next)));
+                }
+                Effect::LeaveNext => leave("watch", self.next.take().map(|(task, _)| task), ""),
+                Effect::LeaveWatch => leave("watch", self.watching.take(), ""),
+                Effect::Succeed => {
+                    let (task, next) = self.next.take().unzip();
+                    next.iter().for_each(|next| next.set(false));
+                    leave("watch", self.watching.replace(task), "another has taken its place");
+                }
                 Effect::Call(body) => drop(actix_rt::spawn(self.clone().call(body))),
-                Effect::Ask(from) => self.asking.set(Some(actix_rt::spawn(self.clone().ask(from)))),
-                Effect::MoveRelay(to) => leave("watch", &self.watching, self.relay.replace(to)),
-                Effect::MoveDiscovery(to) => leave("list", &self.asking, self.discovery.replace(to)),
+                Effect::Ask(from) => {
+                    let at = self.discovery.get();
+                    self.asking.set(Some((actix_rt::spawn(self.clone().ask(at, from)), at)));
+                }
+                Effect::MoveRelay(to) => self.relay.set(to),
+                Effect::MoveDiscovery(to) => {
+                    self.discovery.set(to);
+                    leave("list", self.asking.take(), "");
+                }
                 Effect::Close(id, reason) => {
                     if let Some(close) = self.open.borrow_mut().remove(&id) {
                         let _ = close.send(reason);
@@ -98,15 +121,22 @@
         }
     }
 
-    async fn watch(self: Rc<Self>) {
-        let (hub, at) = (self.clone(), self.relay.get());
-        let failed = relay::watch(&self.client, at, move |news| match news {
+    fn dial(self: &Rc<Self>, next: Rc<Cell<bool>>) -> Task {
+        let at = self.relay.get();
+        (actix_rt::spawn(self.clone().watch(at, next)), at)
+    }
+
+    async fn watch(self: Rc<Self>, at: SocketAddr, next: Rc<Cell<bool>>) {
+        let hub = self.clone();
+        let failed = relay::watch(&self.client, at, |news| match news {
+            None if next.get() => {}
             None => hub.tell(Event::WatchBegun),
+            Some(news) if next.get() => hub.tell(Event::NextNews(news)),
             Some(news) => hub.tell(Event::News(news)),
         })
         .await;
         ended("watch", at, failed.reason, failed.detail);
-        self.tell(Event::WatchEnded);
+        self.tell(if next.get() { Event::NextEnded } else { Event::WatchEnded });
     }
 
     async fn call(self: Rc<Self>, body: String) {
@@ -117,8 +147,7 @@
         self.tell(Event::Called(outcome));
     }
 
-    async fn ask(self: Rc<Self>, from: Option<u64>) {
-        let at = self.discovery.get();
+    async fn ask(self: Rc<Self>, at: SocketAddr, from: Option<u64>) {
         match discovery::ask(&self.client, at, from).await {
             Ok(members) => {
                 ended("list", at, Reason::Done, format!("index={}", members.index));
@@ -165,9 +194,9 @@
 }
 
 /// Ends what is under way at an address that is no longer to be used.
-fn leave(road: &str, task: &Cell<Option<JoinHandle<()>>>, from: SocketAddr) {
-    if let Some(task) = task.take().filter(|task| !task.is_finished()) {
+fn leave(road: &str, task: Option<Task>, detail: &str) {
+    if let Some((task, at)) = task.filter(|(task, _)| !task.is_finished()) {
         task.abort();
-        ended(road, from, Reason::Moved, "");
+        ended(road, at, Reason::Moved, detail);
     }
 }
--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -34,6 +34,9 @@
     WatchBegun,
     News(Vec<News>),
     WatchEnded,
+    /// The same of a watch that is to take the place of the one that serves.
+    NextNews(Vec<News>),
+    NextEnded,
     Called(Outcome),
     Listed(Members),
     ListFailed,
@@ -48,9 +51,14 @@
     Call(String),
     Ask(Option<u64>),
     Close(u64, Reason),
-    /// Leave the watch, or the call for the list, under way: the next goes to this address.
+    /// Dials and calls go to these addresses from now on; a call for the list under way is left.
     MoveRelay(SocketAddr),
     MoveDiscovery(SocketAddr),
+    LeaveWatch,
+    /// Dial a watch beside the one that serves, leave it, or let it take that one's place.
+    NextWatch,
+    LeaveNext,
+    Succeed,
 }
 
 /// What of the standing state a new watch has told so far.
@@ -91,6 +99,8 @@
     /// Since the watch broke nobody has told what stands.
     blind: bool,
     standing: Option<Standing>,
+    /// What the watch that is to succeed has told so far.
+    next: Option<Standing>,
     /// Slices given whose line in the store may be the next piece of news.
     given: BTreeSet<usize>,
     // Discovery.
@@ -168,6 +178,7 @@
             watching: false,
             blind: false,
             standing: None,
+            next: None,
             given: BTreeSet::new(),
             index: None,
             ask_at: None,
@@ -237,10 +248,19 @@
             }
             Event::News(news) => news.into_iter().for_each(|line| self.news(now, line)),
             Event::WatchEnded => {
+                if self.next.take().is_some() {
+                    effects.push(Effect::LeaveNext);
+                }
                 self.watch_lost();
                 self.watch_at =
                     Some(if now - self.watch_begun < pause() { now + self.jittered() } else { now });
             }
+            Event::NextNews(news) => news.into_iter().for_each(|line| self.next_news(now, line, effects)),
+            Event::NextEnded => {
+                if self.next.take().is_some() {
+                    self.leave_watch(now, effects);
+                }
+            }
             Event::Called(outcome) => self.called(now, outcome),
             Event::Listed(members) => {
                 self.asking = false;
@@ -276,14 +296,28 @@
         }
     }
 
-    /// The old addresses soon close what is open there. A call under way has its answer before that; the watch
-    /// is a gap like any other.
+    fn leave_watch(&mut self, now: Moment, effects: &mut Vec<Effect>) {
+        effects.push(Effect::LeaveWatch);
+        self.watch_lost();
+        self.watch_at = Some(now);
+    }
+
+    /// The old addresses soon close what is open there. A call under way has its answer before that. Guards against
+    /// a gap in the news, in which answers are lost and nothing can be ordered: the watch goes on until another at
+    /// the new address has told all that stands.
     fn moved(&mut self, now: Moment, to: Addresses, effects: &mut Vec<Effect>) {
         let from = std::mem::replace(&mut self.addresses, to);
         if to.relay != from.relay {
             effects.push(Effect::MoveRelay(to.relay));
-            self.watch_lost();
-            self.watch_at = Some(now);
+            if self.next.take().is_some() {
+                effects.push(Effect::LeaveNext);
+            }
+            if self.watching && self.standing.is_none() {
+                self.next = Some(Standing::default());
+                effects.push(Effect::NextWatch);
+            } else {
+                self.leave_watch(now, effects);
+            }
         }
         if to.discovery != from.discovery {
             effects.push(Effect::MoveDiscovery(to.discovery));
--- a/daemon/src/reduce/news.rs
+++ b/daemon/src/reduce/news.rs
@@ -1,8 +1,10 @@
 //! The relay's news: who has joined, what was answered, which slices are in charge, and what stands after a gap.
 
+use std::collections::BTreeSet;
+
 use lynxmill::{Moment, Span};
 
-use super::State;
+use super::{Effect, State};
 use crate::relay::News;
 use crate::round::{Charge, Input};
 
@@ -35,6 +37,55 @@
         }
     }
 
+    /// What a watch that is to succeed tells: it only counts once it has told all that stands, but for answers,
+    /// which the one before may no longer tell.
+    pub(super) fn next_news(&mut self, now: Moment, line: News, effects: &mut Vec<Effect>) {
+        // The rest of what came with the end of what stands.
+        let Some(next) = &mut self.next else { return self.news(now, line) };
+        match line {
+            News::Attach { proxy } => {
+                next.proxies.insert(proxy);
+            }
+            News::Detach { proxy } => {
+                next.proxies.remove(&proxy);
+            }
+            News::Owner { slice, on: true } => {
+                next.slices.insert(slice, None);
+            }
+            News::Owner { slice, on: false } => {
+                next.slices.remove(&slice);
+            }
+            News::Entry { slice, server } => {
+                next.slices.insert(slice, Some(self.names.number(&server)));
+            }
+            News::Done { .. } => self.news(now, line),
+            News::Alive => {
+                effects.push(Effect::Succeed);
+                self.succeeded(now);
+            }
+        }
+    }
+
+    /// No news were missed, so what both watches tell goes on as it was; the rest is told as it would have been.
+    fn succeeded(&mut self, now: Moment) {
+        let Some(next) = self.next.take() else { return };
+        let here = 0..self.charges.len();
+        let stays = |slice: &usize| self.charges[*slice].mine && !self.given.contains(slice);
+        let stays: BTreeSet<usize> = here.clone().filter(stays).collect();
+        let parted = self.joined.difference(&next.proxies).map(|&proxy| News::Detach { proxy });
+        let joined = next.proxies.difference(&self.joined).map(|&proxy| News::Attach { proxy });
+        let lost = here.filter(|slice| self.charges[*slice].mine && !next.slices.contains_key(slice));
+        let lost = lost.map(|slice| News::Owner { slice, on: false });
+        let given = next.slices.iter().filter(|(slice, _)| !stays.contains(slice));
+        let given = given.flat_map(|(&slice, line)| {
+            let entry = |&server: &u32| News::Entry { slice, server: self.names.name(server).to_owned() };
+            [News::Owner { slice, on: true }].into_iter().chain(line.as_ref().map(entry))
+        });
+        let news: Vec<News> = parted.chain(joined).chain(lost).chain(given).collect();
+        news.into_iter().for_each(|line| self.news(now, line));
+        self.flush_given();
+    }
+
     pub(super) fn part(&mut self, proxy: u16) {
         if self.joined.remove(&proxy) {
             self.inbox.push(Input::Parted(proxy.into()));
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -661,14 +661,19 @@
 struct Walk {
     bench: Bench,
     world: lynxmill_standin::State,
-    told: Option<UnboundedReceiver<lynxmill_standin::News>>,
-    lines: Lines,
+    told: Option<Told>,
+    /// The watch at another address that a new configuration has named, and when the old ones are closed.
+    next: Option<Told>,
+    closes: usize,
     chance: Pcg,
     steps: usize,
     /// The outcome of a call, and when it is known.
     answer: Option<(f64, Outcome)>,
 }
 
+/// News that have come, and whole lines of them.
+type Told = (UnboundedReceiver<lynxmill_standin::News>, Lines);
+
 const SERVERS: [&str; 3] = ["s-a", "s-b", "s-c"];
 
 impl Walk {
@@ -680,8 +685,8 @@
         (0..4).for_each(|px| world.attach(px));
         let bench = Bench::begin(0.0);
         let chance = Pcg::new(seed);
-        let mut walk =
-            Walk { bench, world, told: None, lines: Lines::default(), chance, steps: 0, answer: None };
+        let (told, next, answer) = (None, None, None);
+        let mut walk = Walk { bench, world, told, next, closes: usize::MAX, chance, steps: 0, answer };
         walk.list();
         walk
     }
@@ -699,7 +704,7 @@
     fn restart(&mut self) {
         (0..4).for_each(|px| self.world.detach(px));
         self.world.watches.clear();
-        (self.told, self.answer) = (None, None);
+        (self.told, self.next, self.answer, self.closes) = (None, None, None, usize::MAX);
         self.bench = Bench::begin(self.bench.now);
         self.list();
     }
@@ -731,10 +736,43 @@
                     self.world.cut();
                 }
             }
+            10 => {
+                self.bench.tell(Event::Moved(addresses(self.steps as u16, 2)));
+                self.closes = self.steps + 75;
+            }
             _ => {}
         }
     }
 
+    /// What was asked for of the watches is done, in order.
+    fn watch(&mut self) {
+        for effect in std::mem::take(&mut self.bench.effects) {
+            match effect {
+                Effect::NextWatch => self.next = self.dial(),
+                Effect::LeaveNext => self.next = None,
+                Effect::LeaveWatch => self.told = None,
+                Effect::Succeed => (self.told, self.closes) = (self.next.take(), usize::MAX),
+                Effect::Watch if !self.world.out_of_reach => {
+                    self.told = self.dial();
+                    self.bench.tell(Event::WatchBegun);
+                }
+                Effect::Call(_) | Effect::Watch => self.bench.effects.push(effect),
+                _ => {}
+            }
+        }
+    }
+
+    fn dial(&mut self) -> Option<Told> {
+        let (tell, told) = unbounded_channel();
+        let _ = tell.send(Ok(self.world.standing()));
+        // The sign of life that ends what stands comes at once, or in its turn.
+        if self.below(2) == 0 {
+            let _ = tell.send(Ok("{}\n".into()));
+        }
+        self.world.watches.push(tell);
+        (!self.world.out_of_reach).then(|| (told, Lines::default()))
+    }
+
     /// A fiftieth of a second: what was asked for is done, or goes wrong.
     fn step(&mut self, rough: bool) {
         self.bench.now += 0.02;
@@ -777,33 +815,37 @@
             let late = if rough { 0.1 * self.chance.unit() } else { 0.0 };
             self.answer = Some((self.bench.now + late, outcome));
         }
-        let asked = |effect: &Effect| *effect == Effect::Watch;
-        if !self.world.out_of_reach && self.bench.effects.iter().any(asked) {
-            self.bench.effects.retain(|effect| !asked(effect));
-            let (tell, told) = unbounded_channel();
-            let _ = tell.send(Ok(self.world.standing()));
-            let _ = tell.send(Ok("{}\n".into()));
-            self.world.watches.push(tell);
-            (self.told, self.lines) = (Some(told), Lines::default());
-            self.bench.tell(Event::WatchBegun);
+        if self.steps >= self.closes {
+            // A next watch that has not told what stands by then never came up.
+            (self.told, self.closes) = (None, usize::MAX);
+            self.bench.tell(Event::WatchEnded);
         }
+        self.watch();
     }
 
     fn news(&mut self) {
-        while let Some(told) = &mut self.told {
-            match told.try_recv() {
-                Ok(Ok(text)) => {
-                    // Now and then bytes come in two pieces.
-                    let (first, second) = text.as_bytes().split_at(text.len() / 2);
-                    for piece in [first, second] {
-                        let news = self.lines.take(piece).expect("news");
-                        self.bench.tell(Event::News(news));
+        for next in [false, true] {
+            loop {
+                self.watch();
+                let Some((told, lines)) = (if next { &mut self.next } else { &mut self.told }) else { break };
+                match told.try_recv() {
+                    Ok(Ok(text)) => {
+                        // Now and then bytes come in two pieces.
+                        let (first, second) = text.as_bytes().split_at(text.len() / 2);
+                        let news = [first, second].map(|piece| lines.take(piece).expect("news"));
+                        for news in news {
+                            self.bench.tell(if next { Event::NextNews(news) } else { Event::News(news) });
+                        }
+                    }
+                    Err(TryRecvError::Empty) => break,
+                    Ok(Err(_)) | Err(TryRecvError::Disconnected) if next => {
+                        self.next = None;
+                        self.bench.tell(Event::NextEnded);
+                    }
+                    Ok(Err(_)) | Err(TryRecvError::Disconnected) => {
+                        self.told = None;
+                        self.bench.tell(Event::WatchEnded);
                     }
-                }
-                Err(TryRecvError::Empty) => return,
-                Ok(Err(_)) | Err(TryRecvError::Disconnected) => {
-                    self.told = None;
-                    self.bench.tell(Event::WatchEnded);
                 }
             }
         }
@@ -950,33 +992,57 @@
     Addresses { relay: at(relay), discovery: at(discovery) }
 }
 
+fn asked_for(bench: &mut Bench) -> Vec<Effect> {
+    let effects = std::mem::take(&mut bench.effects);
+    effects.into_iter().filter(|effect| !matches!(effect, Effect::WakeAt(_))).collect()
+}
+
 #[test]
-fn a_new_configuration_moves_the_watch_after_the_call_under_way_and_compares_what_stands() {
-    let mut bench = Bench::serving(&[0]);
+fn a_new_configuration_moves_the_watch_without_a_gap() {
+    let mut bench = Bench::serving(&[0, 1]);
     bench.drains(&["s-a"]);
     let ops = bench.call().expect("a shut");
+    let mark = mark_of(&ops);
     bench.effects.clear();
     let to = addresses(33, 32);
-    for _ in 0..2 {
-        bench.tell(Event::Moved(to));
-    }
-    let moves = [Effect::MoveRelay(to.relay), Effect::MoveDiscovery(to.discovery), Effect::Ask(Some(1))];
-    let asked: Vec<&Effect> =
-        bench.effects.iter().filter(|effect| !matches!(effect, Effect::WakeAt(_))).collect();
-    assert_eq!(asked, moves.iter().collect::<Vec<_>>(), "told twice it moves once");
+    (0..2).for_each(|_| bench.tell(Event::Moved(to)));
+    let moves = [
+        Effect::MoveRelay(to.relay),
+        Effect::NextWatch,
+        Effect::MoveDiscovery(to.discovery),
+        Effect::Ask(Some(1)),
+    ];
+    assert_eq!(asked_for(&mut bench), moves, "told twice it moves once");
     bench.tell(Event::Called(Outcome::Taken(ops.len())));
-    assert!(bench.effects.contains(&Effect::Watch));
+    bench.done(&[0], mark);
+    // Slice 1 has gone meanwhile and proxy 1 has answered, which only the new watch tells.
+    let stands = [News::Attach { proxy: 0 }, News::Attach { proxy: 1 }, News::Owner { slice: 0, on: true }];
+    let answer = News::Done { proxy: 1, mark, took_ms: 0.0 };
+    bench.tell(Event::NextNews([stands.as_slice(), &[answer, News::Alive]].concat()));
+    assert_eq!(asked_for(&mut bench), [Effect::Succeed]);
+    bench.pass(0.1);
+    assert_eq!(lines(&bench.call().expect("the new owner"))[0].0, 0, "no answer is asked for anew");
+    bench.drain_calls();
+    bench.drains(&["s-b"]);
     bench.pass(0.5);
+    let shut: Vec<Value> = bench.call().unwrap_or_default();
+    assert!(lines(&shut).iter().all(|(slice, _, _)| *slice == 0), "slice 1 is in other hands: {shut:?}");
+}
+
+#[rstest]
+#[case::the_new_one(Event::NextEnded, Effect::LeaveWatch)]
+#[case::the_old_one(Event::WatchEnded, Effect::LeaveNext)]
+fn where_one_of_two_watches_ends_too_soon_it_is_a_gap(#[case] ended: Event, #[case] left: Effect) {
+    let mut bench = Bench::serving(&[0]);
+    bench.tell(Event::Moved(addresses(33, 2)));
+    bench.effects.clear();
+    bench.tell(ended);
+    assert_eq!(asked_for(&mut bench), [left, Effect::Watch]);
+    bench.drains(&["s-a"]);
     assert_eq!(bench.call(), None, "nobody has told what stands");
-    bench.tell(Event::WatchBegun);
-    bench.news(vec![News::Attach { proxy: 0 }, News::Owner { slice: 0, on: true }]);
-    bench.give(1, "s-b");
-    bench.news(vec![News::Alive]);
+    bench.watch_again(&[(0, "s-a"), (1, "s-b")]);
     bench.pass(0.1);
-    let mark = bench.taken();
-    bench.done(&[0], mark);
-    bench.pass(0.5);
-    assert_eq!(lines(&bench.call().expect("the new owner")).len(), 1);
+    assert_eq!(lines(&bench.call().expect("a shut")), [(0, "s-a", 0.0)]);
 }
 
 #[test]
