Levels follow a published owner where there is room, but at once at cold servers

Ruled out: the fence (answers were there), calls (all done).

Changed: only a cold owner's levels go along; relieve() writes the others later in the same round where the part for the rest has room, so owners come before levels.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -754,14 +754,15 @@
         }
     }
 
-    /// Raises the generation and publishes the owner, with the levels of its admission.
+    /// Raises the generation and publishes the owner. Guards slices that are shut: only a cold owner's levels go
+    /// along at once, others follow where the message has room.
     fn publish(&mut self, tbl: usize, i: usize, out: &mut impl Orders) {
         let slice = &mut self.slices[tbl];
         slice.generation += 1;
         (slice.handover, slice.republish, slice.owner) = (None, false, Some(i));
         out.publish(tbl, self.fleet.task[i]);
         self.lines += 1.0;
-        if self.facts.levels_work {
+        if self.facts.levels_work && self.warmth(i) < 1.0 {
             self.write_levels(tbl, self.fleet.admit[i], out);
         }
     }
