Servers sick by themselves lose their slices; what has gone is forgotten; gaps keep account

The trace shows eight of 30 servers of one building slow from 10 s on, one after another, each with 10 tries a second (a third of what the others do with ease), 15 to 20 in hand and 60 to 90% lost for five to ten seconds, some minutes after dead. Levels were at their least and changed nothing (step_levels cuts no lower than the dearest operation's least); the mover waits 16 intervals where levels work, asks for more load than the mean and for six successes in the sums, which such a server has not. Suspects need a run without any success.

Seen, names: every server ever named was kept in round.rs and in the module's arrays. Servers gone that own nothing are now kept up to the number of the others, which leaves the mover's count of a grown fleet as it was; names follow. The arrays are a type in fleet.rs.

Seen by reading, gaps: after a gap all proxies were told as joined anew and the account of lines waiting began at nothing, though the channel was as full as before; orders held back in the gap were not in it at all. Both count now.

--- a/daemon/src/accept.rs
+++ b/daemon/src/accept.rs
@@ -74,7 +74,8 @@
                 if zone.is_none() {
                     return (late, String::new());
                 }
-                // Guards against bytes that drip: only whole messages count. One that has joined may be quiet.
+                // Guards against bytes that drip: only whole messages count. One that has joined may be
+                // quiet.
                 if begun {
                     return (Reason::Unfinished, told(&zone));
                 }
--- a/daemon/src/close.rs
+++ b/daemon/src/close.rs
@@ -7,8 +7,8 @@
     /// The other side closed it between two messages, or broke it.
     PeerClosed,
     PeerReset,
-    /// A stranger that sent no whole message in time, or none that names a zone; the oldest such when sockets ran
-    /// out.
+    /// A stranger that sent no whole message in time, or none that names a zone; the oldest such when sockets
+    /// ran out.
     Silent,
     NotJoined,
     Crowded,
--- a/daemon/src/encode.rs
+++ b/daemon/src/encode.rs
@@ -16,6 +16,13 @@
 }
 
 impl Sets {
+    pub fn server(self) -> Option<u32> {
+        match self {
+            Sets::Line { server, .. } => server,
+            _ => None,
+        }
+    }
+
     pub fn slice(self) -> Option<usize> {
         match self {
             Sets::Line { slice, .. } | Sets::Levels { slice, .. } => Some(slice),
@@ -120,6 +127,11 @@
         carried
     }
 
+    /// The owners that waiting orders set.
+    pub fn servers(&self) -> impl Iterator<Item = u32> {
+        self.waiting.iter().filter_map(|order| order.sets.server())
+    }
+
     pub fn waits(&self, sets: Sets) -> bool {
         self.waiting.iter().any(|order| order.sets == sets)
     }
--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -136,6 +136,7 @@
     standing_known: bool,
     list_index: Option<u64>,
     proxies: usize,
+    servers: usize,
     slices: usize,
     connections: usize,
     orders_waiting: usize,
@@ -205,6 +206,7 @@
             standing_known: self.watching && self.standing.is_none(),
             list_index: self.index,
             proxies: self.joined.len(),
+            servers: self.names.len(),
             slices: self.charges.iter().filter(|charge| charge.mine).count(),
             connections: self.open.len(),
             orders_waiting: self.outbox.len(),
@@ -302,9 +304,9 @@
         self.watch_at = Some(now);
     }
 
-    /// The old addresses soon close what is open there. A call under way has its answer before that. Guards against
-    /// a gap in the news, in which answers are lost and nothing can be ordered: the watch goes on until another at
-    /// the new address has told all that stands.
+    /// The old addresses soon close what is open there. A call under way has its answer before that. Guards
+    /// against a gap in the news, in which answers are lost and nothing can be ordered: the watch goes on
+    /// until another at the new address has told all that stands.
     fn moved(&mut self, now: Moment, to: Addresses, effects: &mut Vec<Effect>) {
         let from = std::mem::replace(&mut self.addresses, to);
         if to.relay != from.relay {
@@ -366,6 +368,7 @@
 
     fn round(&mut self, now: Moment, effects: &mut Vec<Effect>) {
         let inbox = std::mem::take(&mut self.inbox);
+        let unsent = self.outbox.len() + self.flying.as_ref().map_or(0, Vec::len);
         let mut writer = Writer {
             now,
             names: &self.names,
@@ -379,6 +382,7 @@
             hasty: Vec::new(),
         };
         let feed = |assigner: &mut Assigner| {
+            assigner.unsent(unsent as f64);
             inbox.into_iter().for_each(|input| feed(assigner, input));
             Ok::<(), std::convert::Infallible>(())
         };
@@ -394,6 +398,22 @@
             log::warn!("slice {slice}: published before its shut reached the store, begins anew");
             self.begin_anew(slice, self.charges[slice].line);
         }
+        if self.names.len() > self.assigner.known() {
+            self.forget();
+        }
+    }
+
+    /// Guards the memory against every name ever seen: those go that the module has let go of and that
+    /// nothing here speaks of any more.
+    fn forget(&mut self) {
+        let lines = self.charges.iter().flat_map(|charge| [charge.line, charge.perhaps]).flatten();
+        let told = self.inbox.iter().filter_map(Input::server);
+        let flying = self.flying.iter().flatten().filter_map(|order| order.sets.server());
+        let stands = [&self.standing, &self.next].into_iter().flatten();
+        let stands = stands.flat_map(|standing| standing.slices.values().copied().flatten());
+        let spoken = lines.chain(told).chain(flying).chain(stands).chain(self.outbox.servers());
+        let spoken: BTreeSet<u32> = spoken.collect();
+        self.names.keep(|server| self.assigner.knows(server) || spoken.contains(&server));
     }
 
     /// A slice in charge is told to the module as if it were given now; levels of before are taken back, as
--- a/daemon/src/reduce/calls.rs
+++ b/daemon/src/reduce/calls.rs
@@ -56,8 +56,8 @@
         }
     }
 
-    /// These orders were carried out or not: nobody knows yet. Guards the channel's limits: sent again at once they
-    /// would wait there twice, so an answer to their mark is awaited for as long as one may take.
+    /// These orders were carried out or not: nobody knows yet. Guards the channel's limits: sent again at
+    /// once they would wait there twice, so an answer to their mark is awaited for as long as one may take.
     fn may_stand(&mut self, now: Moment, orders: &mut [Order]) {
         self.tally.again += 1;
         self.ended(now, orders);
--- a/daemon/src/reduce/news.rs
+++ b/daemon/src/reduce/news.rs
@@ -1,4 +1,5 @@
-//! The relay's news: who has joined, what was answered, which slices are in charge, and what stands after a gap.
+//! The relay's news: who has joined, what was answered, which slices are in charge, and what stands after a
+//! gap.
 
 use std::collections::BTreeSet;
 
@@ -37,8 +38,8 @@
         }
     }
 
-    /// What a watch that is to succeed tells: it only counts once it has told all that stands, but for answers,
-    /// which the one before may no longer tell.
+    /// What a watch that is to succeed tells: it only counts once it has told all that stands, but for
+    /// answers, which the one before may no longer tell.
     pub(super) fn next_news(&mut self, now: Moment, line: News, effects: &mut Vec<Effect>) {
         // The rest of what came with the end of what stands.
         let Some(next) = &mut self.next else { return self.news(now, line) };
@@ -66,7 +67,8 @@
         }
     }
 
-    /// No news were missed, so what both watches tell goes on as it was; the rest is told as it would have been.
+    /// No news were missed, so what both watches tell goes on as it was; the rest is told as it would have
+    /// been.
     fn succeeded(&mut self, now: Moment) {
         let Some(next) = self.next.take() else { return };
         let here = 0..self.charges.len();
--- a/daemon/src/resp.rs
+++ b/daemon/src/resp.rs
@@ -203,7 +203,8 @@
     }
 }
 
-/// Guards against figures out of range: what the wire counts fits into 32 bits, be it tries, milliseconds or load.
+/// Guards against figures out of range: what the wire counts fits into 32 bits, be it tries, milliseconds or
+/// load.
 fn figure(text: &str) -> Option<f64> {
     text.parse().ok().filter(|n| (0.0..=f64::from(u32::MAX)).contains(n))
 }
--- a/daemon/src/round.rs
+++ b/daemon/src/round.rs
@@ -22,6 +22,13 @@
     Demand { slice: usize, operation: usize, tries: f64, over: Span },
 }
 
+impl Input {
+    /// The server that it names as a slice's owner.
+    pub fn server(&self) -> Option<u32> {
+        if let Input::Stored(_, server) = self { Some(*server) } else { None }
+    }
+}
+
 pub fn feed(assigner: &mut Assigner, input: Input) {
     match input {
         Input::Listed { complete, remembered, entries } => assigner.listed(complete, remembered, &entries),
@@ -65,10 +72,12 @@
     pub ended: Option<Moment>,
 }
 
+/// Servers by the numbers that the module knows them by; a number is never given twice.
 #[derive(Default)]
 pub struct Names {
     numbers: BTreeMap<String, u32>,
-    names: Vec<String>,
+    names: BTreeMap<u32, String>,
+    given: u32,
 }
 
 impl Names {
@@ -77,18 +86,28 @@
     }
 
     pub fn name(&self, number: u32) -> &str {
-        self.names.get(number as usize).map_or("", String::as_str)
+        self.names.get(&number).map_or("", String::as_str)
     }
 
     pub fn number(&mut self, name: &str) -> u32 {
         if let Some(number) = self.known(name) {
             return number;
         }
-        let number = self.names.len() as u32;
+        let number = self.given;
+        self.given += 1;
         self.numbers.insert(name.to_owned(), number);
-        self.names.push(name.to_owned());
+        self.names.insert(number, name.to_owned());
         number
     }
+
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    pub fn keep(&mut self, still: impl Fn(u32) -> bool) {
+        self.names.retain(|number, _| still(*number));
+        self.numbers.retain(|_, number| self.names.contains_key(number));
+    }
 }
 
 /// What the module writes in a round.
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -1,5 +1,5 @@
-//! What an assigner is told at its start: its variables and the file that PROXY_CONFIG names, decoded once; and
-//! what the file tells later.
+//! What an assigner is told at its start: its variables and the file that PROXY_CONFIG names, decoded once;
+//! and what the file tells later.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -58,8 +58,8 @@
         decode(&self.told, |variable| std::env::var(variable).ok()).map_err(|e| format!("{}: {e}", self.path))
     }
 
-    /// Reads the file again. Its addresses beat the variables, which are as old as the program; one that can't
-    /// be read or is wrong changes nothing.
+    /// Reads the file again. Its addresses beat the variables, which are as old as the program; one that
+    /// can't be read or is wrong changes nothing.
     pub fn reread(&mut self) -> Result<Addresses, Fail> {
         let told = Self::read(&self.path)?;
         let start = decode(&told, |_| None).map_err(|e| format!("{}: {e}", self.path))?;
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -1045,6 +1045,29 @@
     assert_eq!(lines(&bench.call().expect("a shut")), [(0, "s-a", 0.0)]);
 }
 
+#[test]
+fn servers_replaced_over_and_over_leave_no_trace() {
+    let mut bench = Bench::serving(&[0]);
+    let mut last = ["s-a", "s-b"].map(str::to_owned).to_vec();
+    for turn in 0..200 {
+        let next: Vec<String> = (0..2).map(|k| format!("s-{turn}-{k}")).collect();
+        let entries = next.iter().map(|name| (name.as_str(), "ready"));
+        bench.list(&entries.chain(last.iter().map(|name| (name.as_str(), "draining"))).collect::<Vec<_>>());
+        for _ in 0..40 {
+            bench.pass(0.05);
+            while let Some(ops) = bench.call() {
+                bench.tell(Event::Called(Outcome::Taken(ops.len())));
+                bench.done(&[0], mark_of(&ops));
+            }
+        }
+        bench.list(&last.iter().map(|name| (name.as_str(), "gone")).collect::<Vec<_>>());
+        last = next;
+    }
+    let status = serde_json::to_value(bench.state.status()).expect("a status");
+    assert!(status["servers"].as_u64().is_some_and(|kept| kept < 12), "{status}");
+    assert!((0..2).all(|slice| bench.state.line(slice).is_some_and(|owner| !owner.is_empty())));
+}
+
 #[test]
 fn strangers_make_room_for_collectors() {
     let mut bench = Bench::new();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod chance;
 mod facts;
+mod fleet;
 mod orders;
 mod rules;
 mod time;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,10 +3,9 @@
 //! which only takes note, and then the round decides and writes through the `Orders` it was given. The
 //! interface is `Orders` in orders.rs, `Facts` and `Listing` in facts.rs, `Moment` and `Span` in time.rs.
 
-use std::collections::BTreeMap;
-
 use crate::chance::Pcg;
 use crate::facts::{Facts, Listing, Standing};
+use crate::fleet::Fleet;
 use crate::orders::Orders;
 use crate::time::{Moment, Span};
 
@@ -58,63 +57,6 @@
 const STALE: f64 = 8.0;
 const ENOUGH: f64 = 6.0;
 
-/// Declares parallel arrays under a dense index: a name, a type and the value that a new entry starts with.
-/// The second group is what a server's restart makes worthless.
-macro_rules! fleet {
-    ($now:ident, $($kept:ident: $kind:ty = $first:expr,)* ; $($health:ident: $sort:ty = $start:expr,)*) => {
-        /// What is known of the servers.
-        #[derive(Default)]
-        struct Fleet {
-            index: BTreeMap<u32, usize>,
-            $($kept: Vec<$kind>,)*
-            $($health: Vec<$sort>,)*
-        }
-
-        impl Fleet {
-            fn at(&mut self, task: u32, $now: Moment) -> usize {
-                let next = self.task.len();
-                let i = *self.index.entry(task).or_insert(next);
-                if i == next {
-                    $(self.$kept.push($first);)*
-                    $(self.$health.push($start);)*
-                    self.task[i] = task;
-                }
-                i
-            }
-
-            fn forget_health(&mut self, i: usize) {
-                $(self.$health[i] = $start;)*
-            }
-        }
-    };
-}
-
-fleet! { now,
-    task: u32 = 0,
-    standing: Standing = Standing::Gone,
-    size: f64 = 1.0,
-    started: Option<Moment> = None,
-    heard: Moment = now,
-    cut: Moment = now,
-    probed: Option<Moment> = None,
-    proven: bool = false,
-    dropped: bool = false,
-    ;
-    // Fading sums of what ended there: tries, lost ones, seconds of the others; tries never cut, their span.
-    tries: f64 = 0.0,
-    lost: f64 = 0.0,
-    seconds: f64 = 0.0,
-    ended: f64 = 0.0,
-    over: f64 = 0.0,
-    // Load report, if one came; losses in a row; share of successes before these.
-    seen: Option<f64> = None,
-    lost_run: f64 = 0.0,
-    success: f64 = 1.0,
-    suspect: Option<Moment> = None,
-    slow_since: Option<Moment> = None,
-    admit: f64 = 1.0,
-}
-
 /// A slice on its way from one owner to the next.
 #[derive(Clone, Copy)]
 struct Handover {
@@ -142,6 +84,8 @@
     joined: bool,
     parted: Moment,
     since: u64,
+    /// The mark at which it joined for sure; what was told to be joined already may be told so again.
+    begun: u64,
     asked: u64,
     answered: u64,
 }
@@ -167,6 +111,7 @@
     lines: f64,
     joined: f64,
     waiting: f64,
+    unsent: f64,
     share: f64,
     rates: Vec<f64>,
     heat: Vec<f64>,
@@ -242,6 +187,20 @@
                 self.fleet.admit[i] = self.usual_admission();
             }
         }
+        self.forget();
+    }
+
+    /// Guards the memory against every server ever listed: of those that have gone and own nothing no more
+    /// are kept than there are others.
+    fn forget(&mut self) {
+        while self.usables().count() * 2 < self.all().len() {
+            let owned = |i: usize| self.slices.iter().any(|s| s.owner == Some(i));
+            let gone = |&i: &usize| self.fleet.standing[i] == Standing::Gone && !self.fleet.dropped[i];
+            let Some(i) = self.all().find(|i| gone(i) && !owned(*i)) else { return };
+            self.fleet.remove(i);
+            let last = Some(self.fleet.task.len());
+            self.slices.iter_mut().filter(|s| s.owner == last).for_each(|s| s.owner = Some(i));
+        }
     }
 
     /// Guards against a wrong list: where only draining binds, one merely dropped stays while it answers.
@@ -263,6 +222,20 @@
         self.ask_at = self.now + self.facts.ask_within.times(ASK_AGAIN * (0.5 + self.chance.unit()));
     }
 
+    /// Lines written that have not reached the channel yet, where these are held back.
+    pub fn unsent(&mut self, lines: f64) {
+        self.unsent = lines;
+    }
+
+    /// Whether a server is remembered.
+    pub fn knows(&self, task: u32) -> bool {
+        self.fleet.knows(task)
+    }
+
+    pub fn known(&self) -> usize {
+        self.fleet.task.len()
+    }
+
     pub fn custody(&mut self, tbl: usize, on: bool) {
         let slice = &mut self.slices[tbl];
         let rate = slice.rate.take();
@@ -279,8 +252,8 @@
         if self.streams.len() <= px {
             self.streams.resize(px + 1, Stream { parted: self.now, ..Stream::default() });
         }
-        self.streams[px] =
-            Stream { joined: true, since: self.mark, asked: 0, answered: 0, ..self.streams[px] };
+        let begun = if self.streams[px].joined { self.streams[px].begun } else { self.mark };
+        self.streams[px] = Stream { joined: true, since: self.mark, begun, asked: 0, ..self.streams[px] };
     }
 
     pub fn parted(&mut self, px: usize) {
@@ -303,7 +276,7 @@
     pub fn answered(&mut self, px: usize, number: u16, elapsed: Span) {
         let mark = self.mark - (self.mark.wrapping_sub(u64::from(number)) & 0xffff).min(self.mark);
         let Some(stream) = self.streams.get(px).copied() else { return };
-        if !stream.joined || mark <= stream.since.max(stream.answered) {
+        if !stream.joined || mark <= stream.answered {
             return;
         }
         let applied = self.sent.iter().find(|s| s.mark == mark).map_or(self.now, |s| s.at + elapsed);
@@ -360,7 +333,7 @@
     fn decide(&mut self, out: &mut impl Orders) {
         self.lines = 0.0;
         self.joined = self.streams.iter().filter(|s| s.joined).count() as f64;
-        self.waiting = self.still_waiting();
+        self.waiting = self.still_waiting().max(self.cost(self.unsent) * self.unsent.min(1.0));
         self.share = self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64;
         if !self.subscribed && self.now >= self.ask_at {
             self.ask_at = self.now + self.facts.ask_within;
@@ -691,6 +664,11 @@
             // Strained though its cores have time to spare is no overload: letting less in would not help.
             let busy = self.fleet.seen[i].filter(|_| self.facts.held_field.is_none()).unwrap_or(1.0);
             if strain > 1.0 && busy > BUSY {
+                // Guards against a server that is sick by itself: levels have given all, others are well.
+                let sick = admit <= least && self.facts.levels_work && lost * 2.0 > tries;
+                if sick && self.warmth(i) >= 1.0 && self.usual_admission() >= REFUSES {
+                    self.fleet.suspect[i] = Some(self.now);
+                }
                 self.fleet.admit[i] = (admit - CUT * (strain - 1.0).min(1.0)).max(least);
                 self.fleet.cut[i] = self.now;
                 if self.facts.levels_work {
@@ -754,8 +732,8 @@
         }
     }
 
-    /// Raises the generation and publishes the owner. Guards slices that are shut: only a cold owner's levels go
-    /// along at once, others follow where the message has room.
+    /// Raises the generation and publishes the owner. Guards slices that are shut: only a cold owner's levels
+    /// go along at once, others follow where the message has room.
     fn publish(&mut self, tbl: usize, i: usize, out: &mut impl Orders) {
         let slice = &mut self.slices[tbl];
         slice.generation += 1;
@@ -787,11 +765,16 @@
     }
 
     /// Lines that may still wait in the channel, which may be slow: an answer shows that all messages before
-    /// it have left, not what went to others with its mark.
+    /// it have left, not what went to others with its mark. Guards against answers lost while no news came: a
+    /// proxy told to be joined once more counts as long as a full channel takes.
     fn still_waiting(&self) -> f64 {
         let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
-        let asked = |mark: u64| self.streams.iter().filter(move |s| s.joined && s.since < mark);
-        let left = |s: &Sent| s.lines * asked(s.mark).filter(|p| p.answered < s.mark).count() as f64;
+        let full = Span::from_secs(self.facts.most_waiting / self.facts.lines_per_s.max(1.0));
+        let owes = |s: &Sent, p: &Stream| {
+            let asked = p.since < s.mark || (p.begun < s.mark && self.now - s.at < full);
+            p.joined && asked && p.answered < s.mark
+        };
+        let left = |s: &Sent| s.lines * self.streams.iter().filter(|p| owes(s, p)).count() as f64;
         self.sent.iter().filter(|s| s.mark >= answered).map(left).sum()
     }
 
