--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -34,13 +34,14 @@
 use reduce::Event;
 use start::{Clock, File, Start};
 
+/// What bad HTTP does to a connection is in its own line.
+const FILTER: &str = "info,actix_server=warn,actix_http=off";
 /// Connections that may wait to be accepted.
 const QUEUE: u32 = 1024;
 const LAST_WORDS: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,actix_server=warn"))
-        .init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(FILTER)).init();
     // A panic must not leave half a program serving: it ends, and whoever started it sees so.
     std::panic::set_hook(Box::new(|panic| {
         log::error!("{panic}");
--- a/daemon/tests/sockets.rs
+++ b/daemon/tests/sockets.rs
@@ -179,6 +179,7 @@
 #[case::silent(&[Fate::Silent(false), Fate::Silent(false)])]
 #[case::silent_but_carried_out(&[Fate::Silent(true), Fate::Silent(true)])]
 #[case::garbled(&[Fate::Garbled(false), Fate::Garbled(true)])]
+#[case::boasts(&[Fate::Boasts, Fate::Boasts])]
 #[case::takes_some(&[Fate::Takes(1), Fate::Takes(0), Fate::Takes(2)])]
 fn a_drained_server_gives_up_its_slices_whatever_becomes_of_calls(#[case] fates: &[Fate]) {
     let (standin, _daemon) = serving();
--- a/standin/src/serve.rs
+++ b/standin/src/serve.rs
@@ -94,6 +94,9 @@
                 Fate::Invalid => turned_back("ValidationError", StatusCode::BAD_REQUEST),
                 Fate::Silent(_) => std::future::pending().await,
                 Fate::Garbled(_) => Response::ok().set_body("{\"taken\":").map_into_boxed_body(),
+                Fate::Boasts => {
+                    Response::ok().set_body(format!("{{\"taken\":{}}}", taken + 1)).map_into_boxed_body()
+                }
                 Fate::Broken(_) => {
                     if let Some(Plug(socket)) = asked.conn_data::<Plug>()
                         && let Ok(socket) = socket.try_clone()
--- a/standin/src/world.rs
+++ b/standin/src/world.rs
@@ -20,6 +20,8 @@
     Broken(bool),
     Silent(bool),
     Garbled(bool),
+    /// Carried out, but the answer tells of more orders than there were.
+    Boasts,
     /// Only so many orders are taken.
     Takes(usize),
 }
@@ -192,7 +194,7 @@
             Fate::Throttled | Fate::Invalid => 0,
             Fate::Broken(done) | Fate::Silent(done) | Fate::Garbled(done) => ops.len() * usize::from(done),
             Fate::Takes(some) => some.min(ops.len()),
-            Fate::Answered => ops.len(),
+            Fate::Answered | Fate::Boasts => ops.len(),
         };
         let strange = |op: &Op| matches!(op, Op::Share { server, .. } if !self.members.contains_key(server));
         let taken = ops[..carried].iter().position(strange).unwrap_or(carried);
