--- a/daemon/src/reduce.rs
+++ b/daemon/src/reduce.rs
@@ -250,9 +250,7 @@
             }
             Event::News(news) => news.into_iter().for_each(|line| self.news(now, line)),
             Event::WatchEnded => {
-                if self.next.take().is_some() {
-                    effects.push(Effect::LeaveNext);
-                }
+                self.leave_next(effects);
                 self.watch_lost();
                 self.watch_at =
                     Some(if now - self.watch_begun < pause() { now + self.jittered() } else { now });
@@ -298,6 +296,12 @@
         }
     }
 
+    fn leave_next(&mut self, effects: &mut Vec<Effect>) {
+        if self.next.take().is_some() {
+            effects.push(Effect::LeaveNext);
+        }
+    }
+
     fn leave_watch(&mut self, now: Moment, effects: &mut Vec<Effect>) {
         effects.push(Effect::LeaveWatch);
         self.watch_lost();
@@ -311,9 +315,7 @@
         let from = std::mem::replace(&mut self.addresses, to);
         if to.relay != from.relay {
             effects.push(Effect::MoveRelay(to.relay));
-            if self.next.take().is_some() {
-                effects.push(Effect::LeaveNext);
-            }
+            self.leave_next(effects);
             if self.watching && self.standing.is_none() {
                 self.next = Some(Standing::default());
                 effects.push(Effect::NextWatch);
--- a/daemon/src/reduce/news.rs
+++ b/daemon/src/reduce/news.rs
@@ -5,9 +5,33 @@
 
 use lynxmill::{Moment, Span};
 
-use super::{Effect, State};
+use super::{Effect, Standing, State};
 use crate::relay::News;
-use crate::round::{Charge, Input};
+use crate::round::{Charge, Input, Names};
+
+impl Standing {
+    /// One line of what stands, or of what has changed since.
+    fn note(&mut self, line: &News, names: &mut Names) {
+        match line {
+            News::Attach { proxy } => {
+                self.proxies.insert(*proxy);
+            }
+            News::Detach { proxy } => {
+                self.proxies.remove(proxy);
+            }
+            News::Owner { slice, on: true } => {
+                self.slices.insert(*slice, None);
+            }
+            News::Owner { slice, on: false } => {
+                self.slices.remove(slice);
+            }
+            News::Entry { slice, server } => {
+                self.slices.insert(*slice, Some(names.number(server)));
+            }
+            News::Done { .. } | News::Alive => {}
+        }
+    }
+}
 
 impl State {
     pub(super) fn news(&mut self, now: Moment, line: News) {
@@ -16,20 +40,17 @@
             News::Entry { slice, .. } if self.given.contains(slice) => {}
             _ => self.flush_given(),
         }
+        if let Some(standing) = &mut self.standing {
+            standing.note(&line, &mut self.names);
+        }
         match line {
             News::Alive => self.stands(),
             News::Attach { proxy } => {
                 self.joined.insert(proxy);
-                if let Some(standing) = &mut self.standing {
-                    standing.proxies.insert(proxy);
-                }
                 // One that stands after a gap may have left in it: answers to earlier marks are lost.
                 self.inbox.push(Input::Joined(proxy.into()));
             }
             News::Detach { proxy } => {
-                if let Some(standing) = &mut self.standing {
-                    standing.proxies.remove(&proxy);
-                }
                 self.part(proxy);
             }
             News::Done { proxy, mark, took_ms } => self.answered(now, proxy, mark, took_ms),
@@ -44,26 +65,12 @@
         // The rest of what came with the end of what stands.
         let Some(next) = &mut self.next else { return self.news(now, line) };
         match line {
-            News::Attach { proxy } => {
-                next.proxies.insert(proxy);
-            }
-            News::Detach { proxy } => {
-                next.proxies.remove(&proxy);
-            }
-            News::Owner { slice, on: true } => {
-                next.slices.insert(slice, None);
-            }
-            News::Owner { slice, on: false } => {
-                next.slices.remove(&slice);
-            }
-            News::Entry { slice, server } => {
-                next.slices.insert(slice, Some(self.names.number(&server)));
-            }
             News::Done { .. } => self.news(now, line),
             News::Alive => {
                 effects.push(Effect::Succeed);
                 self.succeeded(now);
             }
+            line => next.note(&line, &mut self.names),
         }
     }
 
@@ -88,7 +95,7 @@
         self.flush_given();
     }
 
-    pub(super) fn part(&mut self, proxy: u16) {
+    fn part(&mut self, proxy: u16) {
         if self.joined.remove(&proxy) {
             self.inbox.push(Input::Parted(proxy.into()));
         }
@@ -112,20 +119,13 @@
         self.settle(now, &carried);
     }
 
-    pub(super) fn owner(&mut self, slice: usize, on: bool) {
+    fn owner(&mut self, slice: usize, on: bool) {
         let Some(mine) = self.charges.get(slice).map(|charge| charge.mine) else {
             log::warn!("no such slice {slice}");
             return;
         };
-        if let Some(standing) = &mut self.standing {
-            if on {
-                standing.slices.insert(slice, None);
-            } else {
-                standing.slices.remove(&slice);
-            }
-            if on && mine {
-                return;
-            }
+        if self.standing.is_some() && on && mine {
+            return;
         }
         self.given.remove(&slice);
         self.charge(slice, on);
@@ -155,9 +155,6 @@
             self.charges[slice].line = Some(server);
             self.inbox.extend([Input::Custody(slice, true), Input::Stored(slice, server)]);
         }
-        if let Some(standing) = &mut self.standing {
-            standing.slices.insert(slice, Some(server));
-        }
     }
 
     /// Given slices without a line in the store, as other news has come.
@@ -169,7 +166,7 @@
 
     /// The standing state is complete: what it lacks has gone in the meantime, and a line that nobody here
     /// wrote shows that a slice has been in other hands.
-    pub(super) fn stands(&mut self) {
+    fn stands(&mut self) {
         let Some(standing) = self.standing.take() else { return };
         // At the start there is nothing to compare with.
         if !std::mem::take(&mut self.blind) {
--- a/daemon/tests/sockets.rs
+++ b/daemon/tests/sockets.rs
@@ -307,8 +307,7 @@
     assert!(daemon.collector().alive());
     let mut quiet = daemon.collector();
     assert!(quiet.alive());
-    let kill = format!("kill -TERM {}", daemon.child.id());
-    assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    signal(&daemon, "TERM");
     assert_eq!(daemon.child.wait().expect("its end").code(), Some(0));
     daemon.told("ended reason=stopping zone=a");
 }
@@ -385,8 +384,8 @@
     daemon.until("two count", |status| status["reports"] == 2 && status["reports_spoilt"] == 2);
 }
 
-fn hang_up(daemon: &Daemon) {
-    let kill = format!("kill -HUP {}", daemon.child.id());
+fn signal(daemon: &Daemon, kind: &str) {
+    let kill = format!("kill -{kind} {}", daemon.child.id());
     assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
 }
 
@@ -397,10 +396,10 @@
     shut_with_one_behind(&old);
     let new = old.elsewhere().expect("free ports");
     std::fs::write(&daemon.config, "{\"name\":").expect("a file");
-    hang_up(&daemon);
+    signal(&daemon, "HUP");
     daemon.told("the configuration of before serves on");
     std::fs::write(&daemon.config, config(daemon.address, &new, Value::Null).to_string()).expect("a file");
-    hang_up(&daemon);
+    signal(&daemon, "HUP");
     daemon.told("ended reason=moved");
     new.wait("the watch has come to the new address", |state| state.watched == 2);
     old.close();
@@ -411,7 +410,7 @@
     new.wait("all slices have moved", |state| (0..8).all(|slice| state.owner(slice) == Some("s-c")));
     never_torn(&new);
     assert!(collector.alive());
-    hang_up(&daemon);
+    signal(&daemon, "HUP");
     assert!(daemon.alive(), "nothing has changed");
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -333,7 +333,8 @@
     fn decide(&mut self, out: &mut impl Orders) {
         self.lines = 0.0;
         self.joined = self.streams.iter().filter(|s| s.joined).count() as f64;
-        self.waiting = self.still_waiting().max(self.cost(self.unsent) * self.unsent.min(1.0));
+        let held = if self.unsent > 0.0 { self.cost(self.unsent) } else { 0.0 };
+        self.waiting = self.still_waiting().max(held);
         self.share = self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64;
         if !self.subscribed && self.now >= self.ask_at {
             self.ask_at = self.now + self.facts.ask_within;
