Cold servers are each one assigner's to fill, by a lot that all draw alike

Ruled out: leases (0 proxies absent), silent proxies, the channel (under 0.4 of its bound), no fit server for what is fenced (0 of 57). At fault: fits() measured own slices against own successes, so that five assigners each had a fifth of 0.15 to 0.5 of a server's 4.5 slices: less than one, and nobody could give a cold server anything until it was nearly warm. Now each cold server is one assigner's, by a number that all give it alike (its name's hash modulo the assigners that the settings tell); that one fills it alone to the same bound, the rest only in so far as they hold slices of those who have gone.

Also seen: 57 slices fenced and bare for up to 8 s (24 to 31 s) while shuts for suspects took each message that was left. What a shut begins owners now join, and shuts for suspects have the owners' part of the messages, drains and lists all.

Types without decisions moved to src/kept.rs.

--- a/benchlink/src/decode.rs
+++ b/benchlink/src/decode.rs
@@ -26,8 +26,10 @@
         _ => Standing::Gone,
     };
     let started = entry.get("start_time").and_then(Value::as_f64).filter(|&at| at != 0.0);
+    let task = number(entry, "task")? as u32;
     Ok(Listing {
-        task: number(entry, "task")? as u32,
+        task,
+        lot: task,
         standing,
         size: number(entry, "weight").ok(),
         started: started.map(Moment::from_secs),
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -13,6 +13,9 @@
 pub struct Facts {
     pub operations: Vec<Operation>,
     pub slices: usize,
+    /// How many assigners there are, and which of them this is, from 0.
+    pub assigners: usize,
+    pub position: usize,
     pub proxies: usize,
     pub list_on_request: bool,
     pub ask_within: Span,
@@ -53,6 +56,8 @@
 #[derive(Clone, Debug)]
 pub struct Listing {
     pub task: u32,
+    /// A number that all assigners give it alike, whatever they know it by.
+    pub lot: u32,
     pub standing: Standing,
     pub size: Option<f64>,
     pub started: Option<Moment>,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -53,6 +53,7 @@
 fleet! { now,
     task: u32 = 0,
     standing: Standing = Standing::Gone,
+    lot: u32 = 0,
     size: f64 = 1.0,
     started: Option<Moment> = None,
     heard: Moment = now,
--- /dev/null
+++ b/src/kept.rs
@@ -0,0 +1,45 @@
+//! What the module keeps of slices, of streams and of messages that it sent.
+
+use crate::time::Moment;
+
+/// A slice on its way from one owner to the next.
+#[derive(Clone, Copy)]
+pub struct Handover {
+    pub mark: u64,
+    pub since: Moment,
+    pub fence: Moment,
+}
+
+#[derive(Clone, Default)]
+pub struct Slice {
+    pub mine: bool,
+    pub owner: Option<usize>,
+    pub given: Moment,
+    pub republish: bool,
+    pub generation: u64,
+    pub handover: Option<Handover>,
+    pub rate: Option<Vec<f64>>,
+    /// The server that an operator wants it at.
+    pub wish: Option<usize>,
+    /// What its levels were last written for.
+    pub admitted: Option<f64>,
+}
+
+/// A proxy's stream: the marks it has been asked and has answered count only from `since` on.
+#[derive(Clone, Copy, Default)]
+pub struct Stream {
+    pub joined: bool,
+    pub parted: Moment,
+    pub since: u64,
+    /// The mark at which it joined for sure; what was told to be joined already may be told so again.
+    pub begun: u64,
+    pub asked: u64,
+    pub answered: u64,
+}
+
+/// A message: its mark and the lines it is for each proxy.
+pub struct Sent {
+    pub mark: u64,
+    pub at: Moment,
+    pub lines: f64,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 mod chance;
 mod facts;
 mod fleet;
+mod kept;
 mod orders;
 mod rules;
 mod time;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,7 @@
 use crate::chance::Pcg;
 use crate::facts::{Facts, Listing, Seen, Standing};
 use crate::fleet::Fleet;
+use crate::kept::{Handover, Sent, Slice, Stream};
 use crate::orders::Orders;
 use crate::time::{Moment, Span};
 
@@ -57,48 +58,6 @@
 const STALE: f64 = 8.0;
 const ENOUGH: f64 = 6.0;
 
-/// A slice on its way from one owner to the next.
-#[derive(Clone, Copy)]
-struct Handover {
-    mark: u64,
-    since: Moment,
-    fence: Moment,
-}
-
-#[derive(Clone, Default)]
-struct Slice {
-    mine: bool,
-    owner: Option<usize>,
-    given: Moment,
-    republish: bool,
-    generation: u64,
-    handover: Option<Handover>,
-    rate: Option<Vec<f64>>,
-    /// The server that an operator wants it at.
-    wish: Option<usize>,
-    /// What its levels were last written for.
-    admitted: Option<f64>,
-}
-
-/// A proxy's stream: the marks it has been asked and has answered count only from `since` on.
-#[derive(Clone, Copy, Default)]
-struct Stream {
-    joined: bool,
-    parted: Moment,
-    since: u64,
-    /// The mark at which it joined for sure; what was told to be joined already may be told so again.
-    begun: u64,
-    asked: u64,
-    answered: u64,
-}
-
-/// A message: its mark and the lines it is for each proxy.
-struct Sent {
-    mark: u64,
-    at: Moment,
-    lines: f64,
-}
-
 #[derive(Default)]
 pub struct Assigner {
     facts: Facts,
@@ -182,6 +141,7 @@
         for entry in entries {
             let i = self.fleet.at(entry.task, self.now);
             self.stand(i, entry.standing);
+            self.fleet.lot[i] = entry.lot;
             self.fleet.size[i] = entry.size.filter(|&s| s > 0.0).unwrap_or(1.0) * self.fleet.weight[i];
             if entry.started != self.fleet.started[i] {
                 self.fleet.started[i] = entry.started;
@@ -432,6 +392,10 @@
         self.cold_fair = self.fair_success();
         self.finish(out);
         self.evacuate(out);
+        // What shuts have begun owners may join: the messages left must not go to shuts alone.
+        if self.lines > 0.0 {
+            self.finish(out);
+        }
         self.grant(out);
         self.balance(out);
         self.relieve(out);
@@ -455,8 +419,11 @@
     /// Guards against listed servers that don't exist: where they can be probed, they must answer once.
     fn usable(&self, i: usize) -> bool {
         let proven = self.fleet.proven[i] || !self.facts.probes;
-        let open = self.fleet.standing[i] == Standing::Ready && !self.fleet.out[i];
-        open && self.fleet.suspect[i].is_none() && proven
+        self.listed_ready(i) && self.fleet.suspect[i].is_none() && proven
+    }
+
+    fn listed_ready(&self, i: usize) -> bool {
+        self.fleet.standing[i] == Standing::Ready && !self.fleet.out[i]
     }
 
     /// It drains, by the list or by hand.
@@ -555,12 +522,29 @@
         held.map_or(0.0, |s| s * self.share / self.pace(i).max(1e-3))
     }
 
-    /// Guards cold servers: they hold no more slices of this instance than a fair share, by their warmth, of
-    /// what all lately succeeded in for it: in an overload a fair share of demand is more than anyone can do.
+    /// Guards cold servers: they hold no more slices than a fair share, by their warmth, of what all lately
+    /// succeeded in: in an overload a fair share of demand is more than anyone can do. Each is one
+    /// instance's to fill, or the parts of many would be too small for a single slice.
     fn fits(&self, i: usize, extra: f64) -> bool {
-        let (warmth, own) = (self.warmth(i), self.load[i] - self.others[i]);
+        let own = self.load[i] - self.others[i];
+        self.warmth(i) >= 1.0 || own + extra <= self.cold_room(i) * self.part(i)
+    }
+
+    /// What a cold server may hold of all instances together.
+    fn cold_room(&self, i: usize) -> f64 {
         let share = self.facts.tip_multiple * COLD_SHARE;
-        warmth >= 1.0 || own + extra <= self.cold_fair * self.fleet.size[i] * warmth * share
+        self.cold_fair * self.fleet.size[i] * self.warmth(i) * share / self.share.max(1e-9)
+    }
+
+    /// The part of a cold server's room that is this instance's: all where its lot says so, else what it
+    /// holds of the slices beyond its own share, as others must have gone.
+    fn part(&self, i: usize) -> f64 {
+        let (count, lot) = (self.facts.assigners.max(1), self.fleet.lot[i] as usize);
+        if lot % count == self.facts.position {
+            return 1.0;
+        }
+        let count = count as f64;
+        ((self.share * count - 1.0) / (count - 1.0)).max(0.0)
     }
 
     /// What the usable servers succeed in, in the measure of heat, by size and warmth.
@@ -621,8 +605,7 @@
     /// Guards against leaving a slice bare: when no server will do for long, a warm one that is listed ready.
     fn last_resort(&self, handover: Handover) -> Option<usize> {
         let late = self.now - handover.since > self.facts.bare.times(0.5);
-        let open = |i: usize| self.fleet.standing[i] == Standing::Ready && !self.fleet.out[i];
-        let ready = |&i: &usize| late && open(i) && self.warmth(i) >= 1.0;
+        let ready = |&i: &usize| late && self.listed_ready(i) && self.warmth(i) >= 1.0;
         let least = |&a: &usize, &b: &usize| self.load[a].total_cmp(&self.load[b]);
         self.usables().filter(ready).min_by(least).or_else(|| self.all().filter(ready).min_by(least))
     }
@@ -649,9 +632,13 @@
         let drains = |t: usize| self.slices[t].owner.map(|i| !self.leaves(i));
         still.sort_by(|&a, &b| drains(a).cmp(&drains(b)).then(self.heat[b].total_cmp(&self.heat[a])));
         for &tbl in &still {
-            let fit = |&i: &usize| self.usable(i) && self.fits(i, -0.5 * (self.load[i] - self.others[i]));
+            let own = |i: usize| self.load[i] - self.others[i];
+            let full = |i: usize| self.warmth(i) < 1.0 && own(i) * 0.5 > self.cold_room(i);
+            let fit = |&i: &usize| self.usable(i) && !full(i);
             let owner = self.slices[tbl].owner;
-            if owner.filter(fit).is_none() && self.may_write(FOR_DRAIN) {
+            // Only rules 1 and 3 are in a hurry; for the rest there must be messages left to publish with.
+            let part = if owner.is_some_and(|i| self.listed_ready(i)) { FOR_OWNER } else { FOR_DRAIN };
+            if owner.filter(fit).is_none() && self.may_write(part) {
                 owner.inspect(|&i| self.load[i] -= self.heat[tbl]);
                 self.shut(tbl, out);
             }
--- a/state/src/reduce/list.rs
+++ b/state/src/reduce/list.rs
@@ -26,6 +26,7 @@
         let names: Vec<String> = by_hand.cloned().collect();
         let entries = members.endpoints.iter().map(|endpoint| Listing {
             task: self.names.number(&endpoint.name),
+            lot: lot(&endpoint.name),
             standing: endpoint.standing,
             size: endpoint.weight,
             started: self.clock.since(endpoint.since_ms),
@@ -35,3 +36,8 @@
         self.remind(&names);
     }
 }
+
+/// The same number for a name at every assigner (FNV-1a of its bytes, 32 bits).
+fn lot(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |sum, byte| (sum ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -60,6 +60,8 @@
     Facts {
         operations: vec![operation("read", 1.0, 1.0), operation("write", 5.0, 0.4)],
         slices: get("slices", 2.0) as usize,
+        assigners: get("assigners", 1.0) as usize,
+        position: get("position", 0.0) as usize,
         proxies: get("proxies", 2.0) as usize,
         list_on_request: given.contains_key("on_request"),
         ask_within: secs("ask_within", 10.0),
@@ -104,7 +106,8 @@
                     _ => Standing::Ready,
                 };
                 let started = (how == "cold").then(|| Moment::from_secs(now));
-                Listing { task: task.parse().expect(line), standing, size: None, started }
+                let task = task.parse().expect(line);
+                Listing { task, lot: task, standing, size: None, started }
             };
             to.listed(false, false, &words[1..].iter().map(entry).collect::<Vec<_>>());
         }
