--- a/replay/src/engine/assigners.rs
+++ b/replay/src/engine/assigners.rs
@@ -119,6 +119,9 @@
         for (key, value) in keys {
             configuration[key] = value;
         }
+        if let Some(settings) = configuration.get_mut("settings") {
+            settings["position"] = json!(assigner);
+        }
         let configuration = configuration.to_string();
         let epoch = Epoch { unix_ms: self.day.began_ms };
         self.driver.start(of, now, epoch, &configuration)?;
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -13,9 +13,9 @@
 pub struct Facts {
     pub operations: Vec<Operation>,
     pub slices: usize,
-    /// How many assigners there are, and which of them this is, from 0.
+    /// How many assigners there are, and which of them this is, from 0, where that is told.
     pub assigners: usize,
-    pub position: usize,
+    pub position: Option<usize>,
     pub proxies: usize,
     pub list_on_request: bool,
     pub ask_within: Span,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::facts::Standing;
-use crate::time::Moment;
+use crate::time::{Moment, Span};
 
 /// Declares parallel arrays under a dense index: a name, a type and the value that a new entry starts with.
 /// The second group is what a server's restart makes worthless.
@@ -57,6 +57,7 @@
     size: f64 = 1.0,
     started: Option<Moment> = None,
     heard: Moment = now,
+    span: Span = Span::default(),
     cut: Moment = now,
     probed: Option<Moment> = None,
     proven: bool = false,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -339,13 +339,14 @@
         let fleet = &mut self.fleet;
         let tries = tries.max(0.0);
         let lost = lost.clamp(0.0, tries);
-        let faded = 0.5f64.powf((self.now - fleet.heard[i]).secs() / self.facts.interval.times(FADE).secs());
+        let half = self.facts.interval.times(FADE).max(over);
+        let faded = 0.5f64.powf((self.now - fleet.heard[i]).secs() / half.secs());
         fleet.tries[i] = fleet.tries[i] * faded + tries;
         fleet.lost[i] = fleet.lost[i] * faded + lost;
         fleet.seconds[i] = fleet.seconds[i] * faded + (tries - lost) * elapsed.secs().max(0.0);
         fleet.ended[i] = fleet.ended[i] * faded + tries;
         fleet.over[i] = fleet.over[i] * faded + over.secs().max(0.0);
-        fleet.heard[i] = self.now;
+        (fleet.heard[i], fleet.span[i]) = (self.now, over);
         let field = self.facts.held_field.or(self.facts.busy_field);
         if let Some(value) = field.and_then(|k| report.get(k)).filter(|v| **v >= 0.0) {
             // A count in hand shows a jam at once; how busy the cores are swings, so its mean is kept.
@@ -537,14 +538,14 @@
     }
 
     /// The part of a cold server's room that is this instance's: all where its lot says so, else what it
-    /// holds of the slices beyond its own share, as others must have gone.
+    /// holds of the slices beyond its own share, as others must have gone. Its share where it can't be told.
     fn part(&self, i: usize) -> f64 {
-        let (count, lot) = (self.facts.assigners.max(1), self.fleet.lot[i] as usize);
-        if lot % count == self.facts.position {
-            return 1.0;
+        let count = self.facts.assigners;
+        match self.facts.position {
+            None => self.share,
+            Some(position) if self.fleet.lot[i] as usize % count == position => 1.0,
+            Some(_) => ((self.share * count as f64 - 1.0) / (count as f64 - 1.0)).max(0.0),
         }
-        let count = count as f64;
-        ((self.share * count - 1.0) / (count - 1.0)).max(0.0)
     }
 
     /// What the usable servers succeed in, in the measure of heat, by size and warmth.
@@ -753,7 +754,9 @@
         let shows = self.facts.push_delay_max + self.facts.interval.times(2.0);
         for i in self.usables().collect::<Vec<_>>() {
             let (tries, lost, admit) = (self.fleet.tries[i], self.fleet.lost[i], self.fleet.admit[i]);
-            if self.now - self.fleet.cut[i] < shows || (tries >= ENOUGH && lost >= tries) {
+            if self.now - self.fleet.cut[i] < shows.max(self.fleet.span[i])
+                || (tries >= ENOUGH && lost >= tries)
+            {
                 continue;
             }
             let answer = (self.fleet.seconds[i] / (tries - lost).max(1.0)).max(self.queue_time(i));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -61,7 +61,7 @@
         operations: vec![operation("read", 1.0, 1.0), operation("write", 5.0, 0.4)],
         slices: get("slices", 2.0) as usize,
         assigners: get("assigners", 1.0) as usize,
-        position: get("position", 0.0) as usize,
+        position: given.get("position").map(|v| v.parse().expect("position")),
         proxies: get("proxies", 2.0) as usize,
         list_on_request: given.contains_key("on_request"),
         ask_within: secs("ask_within", 10.0),
@@ -91,7 +91,7 @@
 }
 
 /// One event line: `list 1 2 cold:3 drain:4 gone:5`, `custody 0 1` (slice and stored owner), `join 0`, `part
-/// 0`, `answer 0 [old]`, `heard 1 tries lost seconds [held]`, `demand 0 operation tries`; by hand `out 1`, `back 1`,
+/// 0`, `answer 0 [old]`, `heard 1 tries lost seconds [held [span]]`, `demand 0 operation tries`; by hand `out 1`, `back 1`,
 /// `weigh 1 2.0`, `trust 1`, `judge 1`, `wish 0 1` (slice, server), which must not be refused, `no_wish 0 1`, which must.
 fn feed(to: &mut Assigner, line: &str, now: f64, mark: u16, old: u16) -> Result<(), String> {
     let words: Vec<&str> = line.split_whitespace().collect();
@@ -127,14 +127,8 @@
         }
         "heard" => {
             let report: Vec<f64> = words.get(5).map(|w| w.parse().expect(line)).into_iter().collect();
-            to.heard(
-                num(1)? as u32,
-                num(2)?,
-                num(3)?,
-                Span::from_secs(num(4)?),
-                Span::from_secs(1.0),
-                &report,
-            );
+            let over = Span::from_secs(if words.len() > 6 { num(6)? } else { 1.0 });
+            to.heard(num(1)? as u32, num(2)?, num(3)?, Span::from_secs(num(4)?), over, &report);
         }
         "demand" => to.demand(num(1)? as usize, num(2)? as usize, num(3)?, Span::from_secs(1.0)),
         "out" => to.by_hand(num(1)? as u32, true, 1.0),
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -23,8 +23,8 @@
     if (0.0..=65_535.0).contains(&number) { Ok(number as usize) } else { Err(wrong(of, key)) }
 }
 
-fn count_or(of: &Value, key: &str, usual: usize) -> Result<usize, Fail> {
-    if of.get(key).is_none_or(Value::is_null) { Ok(usual) } else { count(of, key) }
+fn maybe_count(of: &Value, key: &str) -> Result<Option<usize>, Fail> {
+    if of.get(key).is_none_or(Value::is_null) { Ok(None) } else { count(of, key).map(Some) }
 }
 
 pub fn span(of: &Value, key: &str) -> Result<Span, Fail> {
@@ -75,9 +75,8 @@
     Ok(Facts {
         operations: operations.collect::<Result<_, Fail>>()?,
         slices: count(own, "shards")?,
-        // Installations that tell neither have one.
-        assigners: count_or(of, "balancers", 1)?,
-        position: count_or(of, "position", 0)?,
+        assigners: maybe_count(of, "balancers")?.unwrap_or(1).max(1),
+        position: maybe_count(of, "position")?,
         proxies: count(own, "proxy_count")?,
         list_on_request: text(of, "registry_mode")? == "on_request",
         ask_within: span(rules, "ask_within")?,
