--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,6 +3,8 @@
 //! which only takes note, and then the round decides and writes through the `Orders` it was given. The
 //! interface is `Orders` in orders.rs, `Facts` and `Listing` in facts.rs, `Moment` and `Span` in time.rs.
 
+use std::collections::BTreeSet;
+
 use crate::chance::Pcg;
 use crate::facts::{Facts, Listing, Seen, Standing};
 use crate::fleet::Fleet;
@@ -66,7 +68,12 @@
     now: Moment,
     fleet: Fleet,
     slices: Vec<Slice>,
+    /// Slices on their way.
+    moving: BTreeSet<usize>,
     streams: Vec<Stream>,
+    /// The mark that all joined proxies have answered, and when the last of the others parted.
+    least_answered: u64,
+    last_parted: Option<Moment>,
     mark: u64,
     sent: Vec<Sent>,
     lines: f64,
@@ -281,6 +288,7 @@
     }
 
     pub fn custody(&mut self, tbl: usize, on: bool) {
+        self.moving.remove(&tbl);
         let slice = &mut self.slices[tbl];
         let rate = slice.rate.take();
         *slice = Slice { mine: on, given: self.now, republish: on, rate, ..Slice::default() };
@@ -324,7 +332,8 @@
             return;
         }
         let applied = self.sent.iter().find(|s| s.mark == mark).map_or(self.now, |s| s.at + elapsed);
-        for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
+        for &tbl in &self.moving {
+            let Some(handover) = &mut self.slices[tbl].handover else { continue };
             let needed = handover.mark.max(stream.since + 1);
             if stream.answered < needed && needed <= mark {
                 handover.fence = handover.fence.max(applied);
@@ -377,7 +386,12 @@
 
     fn decide(&mut self, out: &mut impl Orders) {
         self.lines = 0.0;
-        self.joined = self.streams.iter().filter(|s| s.joined).count() as f64;
+        let joined = || self.streams.iter().filter(|s| s.joined);
+        self.joined = joined().count() as f64;
+        // An answer from before a proxy's present stream counts for nothing.
+        let answers = joined().map(|s| if s.answered > s.since { s.answered } else { 0 });
+        self.least_answered = answers.min().unwrap_or(u64::MAX);
+        self.last_parted = self.streams.iter().filter(|s| !s.joined).map(|s| s.parted).max();
         let held = if self.unsent > 0.0 { self.cost(self.unsent) } else { 0.0 };
         self.waiting = self.still_waiting().max(held);
         self.share = self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64;
@@ -569,7 +583,7 @@
     // --- moves ---
 
     fn open(&self) -> impl Iterator<Item = usize> {
-        (0..self.slices.len()).filter(|&t| self.slices[t].handover.is_some())
+        self.moving.iter().copied()
     }
 
     /// Publishes what is fenced, the hottest first, but what has long been bare before all, or the coolest
@@ -614,14 +628,12 @@
     /// The fence: every joined proxy has answered the shut, every other has been gone for a lease, and what
     /// they had in hand has settled.
     fn fenced(&self, tbl: usize, handover: Handover) -> bool {
-        let answered = |s: &Stream| !s.joined || s.answered >= handover.mark.max(s.since + 1);
-        self.streams.iter().all(answered) && self.now >= self.fence_due(tbl, handover)
+        self.least_answered >= handover.mark && self.now >= self.fence_due(tbl, handover)
     }
 
     fn fence_due(&self, tbl: usize, handover: Handover) -> Moment {
-        let absent = self.streams.iter().filter(|s| !s.joined);
-        let leases = absent.map(|s| s.parted.max(self.slices[tbl].given) + self.facts.lease);
-        leases.fold(handover.fence, Moment::max) + self.facts.settle
+        let lease = self.last_parted.map(|at| at.max(self.slices[tbl].given) + self.facts.lease);
+        lease.map_or(handover.fence, |at| at.max(handover.fence)) + self.facts.settle
     }
 
     /// Moves the slices of servers that drain, then of those gone, suspect or too full for a cold one. Given
@@ -831,6 +843,7 @@
     fn shut(&mut self, tbl: usize, out: &mut impl Orders) {
         let (mark, since) = (self.mark + 1, self.now);
         self.slices[tbl].handover = Some(Handover { mark, since, fence: since });
+        self.moving.insert(tbl);
         self.lines += 1.0;
         if let Some(i) = self.slices[tbl].owner {
             out.shut(tbl, self.fleet.task[i]);
@@ -840,6 +853,7 @@
     /// Raises the generation and publishes the owner. Guards slices that are shut: only a cold owner's levels
     /// go along at once, others follow where the message has room.
     fn publish(&mut self, tbl: usize, i: usize, out: &mut impl Orders) {
+        self.moving.remove(&tbl);
         let slice = &mut self.slices[tbl];
         slice.generation += 1;
         (slice.handover, slice.republish, slice.owner, slice.wish) = (None, false, Some(i), None);
