--- a/state/benches/size.rs
+++ b/state/benches/size.rs
@@ -4,10 +4,10 @@
 mod fleet;
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
-use fleet::Fleet;
+use fleet::{Fleet, Load};
 
 fn sizes(criterion: &mut Criterion) {
-    let loads: [(&str, fn(&mut Fleet)); 4] = [
+    let loads: [(&str, Load); 4] = [
         ("a second of reports", Fleet::reports),
         ("a quarter of the proxies come again", Fleet::burst),
         ("all proxies answer", Fleet::answers),
--- a/state/tests/fleet/mod.rs
+++ b/state/tests/fleet/mod.rs
@@ -7,6 +7,9 @@
 };
 use serde_json::{Value, json};
 
+/// What a fleet goes through.
+pub type Load = fn(&mut Fleet);
+
 pub struct Fleet {
     state: State,
     pub now: Moment,
--- a/state/tests/growth.rs
+++ b/state/tests/growth.rs
@@ -6,7 +6,7 @@
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use fleet::Fleet;
+use fleet::{Fleet, Load};
 use rstest::rstest;
 
 static TAKEN: AtomicUsize = AtomicUsize::new(0);
@@ -28,7 +28,7 @@
 static ALLOCATOR: Counting = Counting;
 
 /// Allocations and written bytes of a load at a size.
-fn work(proxies: u16, load: fn(&mut Fleet)) -> (f64, f64) {
+fn work(proxies: u16, load: Load) -> (f64, f64) {
     let mut fleet = Fleet::new(proxies);
     fleet.reports();
     let (taken, written) = (TAKEN.load(Ordering::Relaxed), fleet.written);
@@ -39,7 +39,7 @@
 /// The fleet grows fourfold. Tests of this file run one after another: the count is the process's.
 #[rstest]
 fn work_grows_no_faster_than_the_fleet() {
-    let loads: [(&str, fn(&mut Fleet), f64); 4] = [
+    let loads: [(&str, Load, f64); 4] = [
         // As many reports come at any size.
         ("reports", Fleet::reports, 1.5),
         ("burst", Fleet::burst, 4.2),
