--- a/src/rules.rs
+++ b/src/rules.rs
@@ -348,7 +348,9 @@
         let fleet = &mut self.fleet;
         let tries = tries.max(0.0);
         let lost = lost.clamp(0.0, tries);
-        let half = self.facts.interval.times(FADE).max(over);
+        // Where there are no levels only the mover gives relief, which needs the newest picture of a jam.
+        let least = if self.facts.levels_work { over } else { Span::default() };
+        let half = self.facts.interval.times(FADE).max(least);
         let faded = 0.5f64.powf((self.now - fleet.heard[i]).secs() / half.secs());
         fleet.tries[i] = fleet.tries[i] * faded + tries;
         fleet.lost[i] = fleet.lost[i] * faded + lost;
