The rig's client never repeats a vote whose forwarder hung up on it

Checked: the forwarder's flight never repeats a write that may have run, and its log shows one try. Faulty was the rig's own client, rig/src/load.rs: awc tells a connection that closed before an answer as ConnectError::Disconnected, and every Connect error counted as nothing sent, so the client went to the next forwarder under the same number. The daemon's relay and the registry's client tell the two apart already. A test with listeners that take all and hang up fails without it.

--- a/rig/src/load.rs
+++ b/rig/src/load.rs
@@ -9,6 +9,7 @@
 
 use actix_rt::time::{sleep, sleep_until, timeout};
 use awc::Client;
+use awc::error::{ConnectError, SendRequestError};
 use hdrhistogram::Histogram;
 use lynxmill::Pcg;
 
@@ -134,7 +135,9 @@
         let call =
             call.insert_header(("x-id", id.to_owned())).insert_header(("x-client", format!("c{client}")));
         match call.send_body("ballot").await {
-            Err(awc::error::SendRequestError::Connect(_)) => Said::Broke { sent: false },
+            // Closed before an answer is told as of connecting too, but all of it may have gone out.
+            Err(SendRequestError::Connect(ConnectError::Disconnected)) => Said::Broke { sent: true },
+            Err(SendRequestError::Connect(_)) => Said::Broke { sent: false },
             Err(_) => Said::Broke { sent: true },
             Ok(mut answer) => {
                 let head =
--- a/rig/tests/rules.rs
+++ b/rig/tests/rules.rs
@@ -1,6 +1,10 @@
 //! Assigners, forwarders and servers on loopback, the programs as they are, while what can go wrong does: all rules are
 //! checked from what really ran.
 
+use std::collections::BTreeSet;
+use std::io::Read;
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use lynxmill_rig::{Load, Rig, Tally, Trouble, Troubles, Wish};
@@ -176,3 +180,38 @@
         votes_count(&rig, &tally);
     });
 }
+
+/// Whoever takes a vote whole and hangs up before the answer may have passed it on: its client does not come again.
+#[test]
+fn a_client_never_repeats_a_vote_that_went_out() {
+    actix_rt::System::new().block_on(async {
+        let listeners = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+        let ports = listeners.each_ref().map(|listener| listener.local_addr().expect("bound"));
+        let taken = Arc::new(Mutex::new(Vec::new()));
+        for listener in listeners {
+            let taken = taken.clone();
+            std::thread::spawn(move || {
+                for mut stream in listener.incoming().map_while(Result::ok) {
+                    let mut read = Vec::new();
+                    let mut piece = [0; 4096];
+                    while !read.ends_with(b"ballot") {
+                        match stream.read(&mut piece) {
+                            Ok(n) if n > 0 => read.extend_from_slice(&piece[..n]),
+                            _ => break,
+                        }
+                    }
+                    let text = String::from_utf8_lossy(&read).to_lowercase();
+                    let id = text.lines().find_map(|line| line.strip_prefix("x-id: ")).map(str::to_owned);
+                    taken.lock().expect("no panic").extend(id);
+                }
+            });
+        }
+        let load = Load::new(&ports, 6);
+        load.run(60.0, Duration::from_secs(1)).await;
+        let taken = taken.lock().expect("no panic");
+        let votes: Vec<&String> = taken.iter().filter(|id| id.starts_with("vote-")).collect();
+        let once: BTreeSet<&String> = votes.iter().copied().collect();
+        assert!(!votes.is_empty() && votes.len() == once.len(), "{votes:?}");
+        assert!(taken.len() > votes.len() + 20, "lookups come again: {taken:?}");
+    });
+}
