A position beyond the assigners told is refused in one clear line

An operator's slip (position 5 of 5, counted from 1) left the cold servers of that lot to nobody until they were warm, without a word.

--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -61,6 +61,17 @@
         .collect())
 }
 
+/// How many assigners there are, and which of them this is where that is told, counted from 0.
+fn assigners(of: &Value) -> Result<(usize, Option<usize>), Fail> {
+    let (count, position) = (maybe_count(of, "balancers")?.unwrap_or(1).max(1), maybe_count(of, "position")?);
+    match position {
+        Some(at) if at >= count => {
+            Err(format!("`position` {at} is not one of `balancers` {count}, which count from 0"))
+        }
+        _ => Ok((count, position)),
+    }
+}
+
 pub fn facts(of: &Value) -> Result<Facts, Fail> {
     let (own, rules) = (field(of, "specifics")?, field(of, "rules")?);
     let operations = list(of, "classes")?.iter().map(|class| {
@@ -72,11 +83,12 @@
     });
     let fields = report_fields(of)?;
     let report_field = |name| fields.iter().position(|f| f == name);
+    let (assigners, position) = assigners(of)?;
     Ok(Facts {
         operations: operations.collect::<Result<_, Fail>>()?,
         slices: count(own, "shards")?,
-        assigners: maybe_count(of, "balancers")?.unwrap_or(1).max(1),
-        position: maybe_count(of, "position")?,
+        assigners,
+        position,
         proxies: count(own, "proxy_count")?,
         list_on_request: text(of, "registry_mode")? == "on_request",
         ask_within: span(rules, "ask_within")?,
