--- a/cli/src/day.rs
+++ b/cli/src/day.rs
@@ -53,6 +53,12 @@
         /// What goes wrong, in turn.
         #[arg(long, value_delimiter = ',', value_parser = clap::builder::PossibleValuesParser::new(TROUBLES))]
         troubles: Vec<String>,
+        /// They begin whenever chance has it, and run into one another.
+        #[arg(long)]
+        overlap: bool,
+        /// Lines a second that a channel carries for each forwarder; without it more than is needed.
+        #[arg(long)]
+        pace: Option<f64>,
     },
 }
 
@@ -160,10 +166,34 @@
             save(&to, &lynxmill_day::merge(days).map_err(|fault| Fail::BadDay(fault.to_string()))?)
         }
         Command::Rebuild { day, to } => save(&to, &rebuild(&open(&day)?.0).map_err(Fail::BadDay)?),
-        Command::Make { to, seed, seconds, forwarders, servers, assigners, slices, load, troubles } => {
+        Command::Make {
+            to,
+            seed,
+            seconds,
+            forwarders,
+            servers,
+            assigners,
+            slices,
+            load,
+            troubles,
+            overlap,
+            pace,
+        } => {
             let name =
                 to.file_stem().map_or_else(|| "made".into(), |stem| stem.to_string_lossy().into_owned());
-            let made = Made { name, seed, seconds, forwarders, servers, assigners, slices, load, troubles };
+            let made = Made {
+                name,
+                seed,
+                seconds,
+                forwarders,
+                servers,
+                assigners,
+                slices,
+                load,
+                troubles,
+                overlap,
+                pace,
+            };
             save(&to, &make(&made).map_err(Fail::BadSetting)?)
         }
     }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod day;
 mod end;
 mod help;
+mod hunt;
 mod registry;
 mod replay;
 mod settings;
@@ -30,6 +31,8 @@
     /// Recorded days: look, check, cut, merge, make, rebuild.
     #[command(subcommand)]
     Day(day::Command),
+    /// Days from seeds with troubles that run into one another: which of them break a rule.
+    Hunt(hunt::Wish),
     /// The tables in a key-value registry: look, follow, save and restore.
     #[command(subcommand)]
     Registry(registry::Command),
@@ -53,6 +56,7 @@
     let ended = match Line::parse().command {
         Command::Ctl(wish) => ctl::run(&wish),
         Command::Day(command) => day::run(command),
+        Command::Hunt(wish) => hunt::run(&wish),
         Command::Registry(command) => registry::run(command),
         Command::Replay(wish) => replay::run(&wish),
         Command::Settings(wish) => settings::run(&wish),
--- a/day/src/parts.rs
+++ b/day/src/parts.rs
@@ -161,6 +161,13 @@
     ChannelSlows(u16, f64, i64),
     /// What becomes of that assigner's next call: carried out or not, its answer never comes.
     CallLost(u16, bool),
+    /// A server takes so many times longer for a while, or turns all away at once.
+    ServerSlows(u32, f64, i64),
+    ServerRefuses(u32, i64),
+    /// Discovery tells of everything so much later, for a while.
+    ListLags(i64, i64),
+    /// This share of an assigner's reports comes spoilt, for a while.
+    ReportsSpoil(u16, f64, i64),
 }
 
 impl World {
@@ -169,14 +176,20 @@
         use Happening::*;
         let forwarder = |f: &u16| usize::from(*f) < self.forwarders.len();
         let assigner = |a: &u16| usize::from(*a) < self.assigners.len();
+        let server = |s: &u32| (*s as usize) < self.servers.len();
         match what {
             ForwarderDies(f) | ForwarderReturns(f) | ForwarderStalls(f, _) | CutOff(f, _) => forwarder(f),
             StreamBreaks(f, a) => forwarder(f) && assigner(a),
             AssignerDies(a) | AssignerReturns(a) | AssignerStalls(a, _) | CallLost(a, _) => assigner(a),
             ChannelSlows(a, factor, _) => assigner(a) && *factor >= 1.0,
-            ServerStarts(s) | ServerDrains(s) | ServerEnds(s) | ServerFallsSilent(s) => {
-                (*s as usize) < self.servers.len()
-            }
+            ServerStarts(s)
+            | ServerDrains(s)
+            | ServerEnds(s)
+            | ServerFallsSilent(s)
+            | ServerRefuses(s, _) => server(s),
+            ServerSlows(s, factor, _) => server(s) && *factor >= 1.0,
+            ListLags(later, _) => *later >= 0,
+            ReportsSpoil(a, share, _) => assigner(a) && (0.0..=1.0).contains(share),
         }
     }
 }
--- a/replay/src/chance.rs
+++ b/replay/src/chance.rs
@@ -14,6 +14,8 @@
     Read,
     Seed,
     Made,
+    Spoilt,
+    Hunt,
 }
 
 pub struct Chance(Pcg32);
--- a/replay/src/engine.rs
+++ b/replay/src/engine.rs
@@ -110,6 +110,8 @@
     names: BTreeMap<String, u32>,
     /// Discovery's list: each change with its version, which is its place.
     listed: Vec<(u32, lynxmill::Standing, f64)>,
+    /// Discovery tells so much later until then.
+    lag: (Span, Moment),
     invocations: BTreeMap<usize, Invocation>,
     tries: BTreeMap<u64, Try>,
     last_try: u64,
@@ -216,6 +218,7 @@
             servers,
             names,
             listed: Vec::new(),
+            lag: (span(0), Moment::default()),
             invocations: BTreeMap::new(),
             tries: BTreeMap::new(),
             last_try: 0,
--- a/replay/src/engine/assigners.rs
+++ b/replay/src/engine/assigners.rs
@@ -55,6 +55,8 @@
     pub parting: Vec<Moment>,
     pub channel: Channel,
     pub lost_calls: VecDeque<bool>,
+    /// This share of reports comes spoilt until then.
+    pub spoil: (f64, Moment),
     sums: BTreeMap<Row, Sum>,
     last_sum: BTreeMap<Row, Moment>,
 }
@@ -76,6 +78,7 @@
             parting: vec![Moment::default(); forwarders],
             channel: Channel::new(forwarders),
             lost_calls: VecDeque::new(),
+            spoil: (0.0, Moment::default()),
             sums: BTreeMap::new(),
             last_sum: BTreeMap::new(),
         }
@@ -381,8 +384,11 @@
     pub(super) fn list(&mut self, server: u32, standing: Standing, since_ms: f64, after: i64) {
         self.listed.push((server, standing, since_ms));
         let index = self.listed.len() as u64;
+        let now = self.agenda.now();
+        let (lag, until) = self.lag;
+        let after = span(after) + if now < until { lag } else { span(0) };
         for a in 0..self.nodes.len() {
-            self.agenda.at(self.agenda.now() + span(after), Due::Agent(a, index));
+            self.agenda.at(now + after, Due::Agent(a, index));
         }
     }
 
@@ -492,7 +498,10 @@
         let now = self.agenda.now();
         let interval = self.terms.interval;
         let most = (self.terms.ingest * interval.secs()).max(1.0) as usize;
+        let mut draw = self.draw(For::Spoilt, of.assigner.into(), now.micros() as u64);
         let Some(node) = self.node(of) else { return };
+        let (share, until) = node.spoil;
+        let share = if now < until { share } else { 0.0 };
         let mut rows: Vec<(Moment, Row)> = node.sums.iter().map(|(row, sum)| (sum.since, *row)).collect();
         rows.sort_unstable();
         let mut said = Vec::new();
@@ -524,6 +533,8 @@
                     (0, Message::Asked(Asked { slice, operation, tries: sum.tries.into(), span_ms }))
                 }
             };
+            let spoilt = share > 0.0 && draw.unit() < share;
+            let message = if spoilt { Message::Spoilt("cut short".to_owned()) } else { message };
             self.tell_at(of, at, Event::Said(id as u64, message));
         }
         self.agenda.at(now + interval, Due::Report(of));
--- a/replay/src/engine/fleet.rs
+++ b/replay/src/engine/fleet.rs
@@ -47,6 +47,8 @@
                 node.stalled_until = node.stalled_until.max(now + span(length));
             }
             Happening::ServerStarts(s) => {
+                // One that runs loses what it has in hand.
+                self.server_down(s, Running::Down);
                 self.servers[s as usize].start(now);
                 let since = self.day.began_ms + now.micros() as f64 / 1e3;
                 self.list(s, Standing::Ready, since, link.listed);
@@ -66,6 +68,14 @@
                 self.nodes[usize::from(a)].channel.slow(factor, now + span(length));
             }
             Happening::CallLost(a, done) => self.nodes[usize::from(a)].lost_calls.push_back(done),
+            Happening::ServerSlows(s, factor, length) => {
+                self.servers[s as usize].slow(factor, now + span(length));
+            }
+            Happening::ServerRefuses(s, length) => self.servers[s as usize].refuse(now + span(length)),
+            Happening::ListLags(later, length) => self.lag = (span(later), now + span(length)),
+            Happening::ReportsSpoil(a, share, length) => {
+                self.nodes[usize::from(a)].spoil = (share, now + span(length));
+            }
         }
         Ok(())
     }
--- a/replay/src/loopback.rs
+++ b/replay/src/loopback.rs
@@ -29,7 +29,7 @@
 }
 
 /// A message as a collector spells it.
-fn spelled(message: &Message) -> Result<String, Fail> {
+fn spelled(message: &Message) -> String {
     let words: Vec<String> = match message {
         Message::Heartbeat => vec!["hb".into()],
         Message::Zone(zone) => vec!["telemetry".into(), "zone".into(), zone.clone()],
@@ -53,9 +53,10 @@
             words.extend(["span_ms".into(), asked.span_ms.to_string()]);
             words
         }
-        Message::Spoilt(_) => return Err("a spoilt report has no spelling of its own".to_owned()),
+        // Cut short before its figures.
+        Message::Spoilt(_) => vec!["upstream_stats".into(), "zone".into()],
     };
-    Ok(resp(&words))
+    resp(&words)
 }
 
 /// News as the relay spells them.
@@ -88,7 +89,7 @@
         Event::Begin => ("begin", json!(true)),
         Event::Wake => ("wake", json!(true)),
         Event::Opened(id) => ("opened", json!(id)),
-        Event::Said(id, message) => ("said", json!([id, spelled(message)?])),
+        Event::Said(id, message) => ("said", json!([id, spelled(message)])),
         Event::Ended(id) => ("ended", json!(id)),
         Event::WatchBegun => ("watch", json!("begun")),
         Event::WatchEnded => ("watch", json!("ended")),
--- a/replay/src/make.rs
+++ b/replay/src/make.rs
@@ -8,10 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::chance::{Chance, For};
-
-/// What can go wrong in a made day.
-pub const TROUBLES: [&str; 10] =
-    ["deploy", "deaths", "breaks", "stalls", "cutoff", "silent", "assigner", "join", "slow", "lost"];
+use crate::unfold::{possible, unfold};
 
 #[derive(Clone, Debug)]
 pub struct Made {
@@ -26,6 +23,10 @@
     pub load: f64,
     /// Of `TROUBLES`, in the order in which they come.
     pub troubles: Vec<String>,
+    /// They begin whenever chance has it, and run into one another.
+    pub overlap: bool,
+    /// Lines a second that a channel carries for each forwarder; without it, more than is ever needed.
+    pub pace: Option<f64>,
 }
 
 impl Default for Made {
@@ -40,24 +41,27 @@
             slices: 60,
             load: 0.5,
             troubles: Vec::new(),
+            overlap: false,
+            pace: None,
         }
     }
 }
 
-const ZONES: [&str; 3] = ["east", "west", "north"];
+pub(crate) const ZONES: [&str; 3] = ["east", "west", "north"];
 /// Work of a lookup and of a vote on one core, in microseconds on average, and the lookups' share.
 const WORK: [f64; 2] = [180_000.0, 80_000.0];
 const LOOKUPS: f64 = 0.5;
 const COLD_FOR: i64 = 12_000_000;
 
-fn micros(seconds: f64) -> i64 {
+pub(crate) fn micros(seconds: f64) -> i64 {
     (seconds * 1e6).round() as i64
 }
 
 /// Figures of the settings follow from the size: what can't be put off must fit into channel and messages twice.
 fn settings(of: &Made) -> Value {
     let (slices, forwarders) = (f64::from(of.slices), f64::from(of.forwarders));
-    let lines_per_s = (slices * forwarders * 16.0).max(4000.0).round();
+    let ample = (slices * forwarders * 16.0).max(4000.0).round();
+    let lines_per_s = of.pace.map_or(ample, |pace| (pace * forwarders).max(1.0).round());
     json!({
         "balancers": of.assigners,
         "classes": [
@@ -161,94 +165,6 @@
     }
 }
 
-/// A part of a dense range, at least one, by chance.
-fn some(most: u16, part: f64, chance: &mut Chance) -> Vec<u16> {
-    let mut all: Vec<u16> = (0..most).collect();
-    let count = ((f64::from(most) * part).round() as usize).clamp(1, all.len().max(1));
-    (0..count.min(all.len())).map(|_| all.swap_remove(chance.below(all.len()))).collect()
-}
-
-/// One trouble that begins at `from` and has `over` to unfold.
-fn unfold(
-    kind: &str,
-    of: &Made,
-    from: f64,
-    over: f64,
-    chance: &mut Chance,
-) -> Result<Vec<(f64, Happening)>, Fail> {
-    let (fs, ss, aa) = (of.forwarders, of.servers, of.assigners);
-    let mut out = Vec::new();
-    match kind {
-        // One server after the other drains, ends and is back cold.
-        "deploy" => {
-            let due = some(ss, 0.5, chance);
-            let each = over / due.len() as f64;
-            for (k, s) in due.into_iter().enumerate() {
-                let at = from + each * k as f64;
-                out.push((at, Happening::ServerDrains(s.into())));
-                out.push((at + 7.0, Happening::ServerEnds(s.into())));
-                out.push((at + 8.0, Happening::ServerStarts(s.into())));
-            }
-        }
-        "deaths" => {
-            for f in some(fs, 0.4, chance) {
-                let at = from + chance.between(0.0, over * 0.3);
-                out.push((at, Happening::ForwarderDies(f)));
-                out.push((at + chance.between(1.3, 4.7), Happening::ForwarderReturns(f)));
-            }
-        }
-        "breaks" | "join" => {
-            let (part, spread) = if kind == "join" { (1.0, 0.05) } else { (0.5, over * 0.5) };
-            for f in some(fs, part, chance) {
-                for a in 0..aa {
-                    out.push((from + chance.between(0.0, spread), Happening::StreamBreaks(f, a)));
-                }
-            }
-        }
-        "stalls" => {
-            for k in 0..4 {
-                for f in some(fs, 0.5, chance) {
-                    let at = from + over * 0.2 * f64::from(k) + chance.unit();
-                    out.push((at, Happening::ForwarderStalls(f, micros(chance.between(0.5, 1.4)))));
-                }
-                out.push((from + over * 0.2 * f64::from(k), Happening::AssignerStalls(0, micros(0.8))));
-            }
-        }
-        "cutoff" => {
-            for f in some(fs, 0.3, chance) {
-                out.push((from + chance.unit(), Happening::CutOff(f, micros(chance.between(5.0, 9.0)))));
-            }
-        }
-        "silent" => {
-            for s in some(ss, 0.1, chance) {
-                out.push((from, Happening::ServerFallsSilent(s.into())));
-                out.push((from + over * 0.6, Happening::ServerStarts(s.into())));
-            }
-        }
-        // Killed while its first orders of a drain are on their way.
-        "assigner" => {
-            let s = u32::from(chance.below(ss.into()) as u16);
-            out.push((from, Happening::ServerDrains(s)));
-            out.push((from + 2.0, Happening::AssignerDies(0)));
-            out.push((from + 6.0, Happening::AssignerReturns(0)));
-            out.push((from + 12.0, Happening::ServerEnds(s)));
-        }
-        "slow" => {
-            for a in 0..aa {
-                out.push((from, Happening::ChannelSlows(a, 2.5, micros(over * 0.6))));
-            }
-        }
-        "lost" => {
-            for k in 0..8 {
-                let at = from + over * f64::from(k) / 8.0;
-                out.push((at, Happening::CallLost(k as u16 % aa, k % 3 != 0)));
-            }
-        }
-        other => return Err(format!("no trouble {other:?}; there are {}", TROUBLES.join(", "))),
-    }
-    Ok(out)
-}
-
 /// Makes a day: the same wishes, the same day.
 ///
 /// # Errors
@@ -261,14 +177,15 @@
     let world = world(of, &mut chance);
     let asks = asks(of, &world, &mut Chance::of(of.seed, For::Made, 1, 0));
     let mut chance = Chance::of(of.seed, For::Made, 2, 0);
-    // Troubles follow one another from a tenth of the day on.
-    let each = of.seconds * 0.85 / of.troubles.len().max(1) as f64;
+    // Troubles follow one another from a tenth of the day on, or each has a third of it, wherever.
+    let each = of.seconds * if of.overlap { 0.33 } else { 0.85 / of.troubles.len().max(1) as f64 };
     let mut troubles = Vec::new();
     for (k, kind) in of.troubles.iter().enumerate() {
-        let from = of.seconds * 0.1 + each * k as f64;
-        troubles.extend(unfold(kind, of, from, each, &mut chance)?);
+        let after = if of.overlap { chance.between(0.0, 0.5) * of.seconds } else { each * k as f64 };
+        troubles.extend(unfold(kind, of, of.seconds * 0.1 + after, each, &mut chance)?);
     }
     troubles.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let troubles = possible(troubles, of);
     let configuration = json!({
         "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:2", "seed": "1",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
--- a/replay/src/server.rs
+++ b/replay/src/server.rs
@@ -52,6 +52,10 @@
     kind: Kind,
     pub running: Running,
     pub started: Option<Moment>,
+    /// It takes so many times longer until then, and turns all away until then.
+    slower: f64,
+    slow_until: Moment,
+    refuses_until: Moment,
     on_core: Vec<Job>,
     waiting: VecDeque<Job>,
     met: Vec<Met>,
@@ -67,6 +71,9 @@
             kind,
             running,
             started: None,
+            slower: 1.0,
+            slow_until: Moment::default(),
+            refuses_until: Moment::default(),
             on_core: Vec::new(),
             waiting: VecDeque::new(),
             met: vec![Met::default(); slices],
@@ -102,6 +109,14 @@
         lost
     }
 
+    pub fn slow(&mut self, factor: f64, until: Moment) {
+        (self.slower, self.slow_until) = (factor, until);
+    }
+
+    pub fn refuse(&mut self, until: Moment) {
+        self.refuses_until = until;
+    }
+
     pub fn in_hand(&self) -> usize {
         self.on_core.len() + self.waiting.len()
     }
@@ -123,6 +138,7 @@
         let strength = self.strength(job.slice, now);
         self.met[job.slice] = Met { strength: strength + (1.0 - strength) * LEARNS, at: now };
         let speed = self.kind.speed * self.warmth(now) * (1.0 + self.kind.gain * strength);
+        let speed = if now < self.slow_until { speed / self.slower } else { speed };
         self.on_core.push(job);
         now + job.work.times(1.0 / speed)
     }
@@ -150,6 +166,7 @@
         match self.running {
             Running::Down | Running::Fallen => return Took::Refused,
             Running::Silent => return Took::Nothing,
+            Running::Up if now < self.refuses_until => return Took::Full,
             Running::Up => {}
         }
         if self.falls(now, job.work, tip_multiple, tip_after) {
--- a/replay/src/sweep.rs
+++ b/replay/src/sweep.rs
@@ -32,8 +32,6 @@
     driver: impl Fn() -> Result<D, Fail> + Sync,
     done: impl Fn(usize) + Sync,
 ) -> Result<Vec<Report>, Fail> {
-    let next = AtomicUsize::new(0);
-    let played: Mutex<Vec<Option<Result<Report, Fail>>>> = Mutex::new(cases.iter().map(|_| None).collect());
     let name = digest(day)?;
     let one = |case: &Case| {
         let changed = effective(day, case)?.iter().map(Change::text).collect();
@@ -42,22 +40,38 @@
         let how = Play { changed, digest: Some(name.clone()), ..Play::default() };
         play(&day, &configuration, &how, driver()?).map(|played| played.report)
     };
-    let cores = std::thread::available_parallelism().map_or(1, usize::from).min(cases.len().max(1));
+    let played = on_all_cores(cases.len(), |at| {
+        let report = one(&cases[at]);
+        done(at);
+        report
+    })?;
+    played.into_iter().collect()
+}
+
+/// Does each of so many on all cores; what came of them is in their order whatever core was quicker.
+///
+/// # Errors
+/// One of them did not come to its end.
+pub fn on_all_cores<T: Send>(count: usize, one: impl Fn(usize) -> T + Sync) -> Result<Vec<T>, Fail> {
+    let next = AtomicUsize::new(0);
+    let ended: Mutex<Vec<Option<T>>> = Mutex::new((0..count).map(|_| None).collect());
+    let cores = std::thread::available_parallelism().map_or(1, usize::from).min(count.max(1));
     std::thread::scope(|scope| {
         for _ in 0..cores {
             scope.spawn(|| {
                 loop {
                     let at = next.fetch_add(1, Ordering::Relaxed);
-                    let Some(case) = cases.get(at) else { return };
-                    let report = one(case);
-                    if let Ok(mut played) = played.lock() {
-                        played[at] = Some(report);
+                    if at >= count {
+                        return;
+                    }
+                    let came = one(at);
+                    if let Ok(mut ended) = ended.lock() {
+                        ended[at] = Some(came);
                     }
-                    done(at);
                 }
             });
         }
     });
-    let played = played.into_inner().map_err(|_| "a play panicked".to_owned())?;
-    played.into_iter().map(|report| report.unwrap_or_else(|| Err("a play did not end".to_owned()))).collect()
+    let ended = ended.into_inner().map_err(|_| "a play panicked".to_owned())?;
+    ended.into_iter().map(|came| came.ok_or_else(|| "a play did not end".to_owned())).collect()
 }
