A fence waits for those who owe its shut, not for whoever parted or joined last

A trace of one slice showed why. In decide(), last_parted was the newest parting of any proxy, so each further death began a new lease for all slices, also of proxies that had answered the shut long before; least_answered took only answers on the present stream, so with 160 joins a second some answer was always missing; and marks for joiners who owed nothing used up the messages that owners needed. Ruled out: the channel (200,000 of 540,000 lines) and lost calls (none).

Now each proxy is judged by what it owes: one that answered a shut is rid of the line for good; one that came back to a store with the shut in it (shown by an answer heard more than push_delay_max before it joined) is rid of it a lease after it parted, whatever its stream does after; all others as before. An answer to a mark from before its stream is nothing, as before.

--- a/src/kept.rs
+++ b/src/kept.rs
@@ -33,7 +33,11 @@
     pub since: u64,
     /// The mark at which it joined for sure; what was told to be joined already may be told so again.
     pub begun: u64,
+    /// The newest mark that was in the store for certain when it came back, and when it had parted before.
+    pub shown: u64,
+    pub rid: Moment,
     pub asked: u64,
+    /// The newest that it answered, on this stream or one before.
     pub answered: u64,
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,7 +3,7 @@
 //! which only takes note, and then the round decides and writes through the `Orders` it was given. The
 //! interface is `Orders` in orders.rs, `Facts` and `Listing` in facts.rs, `Moment` and `Span` in time.rs.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::chance::Pcg;
 use crate::facts::{Facts, Listing, Seen, Standing};
@@ -59,6 +59,7 @@
 const FADE: f64 = 2.0;
 const STALE: f64 = 8.0;
 const ENOUGH: f64 = 6.0;
+const NEVER: Moment = Moment::from_micros(i64::MAX / 4);
 
 #[derive(Default)]
 pub struct Assigner {
@@ -71,9 +72,10 @@
     /// Slices on their way.
     moving: BTreeSet<usize>,
     streams: Vec<Stream>,
-    /// The mark that all joined proxies have answered, and when the last of the others parted.
-    least_answered: u64,
-    last_parted: Option<Moment>,
+    /// When the last parted of those who are rid of what was shut up to a mark and owe the next; `NEVER` if not.
+    owing: BTreeMap<u64, Moment>,
+    /// The newest mark that is known to be in the store: who joins now reads what came before it.
+    shown: u64,
     mark: u64,
     sent: Vec<Sent>,
     lines: f64,
@@ -304,8 +306,10 @@
         if self.streams.len() <= px {
             self.streams.resize(px + 1, Stream { parted: self.now, ..Stream::default() });
         }
-        let begun = if self.streams[px].joined { self.streams[px].begun } else { self.mark };
-        self.streams[px] = Stream { joined: true, since: self.mark, begun, asked: 0, ..self.streams[px] };
+        let old = self.streams[px];
+        let back = Stream { begun: self.mark, shown: self.shown, rid: old.parted, ..old };
+        let old = if old.joined { old } else { back };
+        self.streams[px] = Stream { joined: true, since: self.mark, asked: 0, ..old };
     }
 
     pub fn parted(&mut self, px: usize) {
@@ -323,19 +327,19 @@
         }
     }
 
-    /// A proxy's answer to a mark. One to a mark from before its stream, or before a slice's shut, is
-    /// nothing.
+    /// A proxy's answer to a mark; one from before its stream, or before a slice's shut, is nothing.
     pub fn answered(&mut self, px: usize, number: u16, elapsed: Span) {
         let mark = self.mark - (self.mark.wrapping_sub(u64::from(number)) & 0xffff).min(self.mark);
         let Some(stream) = self.streams.get(px).copied() else { return };
-        if !stream.joined || mark <= stream.answered {
+        if !stream.joined || mark <= stream.answered.max(stream.since) {
             return;
         }
         let applied = self.sent.iter().find(|s| s.mark == mark).map_or(self.now, |s| s.at + elapsed);
         for &tbl in &self.moving {
-            let Some(handover) = &mut self.slices[tbl].handover else { continue };
-            let needed = handover.mark.max(stream.since + 1);
-            if stream.answered < needed && needed <= mark {
+            let Slice { handover: Some(handover), given, .. } = &mut self.slices[tbl] else { continue };
+            let late = stream.rid.max(*given) + self.facts.lease;
+            let applied = if handover.mark <= stream.shown { applied.min(late) } else { applied };
+            if stream.answered < handover.mark && handover.mark <= mark {
                 handover.fence = handover.fence.max(applied);
             }
         }
@@ -390,12 +394,19 @@
         self.lines = 0.0;
         let joined = || self.streams.iter().filter(|s| s.joined);
         self.joined = joined().count() as f64;
-        // An answer from before a proxy's present stream counts for nothing.
-        let answers = joined().map(|s| if s.answered > s.since { s.answered } else { 0 });
-        self.least_answered = answers.min().unwrap_or(u64::MAX);
-        self.last_parted = self.streams.iter().filter(|s| !s.joined).map(|s| s.parted).max();
+        // Rid of a line for good: who answered its shut; who came back to a store with it, a lease after.
+        let back = self.streams.iter().filter(|s| s.answered < s.shown).map(|s| (s.answered, s.rid));
+        let parted = |s: &Stream| (s.answered.max(s.shown), if s.joined { NEVER } else { s.parted });
+        self.owing.clear();
+        for (mark, at) in back.chain(self.streams.iter().map(parted)) {
+            let last = self.owing.entry(mark).or_insert(at);
+            *last = at.max(*last);
+        }
+        let best = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
+        let past = |s: &&Sent| s.mark <= best && self.now - s.at > self.facts.push_delay_max;
+        self.shown = self.sent.iter().filter(past).map(|s| s.mark).fold(self.shown, u64::max);
         let held = if self.unsent > 0.0 { self.cost(self.unsent) } else { 0.0 };
-        self.waiting = self.still_waiting().max(held);
+        self.waiting = self.still_waiting(best).max(held);
         self.share = self.slices.iter().filter(|s| s.mine).count() as f64 / self.slices.len().max(1) as f64;
         if !self.subscribed && self.now >= self.ask_at {
             self.ask_at = self.now + self.facts.ask_within;
@@ -601,7 +612,7 @@
                 return;
             }
             let (old, heat) = (self.slices[tbl].owner, self.heat[tbl]);
-            if self.fenced(tbl, handover) {
+            if self.now >= self.fence_due(tbl, handover) {
                 let wish = self.slices[tbl].wish.filter(|&i| self.usable(i) && self.fits(i, heat));
                 let next = wish.or_else(|| self.roomiest(heat, old));
                 if let Some(i) = next.or_else(|| self.last_resort(handover)) {
@@ -627,14 +638,10 @@
         self.usables().filter(ready).min_by(least).or_else(|| self.all().filter(ready).min_by(least))
     }
 
-    /// The fence: every joined proxy has answered the shut, every other has been gone for a lease, and what
-    /// they had in hand has settled.
-    fn fenced(&self, tbl: usize, handover: Handover) -> bool {
-        self.least_answered >= handover.mark && self.now >= self.fence_due(tbl, handover)
-    }
-
+    /// When all that owe an answer to the shut are rid of the line, and what all had in hand has settled.
     fn fence_due(&self, tbl: usize, handover: Handover) -> Moment {
-        let lease = self.last_parted.map(|at| at.max(self.slices[tbl].given) + self.facts.lease);
+        let last = self.owing.range(..handover.mark).map(|(_, &at)| at).max();
+        let lease = last.map(|at| at.max(self.slices[tbl].given) + self.facts.lease);
         lease.map_or(handover.fence, |at| at.max(handover.fence)) + self.facts.settle
     }
 
@@ -834,9 +841,10 @@
 
     /// A proxy that joined while slices are shut has unanswered marks: one fresh mark for all such.
     fn ask_joiners(&mut self) {
-        let unasked = self.streams.iter().any(|s| s.joined && s.asked <= s.since);
+        let shut = self.open().filter_map(|t| Some(self.slices[t].handover?.mark)).max();
+        let owes = |s: &Stream| s.joined && s.asked <= s.since && shut > Some(s.answered.max(s.shown));
         let pause = self.sent.last().is_none_or(|s| self.now - s.at > self.facts.push_delay);
-        if unasked && pause && self.open().next().is_some() && self.may_write(FOR_REST) {
+        if pause && self.streams.iter().any(owes) && self.may_write(FOR_REST) {
             self.lines += 1.0;
         }
     }
@@ -888,8 +896,7 @@
     /// Lines that may still wait in the channel, which may be slow: an answer shows that all messages before
     /// it have left, not what went to others with its mark. Guards against answers lost while no news came: a
     /// proxy told to be joined once more counts as long as a full channel takes.
-    fn still_waiting(&self) -> f64 {
-        let answered = self.streams.iter().map(|s| s.answered).max().unwrap_or(0);
+    fn still_waiting(&self, answered: u64) -> f64 {
         let full = Span::from_secs(self.facts.most_waiting / self.facts.lines_per_s.max(1.0));
         let owes = |s: &Sent, p: &Stream| {
             let asked = p.since < s.mark || (p.begun < s.mark && self.now - s.at < full);
