--- a/cli/src/day.rs
+++ b/cli/src/day.rs
@@ -7,6 +7,7 @@
 use lynxmill_day::{Day, Entry, Extent, Trouble, bytes, digest, read};
 use lynxmill_replay::{Made, TROUBLES, make, rebuild, redrive};
 
+use crate::count;
 use crate::end::{Fail, other};
 
 #[derive(Subcommand)]
@@ -32,6 +33,8 @@
     },
     /// Infers the world behind an assigner's recording, so that it can be replayed.
     Rebuild { day: PathBuf, to: PathBuf },
+    /// Orders, messages and news by second over all assigners, slices without an owner, and who knew when.
+    Count(count::Wish),
     /// Makes a day from a seed.
     Make {
         to: PathBuf,
@@ -165,6 +168,7 @@
             let days = days.iter().map(|path| whole(path)).collect::<Result<_, _>>()?;
             save(&to, &lynxmill_day::merge(days).map_err(|fault| Fail::BadDay(fault.to_string()))?)
         }
+        Command::Count(wish) => count::run(&wish).map(|()| ExitCode::SUCCESS),
         Command::Rebuild { day, to } => save(&to, &rebuild(&open(&day)?.0).map_err(Fail::BadDay)?),
         Command::Make {
             to,
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! lynxmill: everything that operators do by hand, a sub-command each.
 
 mod assigner;
+mod count;
 mod ctl;
 mod day;
 mod end;
@@ -28,7 +29,7 @@
 enum Command {
     /// A command for a running assigner's runtime socket.
     Ctl(ctl::Wish),
-    /// Recorded days: look, check, cut, merge, make, rebuild.
+    /// Recorded days: look, check, cut, merge, count, make, rebuild.
     #[command(subcommand)]
     Day(day::Command),
     /// Days from seeds with troubles that run into one another: which of them break a rule.
--- a/cli/tests/line.rs
+++ b/cli/tests/line.rs
@@ -289,3 +289,48 @@
     assert_eq!(code(&run(&["settings", "--of", "lynxforward", "check", file])), 0);
     assert_eq!(code(&run(&["settings", "check", file])), 4);
 }
+
+#[test]
+fn a_recorded_day_is_counted_over_all_its_assigners() {
+    let folder = Folder::new("count");
+    let (day, recorded, json) = (folder.made(), folder.file("recorded.day"), folder.file("count.json"));
+    let nothing = run(&["day", "count", &day]);
+    assert_eq!(code(&nothing), 3, "a made day holds no log");
+    assert_eq!(code(&run(&["replay", &day, "--record", &recorded])), 0);
+    let counted = run(&["day", "count", &recorded, "--each", "--json", &json]);
+    assert_eq!(code(&counted), 0, "{}", text(&counted.stderr));
+    let told = text(&counted.stdout);
+    assert!(told.contains("2 assigners") && told.contains("without an owner"), "{told}");
+    let json: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(json).expect("written")).expect("JSON");
+    let owners = |second: &serde_json::Value| second["counts"]["owners"].as_u64().expect("a count");
+    let all: u64 = json["seconds"].as_array().expect("a list").iter().map(owners).sum();
+    let moved = json["bare"].as_array().expect("a list").iter().filter(|bare| !bare["to"].is_null()).count();
+    assert!(moved > 0 && all >= 12 + moved as u64, "{all} owners, {moved} of them after a shut");
+    assert_eq!(code(&run(&["day", "count", &recorded, &recorded])), 3, "made days are not merged");
+}
+
+#[test]
+fn a_hunt_tells_each_day_and_keeps_what_breaks_a_rule() {
+    let little =
+        ["hunt", "--days", "3", "--forwarders", "6", "--servers", "4", "--slices", "12", "--seconds", "15"];
+    let little = [little.as_slice(), &["--assigners", "2", "--pace", "1000"]].concat();
+    let hunted = run(&little);
+    assert_eq!(code(&hunted), 0, "{}", text(&hunted.stderr));
+    let told = text(&hunted.stdout);
+    assert!(told.contains("3 days, rules broken in 0") && told.lines().count() == 4, "{told}");
+    // A channel that carries next to nothing breaks its limits, whatever the assigner does.
+    let folder = Folder::new("hunt");
+    let keep = folder.file("kept");
+    let narrow = [little.as_slice(), &["--pace", "2", "--keep", &keep]].concat();
+    assert_eq!(code(&run(&narrow)), 2, "--pace is given twice");
+    let narrow: Vec<&str> = narrow.iter().copied().filter(|word| *word != "1000").collect();
+    let at = narrow.iter().position(|word| *word == "--pace").expect("there");
+    let narrow = [&narrow[..at], &narrow[at + 1..]].concat();
+    let broken = run(&narrow);
+    assert_eq!(code(&broken), 5, "{}", text(&broken.stdout));
+    let kept = std::fs::read_dir(folder.file("kept")).expect("a folder").flatten().next().expect("a day");
+    let again = run(&["replay", &kept.path().to_string_lossy()]);
+    assert_eq!(code(&again), 5, "{}", text(&again.stdout));
+    assert_eq!(code(&run(&["hunt", "--load", "0"])), 4);
+}
--- a/day/src/lib.rs
+++ b/day/src/lib.rs
@@ -4,6 +4,7 @@
 //! microseconds from the day's beginning. Whoever writes calls `Writer` with parts in any order of kind, a head
 //! first; whoever reads gets a `Day` and how far it could be read.
 
+mod count;
 mod frame;
 mod merge;
 mod parts;
@@ -11,6 +12,7 @@
 mod ring;
 mod write;
 
+pub use count::{Bare, Counted, Known, Row, count};
 pub use frame::{Fault, VERSION};
 pub use merge::merge;
 pub use parts::{
