--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -1,6 +1,7 @@
 //! The assigner's state behind its sockets: one reducer that takes events, calls the module when a round is due
 //! and asks for effects. It neither reads nor writes and knows no clock; the daemon's hub and the replay drive it.
 
+mod bound;
 mod encode;
 pub mod hand;
 mod picture;
--- a/state/src/reduce.rs
+++ b/state/src/reduce.rs
@@ -13,6 +13,7 @@
 use lynxmill::{Assigner, Moment, Pcg, Span};
 use serde::{Deserialize, Serialize};
 
+use crate::bound::bytes_at_most;
 use crate::encode::{self, Order, Outbox};
 use crate::hand::{self, Ledger, Said};
 use crate::reason::Reason;
@@ -169,6 +170,10 @@
     servers: usize,
     slices: usize,
     connections: usize,
+    /// Those of strangers and collectors that may be open at once.
+    connections_at_most: usize,
+    /// What the records of a fleet of this size may come to in memory.
+    bytes_at_most: usize,
     orders_waiting: usize,
     rounds: u64,
     messages: u64,
@@ -246,6 +251,8 @@
             servers: self.names.len(),
             slices: self.charges.iter().filter(|charge| charge.mine).count(),
             connections: self.open.len(),
+            connections_at_most: self.most_open,
+            bytes_at_most: bytes_at_most(self.proxies.into(), self.charges.len(), self.names.len()),
             orders_waiting: self.outbox.count(),
             rounds: self.tally.rounds,
             messages: self.tally.messages,
--- a/state/tests/fleet/mod.rs
+++ b/state/tests/fleet/mod.rs
@@ -3,7 +3,7 @@
 
 use lynxmill::{Moment, Span, Standing};
 use lynxmill_state::{
-    Asked, Effect, Endpoint, Epoch, Event, Members, Message, Met, News, Outcome, State, decode,
+    Asked, Effect, Endpoint, Epoch, Event, Members, Message, Met, News, Outcome, State, Status, decode,
 };
 use serde_json::{Value, json};
 
@@ -90,6 +90,10 @@
         }
     }
 
+    pub fn status(&self) -> Status {
+        self.state.status()
+    }
+
     /// Time passes, and what was due is done.
     pub fn pass(&mut self, seconds: f64) {
         self.now = self.now + Span::from_secs(seconds);
@@ -104,7 +108,8 @@
         let fresh = (self.begun..self.begun + starting).map(|k| endpoint(k, Standing::Ready, since_ms));
         let old = self.begun.saturating_sub(self.servers);
         let leaving = (old..old + draining).map(|k| endpoint(k, Standing::Draining, 0.0));
-        let endpoints: Vec<Endpoint> = fresh.chain(leaving).collect();
+        let gone = (old.saturating_sub(draining)..old).map(|k| endpoint(k, Standing::Gone, 0.0));
+        let endpoints: Vec<Endpoint> = fresh.chain(leaving).chain(gone).collect();
         self.begun += starting;
         self.index += 1;
         self.tell(Event::Listed(Members { index: self.index, snapshot: self.index == 1, endpoints }));
