Planned restarts of a forwarder don't hang up on clients that come just then

Seen: with the rig's client telling a vote that went out from one that did not, a planned restart now and then showed a vote as broken. The forwarder shut all idle connections the moment it was told to end (graceful_shutdown_signal in front.rs); a client that sent just then could not tell whether its vote ran. An idle connection now has half of drain_s in which its next answer closes it, as decided in the gate; tested with an idle client of either kind. The rig also kills seven in ten forwarders, or all assigners but one, at once in the middle of a drain, alone and beside broken watches and a silent registry: all rules held.

--- a/forwarder/io/src/front.rs
+++ b/forwarder/io/src/front.rs
@@ -165,9 +165,15 @@
         .graceful_shutdown_signal(move || {
             let ends = ends.clone();
             async move {
-                while !ends.gate.borrow().ending() {
-                    ends.ending.notified().await;
-                }
+                let until = loop {
+                    let ending = ends.ending.notified();
+                    if let Some(until) = ends.gate.borrow().idle_until() {
+                        break until;
+                    }
+                    ending.await;
+                };
+                let left = (until - ends.now()).secs().max(0.0);
+                tokio::time::sleep(Duration::from_secs_f64(left)).await;
             }
         })
         .on_connect_ext(|front: &Front, kept| drop(kept.insert(front.told.clone())))
--- a/forwarder/io/src/main.rs
+++ b/forwarder/io/src/main.rs
@@ -62,8 +62,8 @@
     let ends = app.clone();
     actix_rt::spawn(async move {
         terms.recv().await;
-        let then = ends.now() + Span::from_secs(ends.wish.drain_s);
-        ends.gate.borrow_mut().end_by(then);
+        let now = ends.now();
+        ends.gate.borrow_mut().end_by(now, now + Span::from_secs(ends.wish.drain_s));
         log::info!("ends, with {} connections", ends.gate.borrow().inside());
         ends.ending.notify_waiters();
     });
--- a/forwarder/io/tests/exchange.rs
+++ b/forwarder/io/tests/exchange.rs
@@ -384,3 +384,27 @@
     assert!(!output.status.success() && text.lines().count() == 1 && text.contains(told_of), "{text}");
     assert!(Process::start(program, file(&told), None).is_err());
 }
+
+/// A client that is idle when the forwarder is to end may come once more on its connection and is told to close it; one
+/// that does not is shut after half of the time.
+#[test]
+fn an_idle_client_is_not_hung_up_on_when_the_forwarder_ends() {
+    let (at, _) = counting(|_, stream| say(stream, DONE));
+    let mut place = Place::start(at, |told| told["drain_s"] = json!(4));
+    let [mut first, mut second] = [place.connect(), place.connect()];
+    let lookup = "GET /lookup/k HTTP/1.1\r\nhost: f\r\n\r\n";
+    for client in [&mut first, &mut second] {
+        client.send(lookup);
+        assert!(client.head().starts_with("HTTP/1.1 200"));
+    }
+    let begun = Instant::now();
+    place.forwarder.end();
+    place.forwarder.told("ends, with 2 connections").expect("its line");
+    std::thread::sleep(Duration::from_millis(300));
+    first.send(lookup);
+    let last = first.rest();
+    assert!(last.contains("HTTP/1.1 200") && last.to_lowercase().contains("connection: close"), "{last}");
+    assert!(!second.rest().contains("HTTP/1.1"));
+    let took = begun.elapsed();
+    assert!(took > Duration::from_millis(1900) && took < Duration::from_millis(3900), "{took:?}");
+}
--- a/forwarder/src/gate.rs
+++ b/forwarder/src/gate.rs
@@ -34,13 +34,14 @@
     each: BTreeMap<IpAddr, usize>,
     /// Invocations under way.
     busy: usize,
-    /// Told to end: at the latest then.
+    /// Told to end: at the latest then; and until when whoever has nothing under way may yet come with something.
     ends: Option<Moment>,
+    idle_until: Option<Moment>,
 }
 
 impl Gate {
     pub fn new(most: usize, most_each: usize) -> Self {
-        Gate { most, most_each, inside: 0, each: BTreeMap::new(), busy: 0, ends: None }
+        Gate { most, most_each, inside: 0, each: BTreeMap::new(), busy: 0, ends: None, idle_until: None }
     }
 
     /// # Errors
@@ -74,9 +75,17 @@
         self.busy = self.busy.saturating_sub(1);
     }
 
-    /// It is to end by then: connections close with their next answer.
-    pub fn end_by(&mut self, then: Moment) {
-        self.ends = Some(self.ends.map_or(then, |before| before.min(then)));
+    /// It is to end by then: connections close with their next answer. One without anything under way is not shut at once, as
+    /// its client may have sent the next just then, and could not tell whether it ran: it has half of the time for that.
+    pub fn end_by(&mut self, now: Moment, then: Moment) {
+        let ends = self.ends.map_or(then, |before| before.min(then));
+        self.ends = Some(ends);
+        self.idle_until.get_or_insert(now + (ends - now).times(0.5));
+    }
+
+    /// Until when connections with nothing under way stay; none while it is not to end.
+    pub fn idle_until(&self) -> Option<Moment> {
+        self.idle_until
     }
 
     pub fn ending(&self) -> bool {
--- a/forwarder/tests/parts.rs
+++ b/forwarder/tests/parts.rs
@@ -97,8 +97,10 @@
     assert_eq!(gate.enter(host(3)), Err(Shut::Crowded));
     gate.leave(host(1));
     assert!(gate.enter(host(3)).is_ok() && !gate.over(at(100.0)));
-    gate.end_by(at(10.0));
-    gate.end_by(at(20.0));
+    assert_eq!(gate.idle_until(), None);
+    gate.end_by(at(4.0), at(10.0));
+    gate.end_by(at(5.0), at(20.0));
+    assert_eq!(gate.idle_until(), Some(at(7.0)));
     assert!(!gate.over(at(9.0)) && gate.over(at(10.0)));
     (1..=3).for_each(|last| gate.leave(host(last)));
     assert!(gate.over(at(1.0)) && gate.inside() == 0);
--- a/rig/src/troubles.rs
+++ b/rig/src/troubles.rs
@@ -23,10 +23,14 @@
     /// An assigner is killed, in the middle of whatever it does, and comes back; or stands still.
     KillAssigner,
     HaltAssigner,
+    /// Seven in ten forwarders are killed at once, or all assigners but one, in the middle of a drain; they come back
+    /// one after the other.
+    KillMostForwarders,
+    KillMostAssigners,
 }
 
 impl Trouble {
-    pub const ALL: [(&'static str, Trouble); 9] = [
+    pub const ALL: [(&'static str, Trouble); 11] = [
         ("kill-forwarder", Trouble::KillForwarder),
         ("halt-forwarder", Trouble::HaltForwarder),
         ("replace-forwarder", Trouble::ReplaceForwarder),
@@ -36,6 +40,8 @@
         ("deploy", Trouble::Deploy),
         ("kill-assigner", Trouble::KillAssigner),
         ("halt-assigner", Trouble::HaltAssigner),
+        ("kill-most-forwarders", Trouble::KillMostForwarders),
+        ("kill-most-assigners", Trouble::KillMostAssigners),
     ];
 
     pub fn named(name: &str) -> Option<Trouble> {
@@ -55,6 +61,18 @@
     KillFormer,
 }
 
+impl Due {
+    /// Whether both are of one forwarder's or one assigner's return.
+    fn strikes(&self, other: &Due) -> bool {
+        let of = |due: &Due| match due {
+            Due::StartForwarder(at) | Due::GoOn(at) => Some((true, *at)),
+            Due::StartAssigner(at) | Due::AssignerGoesOn(at) => Some((false, *at)),
+            _ => None,
+        };
+        of(self).is_some() && of(self) == of(other)
+    }
+}
+
 pub struct Troubles {
     kinds: Vec<Trouble>,
     chance: Pcg,
@@ -135,19 +153,34 @@
         own.into_iter().filter(|name| rig.servers.contains_key(name)).collect()
     }
 
+    /// Never more than one server on its way out, so that slices have somewhere to go.
+    fn leaving(&self) -> bool {
+        self.due.iter().any(|(_, due)| matches!(due, Due::Gone(_) | Due::Drained(_)))
+    }
+
+    /// A server drains and a cold one takes its place, unless one is on its way out already.
+    fn drain(&mut self, rig: &mut Rig, since: Duration) -> Result<(), String> {
+        let names = Self::servers(rig);
+        let at = self.draw(names.len());
+        if let Some(name) = names.get(at).filter(|_| !self.leaving()) {
+            rig.add_server(false)?;
+            rig.list(name, "draining");
+            self.due.push((since + Duration::from_secs(7), Due::Drained(name.clone())));
+        }
+        Ok(())
+    }
+
     pub fn begin(&mut self, rig: &mut Rig, since: Duration, kind: Trouble) -> Result<(), String> {
         let after = |secs: f64| since + Duration::from_secs_f64(secs);
         let forwarder = self.draw(rig.forwarders.len());
         let assigner = self.draw(rig.assigners.len());
-        let busy = |due: &Due| {
-            matches!(due, Due::StartForwarder(at) | Due::GoOn(at) if *at == forwarder)
-                || matches!(due, Due::StartAssigner(at) | Due::AssignerGoesOn(at) if *at == assigner)
-        };
+        let struck = [Due::StartForwarder(forwarder), Due::StartAssigner(assigner)];
+        let busy = |due: &Due| struck.iter().any(|of| due.strikes(of));
         if self.due.iter().any(|(_, due)| busy(due)) {
             return Ok(());
         }
-        // Never more than one server on its way out, so that slices have somewhere to go.
-        let leaving = self.due.iter().any(|(_, due)| matches!(due, Due::Gone(_) | Due::Drained(_)));
+        let most = |of: usize| of - (of * 3 / 10).max(1).min(of - 1);
+        let leaving = self.leaving();
         match kind {
             Trouble::KillForwarder => {
                 rig.forwarders[forwarder].kill();
@@ -173,12 +206,23 @@
                 rig.servers[&name].mood(Mood::Silent);
                 self.due.push((after(6.0), Due::Gone(name)));
             }
-            Trouble::Deploy => {
-                let names = Self::servers(rig);
-                let Some(name) = names.get(self.draw(names.len())).cloned() else { return Ok(()) };
-                rig.add_server(false)?;
-                rig.list(&name, "draining");
-                self.due.push((after(7.0), Due::Drained(name)));
+            Trouble::Deploy => self.drain(rig, since)?,
+            Trouble::KillMostForwarders | Trouble::KillMostAssigners => {
+                let forwarders = kind == Trouble::KillMostForwarders;
+                self.drain(rig, since)?;
+                for at in 0..most(if forwarders { rig.forwarders.len() } else { rig.assigners.len() }) {
+                    let due = if forwarders { Due::StartForwarder(at) } else { Due::StartAssigner(at) };
+                    // One that stands still or is down already is left to what it waits for.
+                    if self.due.iter().any(|(_, other)| other.strikes(&due)) {
+                        continue;
+                    }
+                    if forwarders {
+                        rig.forwarders[at].kill()
+                    } else {
+                        rig.assigners[at].kill()
+                    }
+                    self.due.push((after(1.0 + 0.4 * at as f64), due));
+                }
             }
             Trouble::KillAssigner => {
                 rig.assigners[assigner].kill();
--- a/rig/tests/rules.rs
+++ b/rig/tests/rules.rs
@@ -93,6 +93,24 @@
     });
 }
 
+/// Seven in ten gone at once in the middle of a drain, and back one after the other; and beside it broken streams, a
+/// registry that says nothing and more of the same.
+#[rstest]
+#[case::forwarders(&[Trouble::KillMostForwarders], 0.3)]
+#[case::assigners(&[Trouble::KillMostAssigners], 0.5)]
+#[case::both_and_silence(
+    &[Trouble::KillMostForwarders, Trouble::KillMostAssigners, Trouble::BreakWatches, Trouble::Silence],
+    0.2
+)]
+fn all_rules_hold_while_most_are_gone(#[case] kinds: &[Trouble], #[case] least: f64) {
+    actix_rt::System::new().block_on(async {
+        let wish = Wish { seed: 9, forwarders: 7, assigners: 3, servers: 6, slices: 30, ..Wish::default() };
+        let (rig, tally) = play(wish, kinds, 2.0, 60.0, 9.0).await;
+        eprintln!("{kinds:?} {}", told(&rig, &tally));
+        sound(&rig, &tally, least);
+    });
+}
+
 /// All at once, overlapping, eight forwarders and twelve servers.
 #[rstest]
 #[case::first(11)]
