--- a/forwarder/io/tests/exchange.rs
+++ b/forwarder/io/tests/exchange.rs
@@ -392,16 +392,17 @@
     let (at, _) = counting(|_, stream| say(stream, DONE));
     let mut place = Place::start(at, |told| told["drain_s"] = json!(4));
     let [mut first, mut second] = [place.connect(), place.connect()];
-    let lookup = "GET /lookup/k HTTP/1.1\r\nhost: f\r\n\r\n";
+    let vote = "POST /vote/k HTTP/1.1\r\nhost: f\r\ncontent-length: 6\r\n\r\nballot";
     for client in [&mut first, &mut second] {
-        client.send(lookup);
-        assert!(client.head().starts_with("HTTP/1.1 200"));
+        client.send(vote);
+        let head = client.head();
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
     }
     let begun = Instant::now();
     place.forwarder.end();
     place.forwarder.told("ends, with 2 connections").expect("its line");
     std::thread::sleep(Duration::from_millis(300));
-    first.send(lookup);
+    first.send(vote);
     let last = first.rest();
     assert!(last.contains("HTTP/1.1 200") && last.to_lowercase().contains("connection: close"), "{last}");
     assert!(!second.rest().contains("HTTP/1.1"));
