Membership core: who is there, what each saw of servers, signed; played on a virtual clock

Need: assigners see only their own proxies, and servers that fall silent are known 2 to 3 s late. membership/ is a protocol core without I/O or clock: probes, indirect probes, suspicion with incarnation and refutation, rumours, exchanges, patience by one's own health, signatures, replay windows, token buckets, and a ledger of what all saw of servers. membership/sim/ plays many of them.

--- /dev/null
+++ b/membership/sim/src/lib.rs
@@ -0,0 +1,355 @@
+//! Instances of the membership core on a virtual clock, with loss, one-way loss, partitions, stalls and
+//! deaths. The same seed gives the same course. Signatures are of the right size and no secret: what they are
+//! worth is tested elsewhere.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+
+use lynxmill::{Moment, Span};
+use lynxmill_membership::{Node, Out, Road, Seal, State, Terms};
+use rand_core::Rng;
+use rand_pcg::Pcg32;
+
+/// Signs without a secret, in as many bytes as a real signature.
+#[derive(Clone, Debug)]
+pub struct Plain(String);
+
+fn mixed(parts: &[&[u8]]) -> u64 {
+    let byte = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3);
+    parts.iter().flat_map(|part| part.iter()).fold(0xcbf2_9ce4_8422_2325, byte)
+}
+
+fn plain(name: &str, road: u8, text: &[u8]) -> Vec<u8> {
+    mixed(&[name.as_bytes(), &[road], text]).to_be_bytes().repeat(8)
+}
+
+impl Seal for Plain {
+    fn key(&self) -> u64 {
+        mixed(&[self.0.as_bytes()])
+    }
+    fn sign(&self, road: u8, text: &[u8]) -> Vec<u8> {
+        plain(&self.0, road, text)
+    }
+    fn knows(&self, _: &str) -> bool {
+        true
+    }
+    fn holds(&self, name: &str, _: u64, road: u8, text: &[u8], signature: &[u8]) -> bool {
+        plain(name, road, text) == signature
+    }
+}
+
+enum What {
+    Tick(usize),
+    Arrive {
+        to: usize,
+        from: usize,
+        road: Road,
+        bytes: Vec<u8>,
+    },
+    /// The other half of an exchange.
+    Answer {
+        to: usize,
+        from: usize,
+        bytes: Vec<u8>,
+    },
+}
+
+struct Due {
+    key: Reverse<(Moment, u64)>,
+    what: What,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.key == other.key
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.key.cmp(&other.key)
+    }
+}
+
+/// What one that lives and can be reached was taken for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Mistakes {
+    /// Times that somebody suspected it, and took it for dead.
+    pub suspected: u64,
+    pub dead: u64,
+}
+
+pub struct World {
+    pub terms: Terms,
+    seed: u64,
+    chance: Pcg32,
+    agenda: BinaryHeap<Due>,
+    count: u64,
+    pub now: Moment,
+    pub nodes: Vec<Option<Node<Plain>>>,
+    ticks: Vec<Moment>,
+    stalled: Vec<Moment>,
+    /// Who can't reach whom: by the sides they are on.
+    pub sides: Vec<u8>,
+    /// Part of datagrams that are lost, and of those from some to anybody.
+    pub loss: f64,
+    pub deaf: BTreeMap<usize, f64>,
+    pub mistakes: Mistakes,
+    /// When each first took another for dead.
+    pub dead_at: BTreeMap<(usize, usize), Moment>,
+    pub present_at: BTreeMap<(usize, usize), Moment>,
+    starts: u64,
+    /// Bytes of the busiest second of any instance.
+    pub most_bytes: u64,
+    second: Vec<(i64, u64)>,
+}
+
+fn address(node: usize) -> SocketAddr {
+    SocketAddr::from(([127, (node >> 14) as u8, 0, 1], 10_000 + (node & 0x3fff) as u16))
+}
+
+fn node_at(at: SocketAddr) -> usize {
+    let host = match at {
+        SocketAddr::V4(at) => usize::from(at.ip().octets()[1]),
+        SocketAddr::V6(_) => 0,
+    };
+    host << 14 | usize::from(at.port() - 10_000)
+}
+
+pub fn name(node: usize) -> String {
+    format!("n{node}")
+}
+
+fn number(name: &str) -> usize {
+    name[1..].parse().unwrap_or(0)
+}
+
+impl World {
+    /// So many, each of which knows the first as its seed and starts within a second.
+    pub fn new(size: usize, terms: Terms, seed: u64) -> Self {
+        let mut world = World {
+            terms,
+            seed,
+            chance: Pcg32::new(seed, 7),
+            agenda: BinaryHeap::new(),
+            count: 0,
+            now: Moment::default(),
+            nodes: (0..size).map(|_| None).collect(),
+            ticks: vec![Moment::from_micros(i64::MAX); size],
+            stalled: vec![Moment::default(); size],
+            sides: vec![0; size],
+            loss: 0.0,
+            deaf: BTreeMap::new(),
+            mistakes: Mistakes::default(),
+            dead_at: BTreeMap::new(),
+            present_at: BTreeMap::new(),
+            starts: 0,
+            most_bytes: 0,
+            second: vec![(0, 0); size],
+        };
+        let _ = (world.chance.next_u32(), world.chance.next_u32());
+        for node in 0..size {
+            world.start(node, 0);
+        }
+        world
+    }
+
+    fn unit(&mut self) -> f64 {
+        f64::from(self.chance.next_u32()) / 4_294_967_296.0
+    }
+
+    /// A process starts, under its name of before if it had one; its clock may be off by so many
+    /// milliseconds.
+    pub fn start(&mut self, node: usize, clock_ms: i64) {
+        self.starts += 1;
+        let life = (1_700_000_000_000 + self.now.micros() / 1000 + clock_ms).max(1) as u64;
+        let seed = mixed(&[&self.seed.to_be_bytes(), &self.starts.to_be_bytes()]);
+        let name = name(node);
+        let terms = self.terms.clone();
+        let mut started = Node::new(&name, address(node), life, terms, Plain(name.clone()), seed, self.now);
+        let seeds: Vec<SocketAddr> =
+            [0, 1].into_iter().filter(|&seed| seed < self.nodes.len()).map(address).collect();
+        started.swim.join(&seeds);
+        self.nodes[node] = Some(started);
+        self.dead_at.retain(|(_, about), _| *about != node);
+        let within = Span::from_secs(self.unit());
+        self.tick_at(node, self.now + within);
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node] = None;
+        self.dead_at.retain(|(_, about), _| *about != node);
+        self.ticks[node] = Moment::from_micros(i64::MAX);
+    }
+
+    /// It neither sends nor reads for so long; what comes meanwhile waits.
+    pub fn stall(&mut self, node: usize, length: Span) {
+        self.stalled[node] = self.now + length;
+    }
+
+    fn at(&mut self, at: Moment, what: What) {
+        self.count += 1;
+        self.agenda.push(Due { key: Reverse((at.max(self.now), self.count)), what });
+    }
+
+    fn tick_at(&mut self, node: usize, at: Moment) {
+        if at < self.ticks[node] {
+            self.ticks[node] = at;
+            self.at(at, What::Tick(node));
+        }
+    }
+
+    fn reach(&self, from: usize, to: usize) -> bool {
+        self.sides[from] == self.sides[to] && self.nodes[to].is_some()
+    }
+
+    fn carry(&mut self, from: usize, out: Vec<Out>) {
+        for Out { to, road, bytes } in out {
+            let to = node_at(to);
+            self.counted(from, bytes.len());
+            let lost = match road {
+                // Connections repeat what is lost.
+                Road::Exchange => false,
+                Road::Datagram => {
+                    let part = self.loss.max(self.deaf.get(&from).copied().unwrap_or(0.0));
+                    self.unit() < part
+                }
+            };
+            let way = Span::from_secs(0.0005 + 0.004 * self.unit() * self.unit());
+            if to < self.nodes.len() && !lost && self.reach(from, to) {
+                self.at(self.now + way, What::Arrive { to, from, road, bytes });
+            }
+        }
+    }
+
+    fn counted(&mut self, from: usize, bytes: usize) {
+        let second = self.now.micros() / 1_000_000;
+        let of = &mut self.second[from];
+        if of.0 != second {
+            *of = (second, 0);
+        }
+        of.1 += bytes as u64;
+        self.most_bytes = self.most_bytes.max(of.1);
+    }
+
+    fn after(&mut self, node: usize) {
+        let Some(of) = &mut self.nodes[node] else { return };
+        let changes = of.changes();
+        let wake = of.wake();
+        for change in changes {
+            let about = number(&change.name);
+            let lives = self.nodes.get(about).is_some_and(Option::is_some)
+                && self.sides[about] == self.sides[node]
+                && self.stalled[about] <= self.now
+                && self.stalled[node] <= self.now;
+            match change.to {
+                State::Suspect if lives => self.mistakes.suspected += 1,
+                State::Dead => {
+                    self.mistakes.dead += u64::from(lives);
+                    self.dead_at.insert((node, about), self.now);
+                }
+                State::Alive => {
+                    self.present_at.insert((node, about), self.now);
+                    self.dead_at.remove(&(node, about));
+                }
+                _ => {}
+            }
+        }
+        self.tick_at(node, wake.max(self.now));
+    }
+
+    /// Plays on for so long.
+    pub fn run(&mut self, length: f64) {
+        let end = self.now + Span::from_secs(length);
+        while self.agenda.peek().is_some_and(|due| due.key.0.0 <= end) {
+            let Some(due) = self.agenda.pop() else { break };
+            self.now = due.key.0.0;
+            self.due(due.what);
+        }
+        self.now = end;
+    }
+
+    fn due(&mut self, what: What) {
+        let node = match &what {
+            What::Tick(node) => *node,
+            What::Arrive { to, .. } | What::Answer { to, .. } => *to,
+        };
+        if self.stalled[node] > self.now {
+            if let What::Tick(_) = what {
+                self.ticks[node] = self.stalled[node];
+            }
+            return self.at(self.stalled[node], what);
+        }
+        let now = self.now;
+        let mut out = Vec::new();
+        match what {
+            What::Tick(_) => {
+                if self.ticks[node] > now {
+                    return;
+                }
+                self.ticks[node] = Moment::from_micros(i64::MAX);
+                if let Some(of) = &mut self.nodes[node] {
+                    of.tick(now, &mut out);
+                }
+            }
+            What::Arrive { from, road, bytes, .. } => {
+                let Some(of) = &mut self.nodes[node] else { return };
+                let answer = of.heard(now, address(from), road, &bytes, &mut out);
+                if let Ok(Some(bytes)) = answer {
+                    self.counted(node, bytes.len());
+                    if self.reach(node, from) {
+                        self.at(now + Span::from_secs(0.001), What::Answer { to: from, from: node, bytes });
+                    }
+                }
+            }
+            What::Answer { from, bytes, .. } => {
+                if let Some(of) = &mut self.nodes[node] {
+                    let _ = of.heard(now, address(from), Road::Exchange, &bytes, &mut out);
+                }
+            }
+        }
+        self.carry(node, out);
+        self.after(node);
+    }
+
+    pub fn living(&self) -> impl Iterator<Item = (usize, &Node<Plain>)> {
+        self.nodes.iter().enumerate().filter_map(|(node, of)| Some((node, of.as_ref()?)))
+    }
+
+    /// Those who live and see all others that live, and nobody else.
+    pub fn agree(&self) -> usize {
+        let names: BTreeSet<String> = self.living().map(|(node, _)| name(node)).collect();
+        let sees = |node: usize, of: &Node<Plain>| {
+            let seen = of.swim.members().iter().filter(|m| matches!(m.state, State::Alive | State::Suspect));
+            let mut seen: BTreeSet<String> = seen.map(|m| m.name.clone()).collect();
+            seen.insert(name(node));
+            seen == names
+        };
+        self.living().filter(|(node, of)| sees(*node, of)).count()
+    }
+
+    /// Seconds until the first, half and all of those who live had taken one for dead.
+    pub fn known_after(&self, about: usize, since: Moment) -> Option<(f64, f64, f64)> {
+        let mut times: Vec<f64> = self
+            .living()
+            .filter_map(|(node, _)| Some((*self.dead_at.get(&(node, about))? - since).secs()))
+            .collect();
+        times.sort_by(f64::total_cmp);
+        let all = times.len() == self.living().count();
+        let (first, half) = (*times.first()?, *times.get(times.len() / 2)?);
+        all.then(|| (first, half, times[times.len() - 1]))
+    }
+
+    /// Bytes and messages that an instance has sent a second, on average, since some earlier count.
+    pub fn sent(&self) -> (u64, u64) {
+        self.living().fold((0, 0), |(bytes, messages), (_, of)| {
+            (bytes + of.tally.sent_bytes, messages + of.tally.sent)
+        })
+    }
+}
--- /dev/null
+++ b/membership/src/evidence.rs
@@ -0,0 +1,172 @@
+//! What all members saw of servers, and when that is enough. A server counts as silent by others' words only
+//! if this instance has not seen it well itself, if at least two others say so, and if they outweigh all who
+//! say otherwise. Who is often wrong weighs less; who has not spoken for a while weighs nothing.
+
+use std::collections::BTreeMap;
+
+use lynxmill::{Moment, Span};
+
+use crate::codec::Row;
+
+/// Tries in a row that must be lost for a witness to say that a server is silent, and the part of its tries.
+const ENOUGH: u32 = 6;
+const LOST: f64 = 0.9;
+/// Others that must say so.
+const WITNESSES: usize = 2;
+/// Weight of a witness that has never been judged, in judgements; and the least weight that still counts as a
+/// witness.
+const BENEFIT: f64 = 4.0;
+const TRUSTED: f64 = 0.5;
+/// Part of all weight that must say that a server is silent.
+const MAJORITY: f64 = 0.6;
+/// Rows of one author that are kept at most.
+const ROWS: usize = 64;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Seen {
+    tries: u32,
+    lost: u32,
+    quiet: Span,
+    at: Moment,
+}
+
+impl Seen {
+    fn silent(&self) -> bool {
+        self.tries >= ENOUGH && f64::from(self.lost) >= LOST * f64::from(self.tries)
+    }
+}
+
+/// What this instance itself saw of a server of late.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Own {
+    pub tries: u32,
+    pub lost: u32,
+    /// Since the last success, where there was one.
+    pub quiet: Option<Span>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Too little is known, or others disagree.
+    Open,
+    /// This instance has seen it answer of late: no other's word counts.
+    Well,
+    /// These say so, and are enough.
+    Silent(Vec<String>),
+}
+
+/// How often an author was right.
+#[derive(Clone, Copy, Debug, Default)]
+struct Record {
+    right: f64,
+    wrong: f64,
+}
+
+impl Record {
+    fn weight(self) -> f64 {
+        (BENEFIT + self.right) / (BENEFIT + self.right + BENEFIT * self.wrong)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    lasts: Span,
+    /// By server, then author.
+    seen: BTreeMap<String, BTreeMap<String, Seen>>,
+    /// Number of the last that each author said, and how often it was right.
+    numbers: BTreeMap<String, u64>,
+    records: BTreeMap<String, Record>,
+}
+
+impl Ledger {
+    pub fn new(lasts: Span) -> Self {
+        Ledger { lasts, seen: BTreeMap::new(), numbers: BTreeMap::new(), records: BTreeMap::new() }
+    }
+
+    /// Whether what an author says now is newer than what it said before.
+    pub fn newer(&self, author: &str, number: u64) -> bool {
+        self.numbers.get(author).is_none_or(|known| *known < number)
+    }
+
+    /// What an author says of servers takes the place of all that it said before; its signature has been
+    /// looked at.
+    pub fn told(&mut self, now: Moment, author: &str, number: u64, rows: &[Row]) {
+        if !self.newer(author, number) {
+            return;
+        }
+        self.numbers.insert(author.to_owned(), number);
+        for by in self.seen.values_mut() {
+            by.remove(author);
+        }
+        for row in rows.iter().take(ROWS) {
+            let quiet = Span::from_micros(i64::from(row.quiet_ms) * 1000);
+            let seen = Seen { tries: row.tries, lost: row.lost.min(row.tries), quiet, at: now };
+            self.seen.entry(row.server.clone()).or_default().insert(author.to_owned(), seen);
+        }
+        self.seen.retain(|_, by| !by.is_empty());
+    }
+
+    /// Forgets what is too old, and whoever is not there any more.
+    pub fn age(&mut self, now: Moment, present: impl Fn(&str) -> bool) {
+        for by in self.seen.values_mut() {
+            by.retain(|author, seen| now - seen.at < self.lasts && present(author));
+        }
+        self.seen.retain(|_, by| !by.is_empty());
+    }
+
+    pub fn weight(&self, author: &str) -> f64 {
+        self.records.get(author).copied().unwrap_or_default().weight()
+    }
+
+    /// What to make of a server, with this instance's own eyes first.
+    pub fn weigh(&self, now: Moment, server: &str, own: Own) -> Verdict {
+        if own.quiet.is_some_and(|quiet| quiet < self.lasts.times(0.5)) {
+            return Verdict::Well;
+        }
+        let Some(by) = self.seen.get(server) else { return Verdict::Open };
+        let (mut against, mut all) = (0.0, 0.0);
+        let mut witnesses = Vec::new();
+        for (author, seen) in by.iter().filter(|(_, seen)| now - seen.at < self.lasts && seen.tries >= ENOUGH)
+        {
+            let weight = self.weight(author);
+            all += weight;
+            if seen.silent() {
+                against += weight;
+                if weight >= TRUSTED {
+                    witnesses.push(author.clone());
+                }
+            }
+        }
+        // Its own losses add to the weight, but are no other witness.
+        if own.tries >= ENOUGH {
+            all += 1.0;
+            against += f64::from(u8::from(f64::from(own.lost) >= LOST * f64::from(own.tries)));
+        }
+        match witnesses.len() >= WITNESSES && against >= MAJORITY * all {
+            true => Verdict::Silent(witnesses),
+            false => Verdict::Open,
+        }
+    }
+
+    /// What became of a server is known here by now: those who said so were right, those who said otherwise
+    /// wrong.
+    pub fn judged(&mut self, server: &str, silent: bool) {
+        let Some(by) = self.seen.get(server) else { return };
+        for (author, seen) in by.iter().filter(|(_, seen)| seen.tries >= ENOUGH) {
+            let record = self.records.entry(author.clone()).or_default();
+            if seen.silent() == silent { record.right += 1.0 } else { record.wrong += 1.0 }
+        }
+    }
+
+    /// All that counts of a server: author, tries, losses, time since its last success and since it was told.
+    pub fn of(&self, now: Moment, server: &str) -> Vec<(String, u32, u32, Span, Span)> {
+        let row = |(author, seen): (&String, &Seen)| {
+            (author.clone(), seen.tries, seen.lost, seen.quiet, now - seen.at)
+        };
+        self.seen.get(server).map(|by| by.iter().map(row).collect()).unwrap_or_default()
+    }
+
+    pub fn servers(&self) -> impl Iterator<Item = &str> {
+        self.seen.keys().map(String::as_str)
+    }
+}
--- /dev/null
+++ b/membership/src/lib.rs
@@ -0,0 +1,27 @@
+//! Assigners that find each other and tell each other what they saw of servers. No I/O and no clock: whoever
+//! drives a `Node` hands in what came and the time, and carries out what it asks for.
+//!
+//! `swim`: who is there (probes, indirect probes, suspicion, refutation, rumours, full exchanges). `health`:
+//! how far this instance trusts its own eyes. `evidence`: what all saw of servers, and when that is enough.
+//! `keys`, `codec`, `window`: who said it, in which bytes, and whether it was said before. `bucket`: how much
+//! may be said. `node`: all of it together.
+
+mod bucket;
+mod codec;
+mod evidence;
+mod health;
+mod keys;
+mod node;
+mod swim;
+mod terms;
+mod window;
+
+pub use bucket::Bucket;
+pub use codec::{Ask, Body, Claim, Datagram, Evidence, Kind, Row, Signed, VERSION, What, decode, encode};
+pub use evidence::{Ledger, Own, Verdict};
+pub use health::Health;
+pub use keys::{BadKey, Keys, Public, Seal, Secret, Trust};
+pub use node::{Node, Out, Refused, Road, Tally};
+pub use swim::{Change, Member, Send, State, Swim};
+pub use terms::Terms;
+pub use window::{Old, Window};
--- /dev/null
+++ b/membership/src/terms.rs
@@ -0,0 +1,40 @@
+//! What the protocol goes by, from the settings. All else is a ratio to these.
+
+use lynxmill::Span;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// Between two probes of this instance; in as many of them as there are members each is probed once.
+    pub period: Span,
+    /// How long a direct answer may take.
+    pub timeout: Span,
+    /// Members that are asked to probe one that did not answer.
+    pub helpers: usize,
+    /// Between two exchanges of all that is known with somebody, over TCP.
+    pub exchange_every: Span,
+    /// How long what a peer told of a server counts.
+    pub evidence_for: Span,
+    /// Bytes of a datagram at most.
+    pub datagram: usize,
+    /// What this instance sends at most in a second, datagrams and exchanges together.
+    pub bytes_per_s: f64,
+    pub messages_per_s: f64,
+    /// Datagrams a second whose signatures are looked at.
+    pub intake_per_s: f64,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms {
+            period: Span::from_secs(1.0),
+            timeout: Span::from_secs(0.3),
+            helpers: 3,
+            exchange_every: Span::from_secs(30.0),
+            evidence_for: Span::from_secs(10.0),
+            datagram: 1200,
+            bytes_per_s: 24_000.0,
+            messages_per_s: 40.0,
+            intake_per_s: 400.0,
+        }
+    }
+}
--- /dev/null
+++ b/membership/tests/trust.rs
@@ -0,0 +1,273 @@
+//! Instances against liars, replays and floods, byte for byte, without sockets; and when others' words on a
+//! server are enough.
+
+use std::net::SocketAddr;
+
+use lynxmill::{Moment, Span};
+use lynxmill_membership::Keys;
+use lynxmill_membership::{
+    Body, Claim, Datagram, Kind, Ledger, Node, Out, Own, Refused, Road, Row, Seal, Secret, Signed, State,
+    Terms, Trust, VERSION, Verdict, What, encode,
+};
+use rstest::rstest;
+
+const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+
+fn secret(of: usize) -> Secret {
+    Secret::read(&format!("{:02x}", of + 1).repeat(32)).expect("a key")
+}
+
+fn keys(of: usize) -> Keys {
+    let mut trust = Trust::default();
+    NAMES.iter().enumerate().for_each(|(i, name)| trust.add(name, secret(i).public()));
+    Keys { secret: secret(of), trust }
+}
+
+fn at(of: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7000 + of as u16))
+}
+
+fn node(of: usize) -> Node<Keys> {
+    Node::new(NAMES[of], at(of), 1000, Terms::default(), keys(of), of as u64, Moment::default())
+}
+
+fn secs(secs: f64) -> Moment {
+    Moment::from_secs(secs)
+}
+
+/// They meet, and all that is sent goes through, for so long.
+fn meet(nodes: &mut [Node<Keys>], from: f64, until: f64) -> Vec<(usize, Road, Vec<u8>)> {
+    let mut carried = Vec::new();
+    for node in nodes.iter_mut() {
+        node.swim.join(&[at(0)]);
+    }
+    let mut now = from;
+    while now < until {
+        for i in 0..nodes.len() {
+            let mut out = Vec::new();
+            nodes[i].tick(secs(now), &mut out);
+            carry(nodes, i, now, out, &mut carried);
+        }
+        now += 0.1;
+    }
+    carried
+}
+
+fn carry(
+    nodes: &mut [Node<Keys>],
+    from: usize,
+    now: f64,
+    out: Vec<Out>,
+    carried: &mut Vec<(usize, Road, Vec<u8>)>,
+) {
+    for Out { to, road, bytes } in out {
+        let to = usize::from(to.port() - 7000);
+        carried.push((to, road, bytes.clone()));
+        let mut back = Vec::new();
+        let answer = nodes[to].heard(secs(now), at(from), road, &bytes, &mut back).ok().flatten();
+        if let Some(bytes) = answer {
+            let _ = nodes[from].heard(secs(now), at(to), Road::Exchange, &bytes, &mut Vec::new());
+        }
+        carry(nodes, to, now, back, carried);
+    }
+}
+
+/// A message of one member to another, signed with any key.
+fn message(from: &str, to: &str, number: u64, with: &Keys, body: &Body) -> Vec<u8> {
+    let mut datagram = Datagram {
+        version: VERSION,
+        from: from.into(),
+        to: to.into(),
+        key: with.key(),
+        life: 1000,
+        number,
+        body: encode(body),
+        signature: Vec::new(),
+    };
+    datagram.signature = with.sign(1, &datagram.signed_text());
+    encode(&datagram)
+}
+
+fn ping() -> Body {
+    Body { what: Some(What::Ping(1)), ..Body::default() }
+}
+
+#[rstest]
+#[case::wrong_key("b", "a", 3, Refused::Signature)]
+#[case::own_name("a", "a", 0, Refused::NotForMe)]
+#[case::for_another("b", "c", 1, Refused::NotForMe)]
+#[case::stranger("zoe", "a", 1, Refused::Stranger)]
+fn a_forged_message_counts_for_nothing(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] signer: usize,
+    #[case] refused: Refused,
+) {
+    let mut a = node(0);
+    let bytes = message(from, to, 1, &keys(signer), &ping());
+    let mut out = Vec::new();
+    assert_eq!(a.heard(secs(1.0), at(1), Road::Datagram, &bytes, &mut out), Err(refused));
+    assert!(out.is_empty());
+    assert_eq!(a.tally.refused.get(refused.code()), Some(&1));
+}
+
+#[test]
+fn every_changed_byte_is_found() {
+    let bytes = message("b", "a", 1, &keys(1), &ping());
+    for i in 0..bytes.len() {
+        let mut a = node(0);
+        let mut changed = bytes.clone();
+        changed[i] ^= 1;
+        let taken = a.heard(secs(1.0), at(1), Road::Datagram, &changed, &mut Vec::new());
+        assert!(taken.is_err(), "byte {i}");
+    }
+}
+
+#[test]
+fn a_replayed_message_counts_once_and_after_a_restart_of_its_sender_never() {
+    let mut nodes = [node(0), node(1)];
+    let carried = meet(&mut nodes, 0.0, 5.0);
+    let again: Vec<_> = carried.iter().filter(|(to, ..)| *to == 0).collect();
+    assert!(again.len() > 5);
+    for (_, road, bytes) in &again {
+        let taken = nodes[0].heard(secs(5.0), at(3), *road, bytes, &mut Vec::new());
+        assert_eq!(taken, Err(Refused::Replayed));
+    }
+}
+
+#[test]
+fn a_flood_costs_no_more_than_the_intake() {
+    let mut a = node(0);
+    let crowded = |a: &Node<Keys>| a.tally.refused.get("crowded").copied().unwrap_or(0);
+    for number in 0..1000 {
+        let bytes = message("b", "a", number + 1, &keys(3), &ping());
+        let _ = a.heard(secs(1.0), at(1), Road::Datagram, &bytes, &mut Vec::new());
+    }
+    assert_eq!(crowded(&a), 600, "the intake is 400 a second");
+    // Strangers use up none of it.
+    let mut a = node(0);
+    for number in 0..1000 {
+        let bytes = message("zoe", "a", number + 1, &keys(3), &ping());
+        let _ = a.heard(secs(1.0), at(1), Road::Datagram, &bytes, &mut Vec::new());
+    }
+    assert_eq!(crowded(&a), 0);
+    let bytes = message("b", "a", 1, &keys(1), &ping());
+    assert!(a.heard(secs(1.0), at(1), Road::Datagram, &bytes, &mut Vec::new()).is_ok());
+}
+
+/// One that claims all others suspect, again and again, with no other of its mind.
+#[test]
+fn a_single_liar_makes_nobody_dead() {
+    let mut nodes: Vec<_> = (0..4).map(node).collect();
+    meet(&mut nodes, 0.0, 10.0);
+    for round in 0..40 {
+        for about in [1, 2] {
+            let incarnation = nodes[0].swim.member(NAMES[about]).expect("met").incarnation;
+            let said =
+                Claim { about: NAMES[about].into(), kind: Kind::Suspect as i32, incarnation, at: "".into() };
+            let text = encode(&said);
+            let signature = keys(3).sign(2, &text);
+            let claims = vec![Signed { author: "d".into(), key: keys(3).key(), text, signature }];
+            let body = Body { what: Some(What::News(true)), claims, ..Body::default() };
+            let bytes = message("d", "a", 1_000_000 + round * 2 + about as u64, &keys(3), &body);
+            let taken =
+                nodes[0].heard(secs(10.0 + round as f64), at(3), Road::Datagram, &bytes, &mut Vec::new());
+            assert!(taken.is_ok(), "{taken:?}");
+        }
+        meet(&mut nodes, 10.0 + round as f64, 11.0 + round as f64);
+        for seen in nodes[0].swim.members() {
+            assert!(matches!(seen.state, State::Alive | State::Suspect), "{round}: {seen:?}");
+        }
+    }
+}
+
+/// A claim in another's name, with the liar's key.
+#[test]
+fn nobody_speaks_for_another() {
+    let mut nodes: Vec<_> = (0..4).map(node).collect();
+    meet(&mut nodes, 0.0, 10.0);
+    let known = nodes[0].swim.member("b").expect("met").incarnation;
+    let said =
+        Claim { about: "b".into(), kind: Kind::Left as i32, incarnation: known + 5, at: at(1).to_string() };
+    let text = encode(&said);
+    let signature = keys(3).sign(2, &text);
+    for author in ["b", "d"] {
+        let signed = Signed {
+            author: author.into(),
+            key: keys(3).key(),
+            text: text.clone(),
+            signature: signature.clone(),
+        };
+        let body = Body { what: Some(What::News(true)), claims: vec![signed], ..Body::default() };
+        let bytes = message("d", "a", if author == "b" { 900_000 } else { 900_001 }, &keys(3), &body);
+        assert!(nodes[0].heard(secs(10.0), at(3), Road::Datagram, &bytes, &mut Vec::new()).is_ok());
+        let seen = nodes[0].swim.member("b").expect("still there");
+        assert_eq!((seen.state, seen.incarnation), (State::Alive, known));
+    }
+}
+
+// --- evidence ---
+
+fn row(tries: u32, lost: u32) -> Row {
+    Row { server: "t1".into(), tries, lost, quiet_ms: 4000 }
+}
+
+fn own(tries: u32, lost: u32, quiet: Option<f64>) -> Own {
+    Own { tries, lost, quiet: quiet.map(Span::from_secs) }
+}
+
+#[rstest]
+#[case::nobody(&[], own(0, 0, None), false)]
+#[case::one(&[(20, 20)], own(0, 0, None), false)]
+#[case::one_and_own(&[(20, 20)], own(20, 20, None), false)]
+#[case::two(&[(20, 20), (9, 9)], own(0, 0, None), true)]
+#[case::two_but_one_with_too_few(&[(20, 20), (5, 5)], own(0, 0, None), false)]
+#[case::two_and_one_otherwise(&[(20, 20), (9, 9), (30, 2)], own(0, 0, None), true)]
+#[case::two_and_two_otherwise(&[(20, 20), (9, 9), (30, 2), (30, 2)], own(0, 0, None), false)]
+#[case::own_eyes_first(&[(20, 20), (9, 9), (20, 20)], own(10, 9, Some(0.4)), false)]
+#[case::inflated(&[(u32::MAX, u32::MAX)], own(0, 0, None), false)]
+#[case::more_lost_than_tried(&[(6, 60), (8, 9)], own(0, 0, None), true)]
+fn a_quorum_of_witnesses_is_needed(#[case] said: &[(u32, u32)], #[case] own: Own, #[case] silent: bool) {
+    let mut ledger = Ledger::new(Span::from_secs(10.0));
+    for (i, (tries, lost)) in said.iter().enumerate() {
+        ledger.told(secs(1.0), NAMES[i], 1, &[row(*tries, *lost)]);
+    }
+    let verdict = ledger.weigh(secs(2.0), "t1", own);
+    assert_eq!(matches!(verdict, Verdict::Silent(_)), silent, "{verdict:?}");
+}
+
+#[test]
+fn words_age_and_go_with_who_said_them() {
+    let mut ledger = Ledger::new(Span::from_secs(10.0));
+    ledger.told(secs(1.0), "a", 1, &[row(9, 9)]);
+    ledger.told(secs(1.0), "b", 1, &[row(9, 9)]);
+    assert!(matches!(ledger.weigh(secs(10.9), "t1", Own::default()), Verdict::Silent(_)));
+    assert_eq!(ledger.weigh(secs(11.1), "t1", Own::default()), Verdict::Open);
+    ledger.age(secs(2.0), |author| author == "a");
+    assert_eq!(ledger.weigh(secs(2.0), "t1", Own::default()), Verdict::Open);
+    // A word of before takes no newer one's place, and one that says nothing takes back what was said.
+    ledger.told(secs(3.0), "a", 1, &[]);
+    assert_eq!(ledger.of(secs(3.0), "t1").len(), 1);
+    ledger.told(secs(3.0), "a", 2, &[]);
+    assert_eq!(ledger.servers().count(), 0);
+}
+
+#[test]
+fn who_is_often_wrong_is_no_witness_until_it_has_been_right_as_often() {
+    let mut ledger = Ledger::new(Span::from_secs(10.0));
+    let tell = |ledger: &mut Ledger, number| {
+        for author in ["a", "b"] {
+            ledger.told(secs(1.0), author, number, &[row(9, 9)]);
+        }
+    };
+    tell(&mut ledger, 1);
+    for _ in 0..2 {
+        ledger.judged("t1", false);
+    }
+    assert!(ledger.weight("a") < 0.5 && ledger.weight("never heard") == 1.0);
+    assert_eq!(ledger.weigh(secs(1.0), "t1", Own::default()), Verdict::Open);
+    for _ in 0..8 {
+        ledger.judged("t1", true);
+    }
+    assert!(matches!(ledger.weigh(secs(1.0), "t1", Own::default()), Verdict::Silent(_)));
+}
