Servers that enough other assigners found silent are suspect by fewer losses of one's own

Need: a silent server is known 2 to 3 s late, as each assigner waits for eight missing successes of its own. A quorum of others (two witnesses, 0.6 of all weight; membership/evidence.rs) lowers that to two; own losses are still needed, so that no number of peers drains a server that answers here.

--- a/membership/src/evidence.rs
+++ b/membership/src/evidence.rs
@@ -28,6 +28,9 @@
     lost: u32,
     quiet: Span,
     at: Moment,
+    /// Since when its author has said this of it, and whether own eyes have borne that out or not.
+    since: Moment,
+    judged: bool,
 }
 
 impl Seen {
@@ -95,13 +98,22 @@
             return;
         }
         self.numbers.insert(author.to_owned(), number);
-        for by in self.seen.values_mut() {
-            by.remove(author);
+        let mut before: BTreeMap<&String, Seen> = BTreeMap::new();
+        for (server, by) in &mut self.seen {
+            before.extend(by.remove(author).map(|seen| (server, seen)));
         }
+        let mut now_seen = Vec::new();
         for row in rows.iter().take(ROWS) {
             let quiet = Span::from_micros(i64::from(row.quiet_ms) * 1000);
-            let seen = Seen { tries: row.tries, lost: row.lost.min(row.tries), quiet, at: now };
-            self.seen.entry(row.server.clone()).or_default().insert(author.to_owned(), seen);
+            let (lost, since, judged) = (row.lost.min(row.tries), now, false);
+            let mut seen = Seen { tries: row.tries, lost, quiet, at: now, since, judged };
+            if let Some(old) = before.get(&row.server).filter(|old| old.silent() == seen.silent()) {
+                (seen.since, seen.judged) = (old.since, old.judged);
+            }
+            now_seen.push((row.server.clone(), seen));
+        }
+        for (server, seen) in now_seen {
+            self.seen.entry(server).or_default().insert(author.to_owned(), seen);
         }
         self.seen.retain(|_, by| !by.is_empty());
     }
@@ -148,13 +160,20 @@
         }
     }
 
-    /// What became of a server is known here by now: those who said so were right, those who said otherwise
-    /// wrong.
-    pub fn judged(&mut self, server: &str, silent: bool) {
-        let Some(by) = self.seen.get(server) else { return };
-        for (author, seen) in by.iter().filter(|(_, seen)| seen.tries >= ENOUGH) {
+    /// Own eyes tell of a server: who has said that it is silent was right where all is lost here as well, wrong where
+    /// it has answered here long enough after that was said. Each is judged once for each time that it begins to say so.
+    pub fn judged(&mut self, now: Moment, server: &str, own: Own) {
+        let Some(by) = self.seen.get_mut(server) else { return };
+        let lost = own.tries >= ENOUGH && own.lost == own.tries;
+        for (author, seen) in by.iter_mut().filter(|(_, seen)| seen.silent() && !seen.judged) {
             let record = self.records.entry(author.clone()).or_default();
-            if seen.silent() == silent { record.right += 1.0 } else { record.wrong += 1.0 }
+            let answered = own.quiet.is_some_and(|quiet| now - seen.since > self.lasts.times(0.5) + quiet);
+            if lost {
+                record.right += 1.0;
+            } else if answered {
+                record.wrong += 1.0;
+            }
+            seen.judged = lost || answered;
         }
     }
 
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -2,7 +2,7 @@
 //! drives a `Node` hands in what came and the time, and carries out what it asks for.
 //!
 //! `swim`: who is there (probes, indirect probes, suspicion, refutation, rumours, full exchanges). `health`:
-//! how far this instance trusts its own eyes. `evidence`: what all saw of servers, and when that is enough.
+//! how far this instance trusts its own eyes. `sight`: what this one sees of servers, `evidence`: what all saw of them, and when that is enough.
 //! `keys`, `codec`, `window`: who said it, in which bytes, and whether it was said before. `bucket`: how much
 //! may be said. `node`: all of it together.
 
@@ -12,6 +12,7 @@
 mod health;
 mod keys;
 mod node;
+mod sight;
 mod swim;
 mod terms;
 mod window;
@@ -22,6 +23,7 @@
 pub use health::Health;
 pub use keys::{BadKey, Keys, Public, Seal, Secret, Trust};
 pub use node::{Node, Out, Refused, Road, Tally};
+pub use sight::Sight;
 pub use swim::{Change, Member, Send, State, Swim};
 pub use terms::Terms;
 pub use window::{Old, Window};
--- a/membership/src/node.rs
+++ b/membership/src/node.rs
@@ -11,6 +11,7 @@
 use crate::codec::{Body, Datagram, Evidence, Row, Signed, VERSION, What, decode, encode};
 use crate::evidence::{Ledger, Own, Verdict};
 use crate::keys::Seal;
+use crate::sight::Sight;
 use crate::swim::{Change, Send, State, Swim};
 use crate::terms::Terms;
 use crate::window::{Old, Window};
@@ -196,6 +197,18 @@
         self.ledger.weigh(now, server, own)
     }
 
+    /// What own eyes tell judges those who spoke of the same servers, and what all words come to is told: servers that have
+    /// become doubtful, or are so no longer.
+    pub fn look(&mut self, now: Moment, sight: &mut Sight) -> Vec<(String, bool)> {
+        let own = sight.all(now);
+        for (server, own) in &own {
+            self.ledger.judged(now, server, *own);
+        }
+        self.saw(own);
+        let ledger = &self.ledger;
+        sight.doubts(now, ledger.servers(), |server, own| ledger.weigh(now, server, own))
+    }
+
     /// Bytes that came on either road; what an exchange is answered with goes to whoever asked, on the same
     /// connection.
     ///
--- a/membership/tests/trust.rs
+++ b/membership/tests/trust.rs
@@ -6,8 +6,8 @@
 use lynxmill::{Moment, Span};
 use lynxmill_membership::Keys;
 use lynxmill_membership::{
-    Body, Claim, Datagram, Kind, Ledger, Node, Out, Own, Refused, Road, Row, Seal, Secret, Signed, State,
-    Terms, Trust, VERSION, Verdict, What, encode,
+    Body, Claim, Datagram, Kind, Ledger, Node, Out, Own, Refused, Road, Row, Seal, Secret, Sight, Signed,
+    State, Terms, Trust, VERSION, Verdict, What, encode,
 };
 use rstest::rstest;
 
@@ -255,19 +255,69 @@
 #[test]
 fn who_is_often_wrong_is_no_witness_until_it_has_been_right_as_often() {
     let mut ledger = Ledger::new(Span::from_secs(10.0));
-    let tell = |ledger: &mut Ledger, number| {
-        for author in ["a", "b"] {
-            ledger.told(secs(1.0), author, number, &[row(9, 9)]);
-        }
+    let mut number = 0;
+    let mut say = |ledger: &mut Ledger, at: f64, rows: &[Row]| {
+        number += 1;
+        ["a", "b"].iter().for_each(|author| ledger.told(secs(at), author, number, rows));
     };
-    tell(&mut ledger, 1);
-    for _ in 0..2 {
-        ledger.judged("t1", false);
+    let silent =
+        |ledger: &Ledger, at| matches!(ledger.weigh(secs(at), "t1", Own::default()), Verdict::Silent(_));
+    say(&mut ledger, 1.0, &[row(9, 9)]);
+    assert!(silent(&ledger, 1.0));
+    // A success of before, or of just after, tells nothing yet.
+    ledger.judged(secs(2.0), "t1", own(9, 1, Some(1.5)));
+    ledger.judged(secs(5.0), "t1", own(9, 1, Some(0.1)));
+    assert_eq!(ledger.weight("a"), 1.0);
+    for _ in 0..5 {
+        ledger.judged(secs(7.0), "t1", own(9, 1, Some(0.1)));
     }
+    assert_eq!(ledger.weight("a"), 0.5, "wrong once, however often it is looked at");
+    // It says so still, which is the same word; then anew.
+    say(&mut ledger, 8.0, &[row(12, 12)]);
+    ledger.judged(secs(20.0), "t1", own(9, 1, Some(0.1)));
+    assert_eq!(ledger.weight("a"), 0.5);
+    say(&mut ledger, 20.0, &[]);
+    say(&mut ledger, 21.0, &[row(9, 9)]);
+    ledger.judged(secs(27.0), "t1", own(9, 1, Some(0.1)));
     assert!(ledger.weight("a") < 0.5 && ledger.weight("never heard") == 1.0);
-    assert_eq!(ledger.weigh(secs(1.0), "t1", Own::default()), Verdict::Open);
-    for _ in 0..8 {
-        ledger.judged("t1", true);
+    assert!(!silent(&ledger, 27.0));
+    for turn in 0..5 {
+        say(&mut ledger, 30.0 + f64::from(turn), &[]);
+        say(&mut ledger, 30.5 + f64::from(turn), &[row(9, 9)]);
+        ledger.judged(secs(30.5 + f64::from(turn)), "t1", own(8, 8, None));
     }
-    assert!(matches!(ledger.weigh(secs(1.0), "t1", Own::default()), Verdict::Silent(_)));
+    assert!(silent(&ledger, 35.0));
+}
+
+#[test]
+fn own_reports_are_a_run_since_the_last_success() {
+    let mut sight = Sight::new(Span::from_secs(10.0));
+    sight.met(secs(1.0), "t1", 6.0, 1.0);
+    assert_eq!(sight.own(secs(1.5), "t1"), own(6, 1, Some(0.5)));
+    sight.met(secs(2.0), "t1", 4.0, 4.0);
+    sight.met(secs(3.0), "t1", 4.0, 5.0);
+    assert_eq!(
+        sight.own(secs(3.0), "t1"),
+        own(8, 8, None),
+        "the losses before the last success are not of the run"
+    );
+    assert_eq!(sight.own(secs(13.0), "t1"), Own::default(), "nothing heard for long");
+    sight.met(secs(14.0), "t1", f64::INFINITY, f64::INFINITY);
+    assert_eq!(sight.own(secs(14.0), "t1").tries, u32::MAX);
+    assert!(sight.all(secs(40.0)).is_empty());
+}
+
+#[test]
+fn a_doubt_is_told_when_it_begins_and_when_it_ends() {
+    let mut sight = Sight::new(Span::from_secs(10.0));
+    let silent = |_: &str, own: Own| match own.quiet {
+        None => Verdict::Silent(vec!["a".into(), "b".into()]),
+        Some(_) => Verdict::Well,
+    };
+    let mut look = |sight: &mut Sight, at| sight.doubts(secs(at), ["t1"].into_iter(), silent);
+    assert_eq!(look(&mut sight, 1.0), [("t1".to_owned(), true)]);
+    assert_eq!(look(&mut sight, 2.0), []);
+    assert_eq!(sight.doubted().collect::<Vec<_>>(), [("t1", secs(1.0))]);
+    sight.met(secs(3.0), "t1", 3.0, 0.0);
+    assert_eq!(look(&mut sight, 3.0), [("t1".to_owned(), false)]);
 }
--- a/replay/src/loopback.rs
+++ b/replay/src/loopback.rs
@@ -108,8 +108,11 @@
         | Event::Moved(_)
         | Event::Hand { .. }
         | Event::Journal(_)
-        | Event::Kept { .. } => {
-            return Err("nobody moves addresses or gives orders by hand in drive mode".to_owned());
+        | Event::Kept { .. }
+        | Event::Doubted(_) => {
+            return Err(
+                "nobody moves addresses, orders by hand or speaks for others in drive mode".to_owned()
+            );
         }
     };
     step[key] = value;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -65,6 +65,8 @@
     // What operators say: out of use, not to be judged, and a factor that its size holds.
     out: bool = false,
     trusted: bool = false,
+    // Other assigners' word.
+    doubted: bool = false,
     weight: f64 = 1.0,
     ;
     // Fading sums of what ended there: tries, lost ones, seconds of the others; tries never cut, their span.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,7 +19,7 @@
 const REFUSES: f64 = 0.9;
 /// Successes in a row that must be missing, from all zones, before a server is suspect.
 const LOST_RUN: f64 = 8.0;
-/// The same for one that the list has dropped, as a part.
+/// The same for one that the list has dropped or others doubt, as a part: own eyes must see it too.
 const DROPPED: f64 = 0.25;
 /// Targets whose load lies within this ratio of the best are drawn by chance, so that assigners don't herd.
 const NEAR: f64 = 1.1;
@@ -200,10 +200,15 @@
     /// An operator's word that a server is not to be judged by what it answers, or is again.
     pub fn trust(&mut self, task: u32, trusted: bool) {
         let i = self.fleet.at(task, self.now);
-        if trusted != self.fleet.trusted[i] {
+        if std::mem::replace(&mut self.fleet.trusted[i], trusted) != trusted {
             self.fleet.forget_health(i);
         }
-        self.fleet.trusted[i] = trusted;
+    }
+
+    /// Enough other assigners found that a server answers no one, or do so no longer.
+    pub fn doubted(&mut self, task: u32, doubted: bool) {
+        let i = self.fleet.at(task, self.now);
+        self.fleet.doubted[i] = doubted;
     }
 
     /// Guards proxies against an operator who takes out the last warm server that can be used.
@@ -250,13 +255,9 @@
         })
     }
 
-    pub fn moves(&self, tbl: usize) -> bool {
-        self.slices[tbl].handover.is_some()
-    }
-
-    /// Whether a wish for a slice is still open.
-    pub fn wishes(&self, tbl: usize) -> bool {
-        self.slices[tbl].wish.is_some()
+    /// Whether a slice is on its way, and whether a wish for it is still open.
+    pub fn moves(&self, tbl: usize) -> (bool, bool) {
+        (self.slices[tbl].handover.is_some(), self.slices[tbl].wish.is_some())
     }
 
     pub fn owner(&self, tbl: usize) -> Option<u32> {
@@ -291,9 +292,8 @@
 
     pub fn custody(&mut self, tbl: usize, on: bool) {
         self.moving.remove(&tbl);
-        let slice = &mut self.slices[tbl];
-        let rate = slice.rate.take();
-        *slice = Slice { mine: on, given: self.now, republish: on, rate, ..Slice::default() };
+        let rate = self.slices[tbl].rate.take();
+        self.slices[tbl] = Slice { mine: on, given: self.now, republish: on, rate, ..Slice::default() };
     }
 
     pub fn stored(&mut self, tbl: usize, task: u32) {
@@ -473,8 +473,8 @@
     fn suspect(&mut self, out: &mut impl Orders) {
         let trial = self.facts.lease.times(4.0);
         let ready: Vec<usize> = self.all().filter(|&i| self.fleet.standing[i] == Standing::Ready).collect();
-        let run =
-            |f: &Fleet, i: usize| f.lost_run[i] * f.success[i] / if f.dropped[i] { DROPPED } else { 1.0 };
+        let bar = |f: &Fleet, i: usize| if f.dropped[i] || f.doubted[i] { DROPPED } else { 1.0 };
+        let run = |f: &Fleet, i: usize| f.lost_run[i] * f.success[i] / bar(f, i);
         let silent = |f: &Fleet, i: usize| f.suspect[i].is_some() || (run(f, i) >= LOST_RUN && !f.trusted[i]);
         let dead = ready.iter().filter(|&&i| silent(&self.fleet, i)).count();
         for i in ready.iter().copied() {
--- a/state/src/reduce.rs
+++ b/state/src/reduce.rs
@@ -59,6 +59,8 @@
         id: String,
         failed: Option<String>,
     },
+    /// What other assigners' words on servers come to by now, for each that this has changed for.
+    Doubted(Vec<(String, bool)>),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -348,6 +350,11 @@
             Event::Moved(to) => self.moved(now, to, effects),
             Event::Journal(records) => self.journal(now, records),
             Event::Kept { id, failed } => self.kept(&id, failed, effects),
+            Event::Doubted(servers) => {
+                let known = |(name, doubted): (String, bool)| Some((self.names.known(&name)?, doubted));
+                let known = servers.into_iter().filter_map(known);
+                self.inbox.extend(known.map(|(server, doubted)| Input::Doubted(server, doubted)));
+            }
             Event::Hand { from, id, order, lasts } => {
                 self.hand(now, from, id, order, lasts.map(Span::from_micros), effects);
             }
--- a/state/src/reduce/hands.rs
+++ b/state/src/reduce/hands.rs
@@ -224,7 +224,7 @@
                         Some(Stage::Done)
                     } else if !charge.mine {
                         Some(Stage::Refused("the slice went to other hands".to_owned()))
-                    } else if !there && !self.assigner.wishes(*slice) {
+                    } else if !there && !self.assigner.moves(*slice).1 {
                         // What stands was told anew, which ends all wishes; or the server can't take it any more.
                         let no = self.forbidden(&entry.order);
                         again.extend(no.is_none().then(|| entry.clone()));
--- a/state/src/round.rs
+++ b/state/src/round.rs
@@ -42,6 +42,8 @@
         weight: f64,
         trusted: bool,
     },
+    /// Whether enough other assigners found that a server answers no one.
+    Doubted(u32, bool),
     /// Nothing was heard, but there is something to decide.
     Look,
 }
@@ -70,6 +72,7 @@
             assigner.by_hand(server, out, weight);
             assigner.trust(server, trusted);
         }
+        Input::Doubted(server, doubted) => assigner.doubted(server, doubted),
         Input::Look => {}
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -92,7 +92,8 @@
 
 /// One event line: `list 1 2 cold:3 drain:4 gone:5`, `custody 0 1` (slice and stored owner), `join 0`, `part
 /// 0`, `answer 0 [old]`, `heard 1 tries lost seconds [held [span]]`, `demand 0 operation tries`; by hand `out 1`, `back 1`,
-/// `weigh 1 2.0`, `trust 1`, `judge 1`, `wish 0 1` (slice, server), which must not be refused, `no_wish 0 1`, which must.
+/// `weigh 1 2.0`, `trust 1`, `judge 1`, `doubt 1 1`, `wish 0 1` (slice, server), which must not be refused,
+/// `no_wish 0 1`, which must.
 fn feed(to: &mut Assigner, line: &str, now: f64, mark: u16, old: u16) -> Result<(), String> {
     let words: Vec<&str> = line.split_whitespace().collect();
     let num = |k: usize| words[k].parse::<f64>().map_err(|e| format!("{line}: {e}"));
@@ -135,6 +136,7 @@
         "back" => to.by_hand(num(1)? as u32, false, 1.0),
         "weigh" => to.by_hand(num(1)? as u32, false, num(2)?),
         "trust" => to.trust(num(1)? as u32, true),
+        "doubt" => to.doubted(num(1)? as u32, num(2)? == 1.0),
         "judge" => to.trust(num(1)? as u32, false),
         "wish" => assert_eq!(to.wish(num(1)? as usize, num(2)? as u32), None, "at {now}: {line}"),
         "no_wish" => assert!(to.wish(num(1)? as usize, num(2)? as u32).is_some(), "at {now}: {line}"),
