Membership on sockets: lynxmilld meets other assigners, and lynxmill keys and members

membership/io/ carries the core over UDP and TCP; keys lie in files (a secret's mode is checked, a trust file has a line a key) and are taken over while it runs, both or none. `membership` in the daemon's file, off without it; reports that count reach the member as an effect of the reducer, its doubts come back as an event. `show members| evidence|gossip`, `leave members`, metrics, `lynxmill keys new|show|rotate|revoke`, `lynxmill members`.

--- /dev/null
+++ b/cli/src/keys.rs
@@ -0,0 +1,119 @@
+//! `lynxmill keys`: files of the keys by which assigners know each other. A secret never leaves its file.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::Subcommand;
+use lynxmill_membership::Public;
+use lynxmill_membership_io::{Trusted, fresh, read_secret, write_secret};
+
+use crate::end::{Fail, other};
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// A new secret in a file of its own, and its public key as a line of the trust file.
+    New {
+        /// The file of the secret; it must not be there yet.
+        #[arg(long)]
+        secret: PathBuf,
+        /// The assigner whose key it is.
+        #[arg(long)]
+        name: String,
+        /// A trust file that the line is put into as well.
+        #[arg(long)]
+        trust: Option<PathBuf>,
+    },
+    /// The public key of a secret, or the keys of a trust file.
+    Show {
+        #[arg(long, required_unless_present = "trust")]
+        secret: Option<PathBuf>,
+        #[arg(long)]
+        trust: Option<PathBuf>,
+    },
+    /// A key in another's place. First it makes `SECRET.next` and the line that all must trust; with
+    /// `--finish`, once they do, it is put in place; the old key is then taken out with `revoke`.
+    Rotate {
+        #[arg(long)]
+        secret: PathBuf,
+        #[arg(long)]
+        name: String,
+        #[arg(long)]
+        trust: Option<PathBuf>,
+        #[arg(long)]
+        finish: bool,
+    },
+    /// Takes a name's keys, or one of them, out of a trust file.
+    Revoke {
+        #[arg(long)]
+        trust: PathBuf,
+        #[arg(long)]
+        name: String,
+        /// This key alone.
+        #[arg(long)]
+        key: Option<String>,
+    },
+}
+
+fn next(secret: &Path) -> PathBuf {
+    let mut name = secret.as_os_str().to_owned();
+    name.push(".next");
+    PathBuf::from(name)
+}
+
+/// Makes a secret; its line is told and put into a trust file.
+fn made(secret: &Path, name: &str, trust: Option<&Path>) -> Result<(), Fail> {
+    if name.is_empty() || name.contains(|c: char| c.is_whitespace() || c == '#') {
+        return Err(other(format!("{name:?} can be no name in a trust file")));
+    }
+    // Whether the trust file can be read is known before a secret is made.
+    let trusted = trust.map(|path| Trusted::open_or_new(path).map(|trusted| (path, trusted)));
+    let trusted = trusted.transpose().map_err(other)?;
+    let key = fresh().map_err(other)?;
+    write_secret(secret, &key).map_err(other)?;
+    if let Some((path, mut trusted)) = trusted {
+        trusted.add(name, key.public());
+        trusted.write(path).map_err(other)?;
+    }
+    println!("{name} {}", key.public());
+    Ok(())
+}
+
+pub fn run(command: Command) -> Result<ExitCode, Fail> {
+    match command {
+        Command::New { secret, name, trust } => made(&secret, &name, trust.as_deref())?,
+        Command::Show { secret, trust } => {
+            if let Some(secret) = secret {
+                println!("{}", read_secret(&secret).map_err(other)?.public());
+            }
+            if let Some(trust) = trust {
+                Trusted::open(&trust).map_err(other)?.keys().for_each(|(name, key)| println!("{name} {key}"));
+            }
+        }
+        Command::Rotate { secret, name, trust, finish: false } => {
+            made(&next(&secret), &name, trust.as_deref())?
+        }
+        Command::Rotate { secret, name, trust, finish: true } => {
+            let key = read_secret(&next(&secret)).map_err(other)?.public();
+            if let Some(trust) = trust {
+                let trusted = Trusted::open(&trust).map_err(other)?;
+                if !trusted.keys().any(|of| of == (name.as_str(), key)) {
+                    return Err(other(format!("{}: {name} {key} is not trusted there yet", trust.display())));
+                }
+            }
+            let old = read_secret(&secret).map_err(other)?.public();
+            std::fs::rename(next(&secret), &secret)
+                .map_err(|e| other(format!("{}: {e}", secret.display())))?;
+            println!("{name} {key} is in place of {old}, which is now to be revoked");
+        }
+        Command::Revoke { trust, name, key } => {
+            let which = key.map(|key| Public::read(&key)).transpose();
+            let which = which.map_err(|e| other(format!("the key {e}")))?;
+            let mut trusted = Trusted::open(&trust).map_err(other)?;
+            if trusted.revoke(&name, which) == 0 {
+                return Err(other(format!("{}: no such key of {name}", trust.display())));
+            }
+            trusted.write(&trust).map_err(other)?;
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,8 @@
 mod end;
 mod help;
 mod hunt;
+mod keys;
+mod members;
 mod registry;
 mod replay;
 mod settings;
@@ -34,6 +36,12 @@
     Day(day::Command),
     /// Days from seeds with troubles that run into one another: which of them break a rule.
     Hunt(hunt::Wish),
+    /// Keys of assigners that meet each other: make, show, change in service, take out.
+    #[command(subcommand)]
+    Keys(keys::Command),
+    /// The assigners that a running one knows, and what they say of servers.
+    #[command(subcommand)]
+    Members(members::Command),
     /// The tables in a key-value registry: look, follow, save and restore.
     #[command(subcommand)]
     Registry(registry::Command),
@@ -58,6 +66,8 @@
         Command::Ctl(wish) => ctl::run(&wish),
         Command::Day(command) => day::run(command),
         Command::Hunt(wish) => hunt::run(&wish),
+        Command::Keys(command) => keys::run(command),
+        Command::Members(command) => members::run(command),
         Command::Registry(command) => registry::run(command),
         Command::Replay(wish) => replay::run(&wish),
         Command::Settings(wish) => settings::run(&wish),
--- /dev/null
+++ b/cli/src/members.rs
@@ -0,0 +1,126 @@
+//! `lynxmill members`: the other assigners, as a running one sees them.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Args, Subcommand};
+use serde_json::Value;
+
+use crate::ctl::{Place, REFUSED, ask};
+use crate::end::{Fail, other};
+
+#[derive(Args)]
+pub struct At {
+    #[command(flatten)]
+    place: Place,
+    /// Seconds to wait for an answer.
+    #[arg(long, default_value_t = 10.0)]
+    patience: f64,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// All that are or were there.
+    List {
+        #[command(flatten)]
+        at: At,
+        #[arg(long)]
+        json: bool,
+    },
+    /// One of them, with what it says of servers.
+    Show {
+        #[command(flatten)]
+        at: At,
+        name: String,
+    },
+    /// What all say of servers, and which of these are doubted for it.
+    Evidence {
+        #[command(flatten)]
+        at: At,
+        /// Of this one alone.
+        server: Option<String>,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Tells the others that this assigner goes by its own will, before it is stopped.
+    Leave {
+        #[command(flatten)]
+        at: At,
+    },
+}
+
+fn said(at: &At, line: &str) -> Result<String, Fail> {
+    let patience = Duration::from_secs_f64(at.patience.clamp(0.1, 86_400.0));
+    ask(&at.place, patience, &format!("{line}\n"))
+        .map_err(|e| other(format!("the assigner said nothing: {e}")))
+}
+
+/// The rows that a command is answered with.
+fn rows(at: &At, what: &str) -> Result<Vec<Value>, Fail> {
+    let text = said(at, &format!("show {what} json"))?;
+    serde_json::from_str(&text)
+        .map_err(|_| other(format!("the assigner's answer can't be read: {}", text.trim())))
+}
+
+fn text(of: &Value) -> String {
+    of.as_str().map_or_else(|| if of.is_null() { "-".to_owned() } else { of.to_string() }, str::to_owned)
+}
+
+/// Columns as wide as their widest.
+pub fn table(heads: &[&str], rows: &[Value]) -> String {
+    let mut lines = vec![heads.iter().map(|head| (*head).to_owned()).collect::<Vec<_>>()];
+    lines.extend(rows.iter().map(|row| heads.iter().map(|head| text(&row[*head])).collect()));
+    let wide = |k: usize| lines.iter().map(|line| line[k].len()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..heads.len()).map(wide).collect();
+    let line = |line: &Vec<String>| {
+        let cells: Vec<String> =
+            line.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
+        format!("{}\n", cells.join("  ").trim_end())
+    };
+    lines.iter().map(line).collect()
+}
+
+const MEMBER: [&str; 7] = ["member", "at", "state", "seconds", "incarnation", "weight", "wrong"];
+const EVIDENCE: [&str; 6] = ["server", "by", "tries", "lost", "age_s", "doubted"];
+
+fn shown(heads: &[&str], rows: Vec<Value>, json: bool) {
+    if json {
+        println!("{}", Value::Array(rows));
+    } else {
+        print!("{}", table(heads, &rows));
+    }
+}
+
+pub fn run(command: Command) -> Result<ExitCode, Fail> {
+    match command {
+        Command::List { at, json } => shown(&MEMBER, rows(&at, "members")?, json),
+        Command::Show { at, name } => {
+            let of = |key: &str, rows: Vec<Value>| -> Vec<Value> {
+                rows.into_iter().filter(|row| row[key] == name.as_str()).collect()
+            };
+            let found = of("member", rows(&at, "members")?);
+            if found.is_empty() {
+                return Err(other(format!("no member {name} is known")));
+            }
+            shown(&MEMBER, found, false);
+            let said = of("by", rows(&at, "evidence")?);
+            if !said.is_empty() {
+                println!();
+                shown(&EVIDENCE, said, false);
+            }
+        }
+        Command::Evidence { at, server, json } => {
+            let mut told = rows(&at, "evidence")?;
+            told.retain(|row| server.as_deref().is_none_or(|server| row["server"] == server));
+            shown(&EVIDENCE, told, json);
+        }
+        Command::Leave { at } => {
+            let answer = said(&at, "leave members")?;
+            print!("{answer}");
+            if answer.starts_with("refused") {
+                return Ok(ExitCode::from(REFUSED));
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -9,6 +9,7 @@
 use actix_rt::task::JoinHandle;
 use awc::{Client, Connector};
 use lynxmill::Moment;
+use lynxmill_membership_io::{Opened, Runner, Told};
 use lynxmill_runtime::journal::Journal;
 use lynxmill_state::hand::{Record, Stage};
 use lynxmill_state::{Effect, Event, Start, State, Status};
@@ -62,11 +63,13 @@
     store: RefCell<Option<Rc<Store>>>,
     runtime: RefCell<Option<Rc<Runtime>>>,
     keeper: RefCell<Option<Keeper>>,
+    /// Other assigners, where they are told.
+    members: RefCell<Option<Rc<Runner>>>,
 }
 
 impl Hub {
     pub fn start(clock: Clock, start: Start, beside: Beside) -> Rc<Self> {
-        let Beside { recorder, store: wish, operators, metrics } = beside;
+        let Beside { recorder, store: wish, operators, members, metrics } = beside;
         if operators.is_some() || metrics {
             happened::begin(clock);
         }
@@ -102,6 +105,7 @@
             store: RefCell::default(),
             runtime: RefCell::default(),
             keeper: RefCell::default(),
+            members: RefCell::default(),
         });
         if let Some(Operators { wish, listening, journal, reload }) = operators {
             if let Some((journal, stood)) = journal {
@@ -109,6 +113,9 @@
             }
             *hub.runtime.borrow_mut() = Some(Runtime::start(wish, listening, reload, clock, &hub));
         }
+        if let Some(opened) = members {
+            hub.meet(opened, deployment.seed);
+        }
         if let Some(wish) = wish {
             let store = Store::start(&wish, deployment, clock, &hub);
             *hub.store.borrow_mut() = Some(Rc::new(store));
@@ -183,6 +190,11 @@
                         keeper.keep(record);
                     }
                 }
+                Effect::Saw { server, tries, lost } => {
+                    if let Some(members) = &*self.members.borrow() {
+                        members.met(&server, tries, lost);
+                    }
+                }
                 Effect::HandStep(entry) => {
                     happened::note(|at, happened| {
                         if entry.stage == Stage::Done {
@@ -287,6 +299,32 @@
         self.tell(Event::Journal(stood));
     }
 
+    /// Meets other assigners; what they say of servers comes in as any event does.
+    fn meet(self: &Rc<Self>, opened: Opened, seed: u64) {
+        let (clock, (tell, mut told)) = (self.clock, mpsc::unbounded_channel());
+        let note = move |told: Told| drop(tell.send(told));
+        match Runner::start(opened, seed, move || clock.now(), note) {
+            Ok(runner) => *self.members.borrow_mut() = Some(runner),
+            Err(e) => return log::error!("no other assigners: {e}"),
+        }
+        self.state.borrow_mut().share();
+        let hub = self.clone();
+        actix_rt::spawn(async move {
+            while let Some(told) = told.recv().await {
+                match told {
+                    Told::Doubted(servers) => hub.tell(Event::Doubted(servers)),
+                    Told::Change(change) => happened::note(|at, happened| {
+                        happened.event(at, "member", format!("{} is {}", change.name, change.to.word()));
+                    }),
+                }
+            }
+        });
+    }
+
+    pub fn members(&self) -> Option<Rc<Runner>> {
+        self.members.borrow().clone()
+    }
+
     /// Looks at the state.
     pub fn with_state<T>(&self, look: impl FnOnce(&State) -> T) -> T {
         look(&self.state.borrow())
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -36,6 +36,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use hub::{Hub, Operators};
+use lynxmill_membership_io::Opened;
 use lynxmill_state::{Event, Start};
 use lynxmill_wire::Fail;
 use record::Recorder;
@@ -69,7 +70,8 @@
     let (start, store) = (file.start()?, file.store()?);
     let operators = file.runtime()?;
     let recorder = file.recorder(clock.epoch())?;
-    let beside = Beside { recorder, store, operators, metrics: file.metrics() };
+    let members = file.membership(&start.name)?;
+    let beside = Beside { recorder, store, operators, members, metrics: file.metrics() };
     actix_rt::System::new().block_on(run(clock, file, start, beside)).map_err(|e| e.to_string())
 }
 
@@ -82,11 +84,12 @@
 }
 
 /// What a configuration may ask for beside the assigner: a recording and the configuration that it begins with, a
-/// registry in the relay's place, the runtime socket.
+/// registry in the relay's place, the runtime socket, other assigners.
 pub struct Beside {
     recorder: Option<(Recorder, String)>,
     store: Option<store::Wish>,
     operators: Option<Operators>,
+    members: Option<Opened>,
     metrics: bool,
 }
 
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -44,13 +44,28 @@
     gauge!("lynxmill_slices_moving").set(picture.slices.iter().filter(|slice| slice.moving).count() as f64);
 }
 
+/// What the member beside it counts: what it sends and hears, what it left out by reason.
+fn member(tally: &Value) {
+    let number = |name: &str| tally[name].as_f64().unwrap_or(0.0);
+    gauge!("lynxmill_members").set(number("members"));
+    gauge!("lynxmill_member_patience").set(number("health"));
+    for name in ["sent", "sent_bytes", "held_back", "heard"] {
+        counter!(format!("lynxmill_member_{name}_total")).absolute(number(name) as u64);
+    }
+    for (reason, times) in tally["refused_by_reason"].as_object().into_iter().flatten() {
+        counter!("lynxmill_member_refused_total", "reason" => reason.clone())
+            .absolute(times.as_u64().unwrap_or(0));
+    }
+}
+
 /// The whole of it.
-pub fn text(state: &State) -> String {
+pub fn text(state: &State, members: Option<&Value>) -> String {
     let recorder = PrometheusBuilder::new().build_recorder();
     let handle = recorder.handle();
     metrics::with_local_recorder(&recorder, || {
         status(state);
         picture(state);
+        members.into_iter().for_each(member);
         describe_counter!("lynxmill_connections_ended_total", "by road and reason code, as in the log");
         describe_gauge!("lynxmill_order_seconds", "from an order by hand until it is done");
         happened::look(|_, happened| {
--- a/daemon/src/runtime.rs
+++ b/daemon/src/runtime.rs
@@ -141,6 +141,12 @@
     Ok(Some((journal, stood)))
 }
 
+/// What is not the assigner's picture, but the program's.
+fn of_the_program(what: Show) -> bool {
+    use Show::{Errors, Events, Evidence, Gossip, Limits, Members, Streams, Times};
+    matches!(what, Events | Errors | Times | Limits | Streams | Members | Evidence | Gossip)
+}
+
 pub struct Runtime {
     hub: Rc<Hub>,
     clock: Clock,
@@ -347,15 +353,20 @@
                 Command::Help => answer.push_str(&format!("{HELP}\n")),
                 Command::Prompt => *prompt = true,
                 Command::Quit => {}
-                Command::Show {
-                    what: what @ (Show::Events | Show::Errors | Show::Times | Show::Limits | Show::Streams),
-                    json,
-                } => answer.push_str(&tabled(what, json, &self.seen(what))),
+                Command::Show { what, json } if of_the_program(what) => {
+                    answer.push_str(&tabled(what, json, &self.seen(what)))
+                }
                 Command::Check => answer.push_str(&checked(payload)),
                 Command::ClearCounters => {
                     happened::note(|now, happened| happened.clear(now));
                     answer.push_str("done\n");
                 }
+                Command::Leave => {
+                    let members = self.hub.members();
+                    members.iter().for_each(|members| members.leave());
+                    let done = members.is_some();
+                    answer.push_str(if done { "done\n" } else { "refused: no other assigners are told\n" });
+                }
                 Command::Shutdown(stream) => {
                     let done = self.hub.shut(stream, Reason::ByHand);
                     answer.push_str(if done { "done\n" } else { "refused: no stream of this number\n" });
@@ -409,12 +420,18 @@
             Show::Events => happened::look(|now, happened| happened.events(now)),
             Show::Errors => happened::look(|now, happened| happened.errors(now)),
             Show::Times => happened::look(|now, happened| happened.times(now)),
+            Show::Members => self.hub.members().map(|members| members.members()),
+            Show::Evidence => self.hub.members().map(|members| members.evidence()),
+            Show::Gossip => self.hub.members().map(|members| members.tally()),
             Show::Streams => {
                 let stream = |(id, peer): (u64, Option<SocketAddr>)| json!({"stream": id, "peer": peer});
                 Some(self.hub.streams().into_iter().map(stream).collect())
             }
             _ => None,
         };
+        if matches!(what, Show::Members | Show::Evidence | Show::Gossip) {
+            return happened.unwrap_or_else(|| json!([]));
+        }
         happened.unwrap_or_else(|| {
             let under_way =
                 self.hub.with_state(|state| state.orders().filter(|of| !of.stage.ended()).count());
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use lynxmill::Moment;
+use lynxmill_membership_io::Opened;
 use lynxmill_settings::{Fault, compare, daemon, position};
 use lynxmill_state::{Addresses, Epoch, Start, decode};
 use lynxmill_wire::Fail;
@@ -19,7 +20,7 @@
 
 /// What the platform's own form does not have. A file with any of it, or in the notation of which JSON is a part, is
 /// checked against the schema whole.
-const FRONTS: [&str; 4] = ["metrics", "record", "runtime", "store"];
+const FRONTS: [&str; 5] = ["membership", "metrics", "record", "runtime", "store"];
 
 /// The platform's own form: the schema is not even compiled for it.
 fn plain(told: &Value) -> bool {
@@ -83,6 +84,14 @@
         Ok(Some(Operators { wish, listening, journal, reload: None }))
     }
 
+    /// The member's sockets, bound, and its keys.
+    pub fn membership(&self, name: &str) -> Result<Option<Opened>, Fail> {
+        let Some(wish) = self.told.get("membership").filter(|wish| !wish.is_null()) else { return Ok(None) };
+        let named = |e| format!("{}: `membership` {e}", self.path);
+        let wish = serde_json::from_value(wish.clone()).map_err(|e| named(e.to_string()))?;
+        Opened::new(wish, name).map(Some).map_err(named)
+    }
+
     /// Metrics are told at the assigner's address.
     pub fn metrics(&self) -> bool {
         self.told.get("metrics").and_then(Value::as_bool).unwrap_or(false)
--- a/daemon/src/status.rs
+++ b/daemon/src/status.rs
@@ -25,7 +25,10 @@
             Some(day) => told("application/octet-stream", day),
             None => Response::new(StatusCode::NOT_FOUND),
         },
-        "/metrics" if hub.metrics => told("text/plain; version=0.0.4", hub.with_state(metrics::text)),
+        "/metrics" if hub.metrics => {
+            let members = hub.members().map(|members| members.tally());
+            told("text/plain; version=0.0.4", hub.with_state(|state| metrics::text(state, members.as_ref())))
+        }
         _ => Response::new(StatusCode::NOT_FOUND),
     }
 }
--- /dev/null
+++ b/membership/io/src/lib.rs
@@ -0,0 +1,8 @@
+//! A member on sockets: datagrams over UDP, exchanges over TCP at the same address, keys from files that may
+//! change while it runs. It decides nothing; `lynxmill_membership` does.
+
+mod files;
+mod runner;
+
+pub use files::{Trusted, chance, fresh, read_secret, read_trust, write_secret};
+pub use runner::{Opened, Runner, Told, Wish};
--- /dev/null
+++ b/membership/io/src/runner.rs
@@ -0,0 +1,428 @@
+//! The sockets of one member.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use actix_rt::task::JoinHandle;
+use lynxmill::{Moment, Span};
+use lynxmill_membership::{Change, Keys, Node, Out, Own, Refused, Road, Sight, State, Terms};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use crate::files::{read_secret, read_trust};
+
+/// Exchanges that others may have under way here.
+const EXCHANGES: usize = 16;
+/// Time between two lines of the log on what was refused for one reason, and between two looks at the key
+/// files.
+const TOLD_EVERY: Span = Span::from_micros(1_000_000);
+const KEYS_EVERY: Duration = Duration::from_secs(1);
+/// A datagram's bytes at most, whatever is sent.
+const MOST: usize = 65_536;
+
+/// The key `membership` of the configuration.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Wish {
+    /// UDP and TCP.
+    pub listen: SocketAddr,
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    pub secret: PathBuf,
+    pub trust: PathBuf,
+    pub period_ms: u64,
+    pub timeout_ms: u64,
+    pub exchange_s: f64,
+    pub evidence_s: f64,
+    pub bytes_per_s: f64,
+    pub messages_per_s: f64,
+    pub intake_per_s: f64,
+}
+
+impl Wish {
+    fn terms(&self) -> Terms {
+        let ms = |ms: u64| Span::from_secs(ms as f64 / 1e3);
+        Terms {
+            period: ms(self.period_ms),
+            timeout: ms(self.timeout_ms),
+            exchange_every: Span::from_secs(self.exchange_s),
+            evidence_for: Span::from_secs(self.evidence_s),
+            bytes_per_s: self.bytes_per_s,
+            messages_per_s: self.messages_per_s,
+            intake_per_s: self.intake_per_s,
+            ..Terms::default()
+        }
+    }
+
+    fn keys(&self, name: &str) -> Result<Keys, String> {
+        let (secret, trust) = (read_secret(&self.secret)?, read_trust(&self.trust)?);
+        if !trust.knows(name) {
+            return Err(format!("{}: no key of {name} itself", self.trust.display()));
+        }
+        Ok(Keys { secret, trust })
+    }
+}
+
+/// What it tells whoever runs it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    Change(Change),
+    /// Servers that have become doubtful by others' words, or are so no longer.
+    Doubted(Vec<(String, bool)>),
+}
+
+/// Its sockets and keys, before it serves.
+pub struct Opened {
+    wish: Wish,
+    name: String,
+    keys: Keys,
+    udp: std::net::UdpSocket,
+    tcp: std::net::TcpListener,
+}
+
+impl Opened {
+    /// # Errors
+    /// One line: a key file that can't be used, or an address that is taken.
+    pub fn new(wish: Wish, name: &str) -> Result<Self, String> {
+        let keys = wish.keys(name)?;
+        let taken = |e: io::Error| format!("{}: {e}", wish.listen);
+        let udp = std::net::UdpSocket::bind(wish.listen).map_err(taken)?;
+        // Port 0 is for tests: both roads must have the same one.
+        let at = udp.local_addr().map_err(taken)?;
+        let tcp = std::net::TcpListener::bind(at).map_err(taken)?;
+        udp.set_nonblocking(true).and_then(|()| tcp.set_nonblocking(true)).map_err(taken)?;
+        Ok(Opened { name: name.to_owned(), keys, udp, tcp, wish })
+    }
+
+    pub fn at(&self) -> io::Result<SocketAddr> {
+        self.udp.local_addr()
+    }
+}
+
+pub struct Runner {
+    node: RefCell<Node<Keys>>,
+    sight: RefCell<Sight>,
+    name: String,
+    wish: Wish,
+    at: SocketAddr,
+    clock: Box<dyn Fn() -> Moment>,
+    tell: Box<dyn Fn(Told)>,
+    udp: UdpSocket,
+    wake: Notify,
+    exchanges: Cell<usize>,
+    refused_at: RefCell<BTreeMap<&'static str, Moment>>,
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+}
+
+fn ended(at: SocketAddr, reason: &'static str, detail: &str) {
+    log::debug!(reason, peer:% = at; "exchange {at} ended reason={reason} {detail}");
+}
+
+async fn read(stream: &mut TcpStream, most: usize) -> io::Result<Vec<u8>> {
+    let length = stream.read_u32().await? as usize;
+    if length > most {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut bytes = vec![0; length];
+    stream.read_exact(&mut bytes).await?;
+    Ok(bytes)
+}
+
+async fn write(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    stream.write_all(&[&(bytes.len() as u32).to_be_bytes(), bytes].concat()).await
+}
+
+impl Runner {
+    /// Begins to serve; `clock` is monotonous, `seed` is all its chance.
+    ///
+    /// # Errors
+    /// The sockets can't be used.
+    pub fn start(
+        opened: Opened,
+        seed: u64,
+        clock: impl Fn() -> Moment + 'static,
+        tell: impl Fn(Told) + 'static,
+    ) -> io::Result<Rc<Self>> {
+        let Opened { wish, name, keys, udp, tcp } = opened;
+        let (udp, tcp) = (UdpSocket::from_std(udp)?, TcpListener::from_std(tcp)?);
+        let at = udp.local_addr()?;
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let terms = wish.terms();
+        let sight = Sight::new(terms.evidence_for.times(0.5));
+        let mut node = Node::new(&name, at, unix.as_millis() as u64, terms, keys, seed, clock());
+        node.swim.join(&wish.seeds);
+        let runner = Rc::new(Runner {
+            node: RefCell::new(node),
+            sight: RefCell::new(sight),
+            name,
+            at,
+            clock: Box::new(clock),
+            tell: Box::new(tell),
+            udp,
+            wake: Notify::new(),
+            exchanges: Cell::new(0),
+            refused_at: RefCell::default(),
+            tasks: RefCell::default(),
+            wish,
+        });
+        let tasks = [
+            actix_rt::spawn(runner.clone().datagrams()),
+            actix_rt::spawn(runner.clone().accept(tcp)),
+            actix_rt::spawn(runner.clone().alarm()),
+            actix_rt::spawn(runner.clone().looks()),
+            actix_rt::spawn(runner.clone().reread()),
+        ];
+        runner.tasks.borrow_mut().extend(tasks);
+        log::info!("member {} at {at}", runner.name);
+        Ok(runner)
+    }
+
+    pub fn at(&self) -> SocketAddr {
+        self.at
+    }
+
+    /// Ends without a word, as a crash does.
+    pub fn stop(&self) {
+        self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+    }
+
+    /// Tells some others that this one goes by its own will; it still answers.
+    pub fn leave(self: &Rc<Self>) {
+        let mut out = Vec::new();
+        self.node.borrow_mut().leave((self.clock)(), &mut out);
+        self.carry(out);
+        log::info!("member {} leaves", self.name);
+    }
+
+    /// A report of own proxies on a server.
+    pub fn met(&self, server: &str, tries: f64, lost: f64) {
+        self.sight.borrow_mut().met((self.clock)(), server, tries, lost);
+    }
+
+    fn heard(
+        self: &Rc<Self>,
+        from: SocketAddr,
+        road: Road,
+        bytes: &[u8],
+    ) -> Result<Option<Vec<u8>>, Refused> {
+        let mut out = Vec::new();
+        let now = (self.clock)();
+        let taken = self.node.borrow_mut().heard(now, from, road, bytes, &mut out);
+        if let Err(refused) = taken {
+            let mut told = self.refused_at.borrow_mut();
+            if told.get(refused.code()).is_none_or(|at| now - *at >= TOLD_EVERY) {
+                told.insert(refused.code(), now);
+                let reason = refused.code();
+                log::warn!(reason, peer:% = from; "message of {from} left out reason={reason}");
+            }
+        }
+        self.carry(out);
+        self.changed();
+        taken
+    }
+
+    fn changed(&self) {
+        let changes = self.node.borrow_mut().changes();
+        for change in changes {
+            let told = |state: Option<State>| state.map_or("unknown", State::word);
+            let (from, to) = (told(change.from), change.to.word());
+            log::info!(member:% = change.name, state = to; "member {} was {from}, is {to}", change.name);
+            (self.tell)(Told::Change(change));
+        }
+        self.wake.notify_one();
+    }
+
+    fn carry(self: &Rc<Self>, out: Vec<Out>) {
+        for Out { to, road, bytes } in out {
+            match road {
+                // A datagram that can't go is a lost one.
+                Road::Datagram => drop(self.udp.try_send_to(&bytes, to)),
+                Road::Exchange => drop(actix_rt::spawn(self.clone().exchange(to, bytes))),
+            }
+        }
+    }
+
+    fn patience(&self) -> Duration {
+        Duration::from_millis(self.wish.period_ms * 2)
+    }
+
+    fn most(&self) -> usize {
+        self.wish.bytes_per_s as usize
+    }
+
+    async fn exchange(self: Rc<Self>, to: SocketAddr, bytes: Vec<u8>) {
+        let talk = async {
+            let mut stream = TcpStream::connect(to).await?;
+            write(&mut stream, &bytes).await?;
+            read(&mut stream, self.most()).await
+        };
+        match timeout(self.patience(), talk).await {
+            Ok(Ok(answer)) => match self.heard(to, Road::Exchange, &answer) {
+                Ok(_) => ended(to, "done", ""),
+                Err(refused) => ended(to, refused.code(), ""),
+            },
+            Ok(Err(e)) => ended(to, "broken", &e.to_string()),
+            Err(_) => ended(to, "silent", ""),
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, from)) = listener.accept().await else {
+                sleep(self.patience()).await;
+                continue;
+            };
+            if self.exchanges.get() >= EXCHANGES {
+                ended(from, "crowded", "");
+                continue;
+            }
+            self.exchanges.set(self.exchanges.get() + 1);
+            let runner = self.clone();
+            actix_rt::spawn(async move {
+                let served = timeout(runner.patience(), runner.serve(stream, from)).await;
+                match served {
+                    Ok(Ok(reason)) => ended(from, reason, ""),
+                    Ok(Err(e)) => ended(from, "broken", &e.to_string()),
+                    Err(_) => ended(from, "silent", ""),
+                }
+                runner.exchanges.set(runner.exchanges.get() - 1);
+            });
+        }
+    }
+
+    async fn serve(self: &Rc<Self>, mut stream: TcpStream, from: SocketAddr) -> io::Result<&'static str> {
+        let bytes = read(&mut stream, self.most()).await?;
+        match self.heard(from, Road::Exchange, &bytes) {
+            Ok(Some(answer)) => write(&mut stream, &answer).await.map(|()| "done"),
+            Ok(None) => Ok("held-back"),
+            Err(refused) => Ok(refused.code()),
+        }
+    }
+
+    async fn datagrams(self: Rc<Self>) {
+        let mut bytes = vec![0; MOST];
+        loop {
+            if let Ok((length, from)) = self.udp.recv_from(&mut bytes).await {
+                let _ = self.heard(from, Road::Datagram, &bytes[..length]);
+            }
+        }
+    }
+
+    async fn alarm(self: Rc<Self>) {
+        loop {
+            let now = (self.clock)();
+            let due = self.node.borrow().wake();
+            if due <= now {
+                let mut out = Vec::new();
+                self.node.borrow_mut().tick(now, &mut out);
+                self.carry(out);
+                self.changed();
+            }
+            let due = self.node.borrow().wake().max(now + Span::from_micros(1000));
+            let wait = Duration::from_micros((due - (self.clock)()).micros().max(0) as u64);
+            tokio::select! {
+                () = sleep(wait) => {}
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    async fn looks(self: Rc<Self>) {
+        loop {
+            sleep(Duration::from_millis(self.wish.period_ms)).await;
+            let doubts = self.node.borrow_mut().look((self.clock)(), &mut self.sight.borrow_mut());
+            for (server, doubted) in &doubts {
+                let word = if *doubted { "doubted" } else { "no longer doubted" };
+                log::warn!(server:% = server; "server {server} is {word} by others' words");
+            }
+            if !doubts.is_empty() {
+                (self.tell)(Told::Doubted(doubts));
+            }
+        }
+    }
+
+    /// Key files that have changed are taken over, both or none.
+    async fn reread(self: Rc<Self>) {
+        let stamp = |wish: &Wish| {
+            [&wish.secret, &wish.trust].map(|path| std::fs::metadata(path).and_then(|m| m.modified()).ok())
+        };
+        let mut known = stamp(&self.wish);
+        loop {
+            sleep(KEYS_EVERY).await;
+            let now = stamp(&self.wish);
+            if now == known {
+                continue;
+            }
+            known = now;
+            match self.wish.keys(&self.name) {
+                Ok(keys) => {
+                    log::info!(
+                        "keys read again: {}, {} names trusted",
+                        keys.secret.public(),
+                        keys.trust.names().count()
+                    );
+                    self.node.borrow_mut().keys(keys);
+                }
+                Err(fail) => log::error!("{fail}; the keys of before serve on"),
+            }
+        }
+    }
+
+    /// All that it takes to be there, or to have been.
+    pub fn members(&self) -> Value {
+        let (now, node) = ((self.clock)(), self.node.borrow());
+        let mut rows = vec![json!({"member": self.name, "at": self.at, "state": "self",
+            "incarnation": node.swim.incarnation(), "seconds": Value::Null,
+            "weight": Value::Null, "wrong": Value::Null})];
+        rows.extend(node.swim.members().iter().map(|member| {
+            json!({"member": member.name, "at": member.at, "state": member.state.word(),
+                "incarnation": member.incarnation, "seconds": (now - member.since).secs().floor(),
+                "weight": node.ledger.weight(&member.name),
+                "wrong": node.swim.wrong.get(&member.name).copied().unwrap_or(0)})
+        }));
+        Value::Array(rows)
+    }
+
+    /// What is said of servers, with what own eyes see.
+    pub fn evidence(&self) -> Value {
+        let (now, node, sight) = ((self.clock)(), self.node.borrow(), self.sight.borrow());
+        let doubted: BTreeMap<&str, Moment> = sight.doubted().collect();
+        let row = |server: &str, author: &str, tries: u32, lost: u32, age: Span| {
+            json!({"server": server, "by": author, "tries": tries, "lost": lost, "age_s": age.secs(),
+                "doubted": doubted.contains_key(server)})
+        };
+        let mut rows = Vec::new();
+        for server in node.ledger.servers() {
+            let Own { tries, lost, .. } = sight.own(now, server);
+            rows.push(row(server, &self.name, tries, lost, Span::default()));
+            let said = node.ledger.of(now, server).into_iter();
+            rows.extend(said.map(|(author, tries, lost, _, age)| row(server, &author, tries, lost, age)));
+        }
+        Value::Array(rows)
+    }
+
+    /// Counts since the start, for metrics and `show limits`.
+    pub fn tally(&self) -> Value {
+        let node = self.node.borrow();
+        let tally = &node.tally;
+        json!({"members": node.swim.present(), "health": node.swim.health.patience(), "sent": tally.sent,
+            "sent_bytes": tally.sent_bytes, "held_back": tally.held_back, "heard": tally.heard,
+            "refused": tally.refused.values().sum::<u64>(),
+            "refused_by_reason": tally.refused, "bytes_per_s_most": self.wish.bytes_per_s,
+            "messages_per_s_most": self.wish.messages_per_s})
+    }
+
+    /// Looks at the member itself.
+    pub fn with<T>(&self, look: impl FnOnce(&Node<Keys>, &Sight) -> T) -> T {
+        look(&self.node.borrow(), &self.sight.borrow())
+    }
+}
--- a/membership/src/evidence.rs
+++ b/membership/src/evidence.rs
@@ -160,8 +160,9 @@
         }
     }
 
-    /// Own eyes tell of a server: who has said that it is silent was right where all is lost here as well, wrong where
-    /// it has answered here long enough after that was said. Each is judged once for each time that it begins to say so.
+    /// Own eyes tell of a server: who has said that it is silent was right where all is lost here as well,
+    /// wrong where it has answered here long enough after that was said. Each is judged once for each time
+    /// that it begins to say so.
     pub fn judged(&mut self, now: Moment, server: &str, own: Own) {
         let Some(by) = self.seen.get_mut(server) else { return };
         let lost = own.tries >= ENOUGH && own.lost == own.tries;
--- a/membership/src/keys.rs
+++ b/membership/src/keys.rs
@@ -142,6 +142,13 @@
     }
 }
 
+impl Keys {
+    /// How many keys a name has.
+    pub fn trust_of(&self, name: &str) -> usize {
+        self.trust.0.get(name).map_or(0, Vec::len)
+    }
+}
+
 /// Signs for this instance, and tells whether others' signatures are theirs. What is signed is told apart by
 /// `road`: a datagram's signature is none of a claim.
 pub trait Seal {
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -2,9 +2,9 @@
 //! drives a `Node` hands in what came and the time, and carries out what it asks for.
 //!
 //! `swim`: who is there (probes, indirect probes, suspicion, refutation, rumours, full exchanges). `health`:
-//! how far this instance trusts its own eyes. `sight`: what this one sees of servers, `evidence`: what all saw of them, and when that is enough.
-//! `keys`, `codec`, `window`: who said it, in which bytes, and whether it was said before. `bucket`: how much
-//! may be said. `node`: all of it together.
+//! how far this instance trusts its own eyes. `sight`: what this one sees of servers, `evidence`: what all
+//! saw of them, and when that is enough. `keys`, `codec`, `window`: who said it, in which bytes, and whether
+//! it was said before. `bucket`: how much may be said. `node`: all of it together.
 
 mod bucket;
 mod codec;
--- a/membership/src/node.rs
+++ b/membership/src/node.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Keys that have changed in service. Words signed by a key that is no longer trusted are not passed on
+    /// any more.
+    pub fn keys(&mut self, seal: S) {
+        self.swim.sealed(seal);
+        let (me, seal) = (self.swim.name(), &self.swim.seal);
+        self.spread.retain(|author, _| author == me || seal.knows(author));
+    }
+
     pub fn life(&self) -> u64 {
         self.life
     }
@@ -197,8 +205,8 @@
         self.ledger.weigh(now, server, own)
     }
 
-    /// What own eyes tell judges those who spoke of the same servers, and what all words come to is told: servers that have
-    /// become doubtful, or are so no longer.
+    /// What own eyes tell judges those who spoke of the same servers, and what all words come to is told:
+    /// servers that have become doubtful, or are so no longer.
     pub fn look(&mut self, now: Moment, sight: &mut Sight) -> Vec<(String, bool)> {
         let own = sight.all(now);
         for (server, own) in &own {
--- a/membership/src/sight.rs
+++ b/membership/src/sight.rs
@@ -1,4 +1,5 @@
-//! What this instance sees of servers by its own proxies' reports: of each the run of tries since the last that succeeded.
+//! What this instance sees of servers by its own proxies' reports: of each the run of tries since the last
+//! that succeeded.
 
 use std::collections::BTreeMap;
 
@@ -68,7 +69,8 @@
         self.runs.keys().map(|server| (server.clone(), self.own(now, server))).collect()
     }
 
-    /// Which servers have become doubtful, or are so no longer, by what `weigh` makes of each that somebody spoke of.
+    /// Which servers have become doubtful, or are so no longer, by what `weigh` makes of each that somebody
+    /// spoke of.
     pub fn doubts<'a>(
         &mut self,
         now: Moment,
--- a/membership/src/swim.rs
+++ b/membership/src/swim.rs
@@ -48,6 +48,17 @@
     Left,
 }
 
+impl State {
+    pub fn word(self) -> &'static str {
+        match self {
+            State::Alive => "alive",
+            State::Suspect => "suspect",
+            State::Dead => "dead",
+            State::Left => "left",
+        }
+    }
+}
+
 /// Another member as this instance sees it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -194,6 +205,15 @@
         &self.name
     }
 
+    /// Others' keys and its own are other ones from now on; its own word is said anew under the new key.
+    pub fn sealed(&mut self, seal: S) {
+        let before = std::mem::replace(&mut self.seal, seal).key();
+        if before != self.seal.key() && !self.left {
+            self.incarnation += 1;
+            self.say(Kind::Alive);
+        }
+    }
+
     pub fn incarnation(&self) -> u64 {
         self.incarnation
     }
--- a/membership/tests/trust.rs
+++ b/membership/tests/trust.rs
@@ -314,7 +314,7 @@
         None => Verdict::Silent(vec!["a".into(), "b".into()]),
         Some(_) => Verdict::Well,
     };
-    let mut look = |sight: &mut Sight, at| sight.doubts(secs(at), ["t1"].into_iter(), silent);
+    let look = |sight: &mut Sight, at| sight.doubts(secs(at), ["t1"].into_iter(), silent);
     assert_eq!(look(&mut sight, 1.0), [("t1".to_owned(), true)]);
     assert_eq!(look(&mut sight, 2.0), []);
     assert_eq!(sight.doubted().collect::<Vec<_>>(), [("t1", secs(1.0))]);
--- a/replay/src/engine/assigners.rs
+++ b/replay/src/engine/assigners.rs
@@ -277,7 +277,8 @@
             | Effect::Succeed
             | Effect::HandTold(..)
             | Effect::HandStep(_)
-            | Effect::Keep(_) => {}
+            | Effect::Keep(_)
+            | Effect::Saw { .. } => {}
         }
         Ok(())
     }
--- a/runtime/src/answer.rs
+++ b/runtime/src/answer.rs
@@ -93,6 +93,8 @@
         Show::Events => rows(&["event", "ago_ms", "what", "text"], told),
         Show::Errors => rows(&["road", "reason", "times", "ago_ms", "detail"], told),
         Show::Streams => rows(&["stream", "peer"], told),
+        Show::Members => rows(&["member", "at", "state", "seconds", "incarnation", "weight", "wrong"], told),
+        Show::Evidence => rows(&["server", "by", "tries", "lost", "age_s", "doubted"], told),
         _ => pairs(told),
     }
 }
--- a/runtime/src/line.rs
+++ b/runtime/src/line.rs
@@ -37,6 +37,10 @@
     Errors,
     Events,
     Times,
+    /// Other assigners, what they and this one say of servers, and what that costs.
+    Members,
+    Evidence,
+    Gossip,
 }
 
 /// A limit of the socket that can be set while it serves.
@@ -69,6 +73,8 @@
     ClearCounters,
     /// A connection at the assigner's address ends.
     Shutdown(u64),
+    /// The other assigners are told that this one goes by its own will.
+    Leave,
     /// `error`, `warn`, `info`, `debug` or `trace`.
     LogLevel(&'static str),
     Limit(Bound, u32),
@@ -84,7 +90,7 @@
         match self {
             Command::Give { .. } => Level::Operator,
             Command::Shutdown(_) | Command::ClearCounters => Level::Operator,
-            Command::Reload | Command::LogLevel(_) | Command::Limit(..) => Level::Admin,
+            Command::Leave | Command::Reload | Command::LogLevel(_) | Command::Limit(..) => Level::Admin,
             _ => Level::User,
         }
     }
@@ -99,6 +105,8 @@
 enable|disable health NAME [for TIME] [id ID] [wait TIME]         whether it is judged by what it answers
 wait ID TIME                                                      until an order has ended
 prompt                                                            several lines on one connection
+show members|evidence|gossip [json]                               other assigners, what they say, its cost
+leave members                                                     tells them that this one goes by its own will
 shutdown stream NUMBER                                            ends a connection, as `show streams` numbers it
 clear counters                                                    of errors and times
 set log-level error|warn|info|debug|trace
@@ -252,6 +260,7 @@
     Check,
     Clear,
     Shutdown,
+    Leave,
     Health(bool),
     Show,
     Set,
@@ -276,6 +285,7 @@
         ("check", Verb::Check),
         ("clear", Verb::Clear),
         ("shutdown", Verb::Shutdown),
+        ("leave", Verb::Leave),
         ("enable", Verb::Health(true)),
         ("disable", Verb::Health(false)),
         ("show", Verb::Show),
@@ -296,6 +306,10 @@
             words.one_of(&[("counters", ())])?;
             Command::ClearCounters
         }
+        Verb::Leave => {
+            words.one_of(&[("members", ())])?;
+            Command::Leave
+        }
         Verb::Shutdown => {
             words.one_of(&[("stream", ())])?;
             Command::Shutdown(words.read("a stream's number", |text| text.parse().ok())?)
@@ -315,6 +329,9 @@
                 ("orders", Show::Orders),
                 ("sessions", Show::Sessions),
                 ("streams", Show::Streams),
+                ("members", Show::Members),
+                ("evidence", Show::Evidence),
+                ("gossip", Show::Gossip),
                 ("limits", Show::Limits),
                 ("errors", Show::Errors),
                 ("events", Show::Events),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -72,7 +72,7 @@
     /// Slices on their way.
     moving: BTreeSet<usize>,
     streams: Vec<Stream>,
-    /// When the last parted of those who are rid of what was shut up to a mark and owe the next; `NEVER` if not.
+    /// When the last parted of those rid of what was shut up to a mark who owe the next; `NEVER` if not.
     owing: BTreeMap<u64, Moment>,
     /// The newest mark that is known to be in the store: who joins now reads what came before it.
     shown: u64,
--- a/state/src/reduce.rs
+++ b/state/src/reduce.rs
@@ -83,6 +83,12 @@
     HandStep(hand::Entry),
     /// To be written to the journal; one that is under way waits for that.
     Keep(hand::Record),
+    /// Own proxies tried a server so often, and lost so many; told where other assigners are to know.
+    Saw {
+        server: String,
+        tries: f64,
+        lost: f64,
+    },
 }
 
 /// What of the standing state a new watch has told so far.
@@ -144,7 +150,10 @@
     trusted: BTreeSet<String>,
     weights: BTreeMap<String, f64>,
     journaled: bool,
-    /// Sessions that wait for an order to be in the journal, and orders of an earlier life that have yet to begin.
+    /// Other assigners are to know what own proxies saw.
+    shares: bool,
+    /// Sessions that wait for an order to be in the journal, and orders of an earlier life that have yet to
+    /// begin.
     awaiting: BTreeMap<String, Vec<u64>>,
     restored: BTreeSet<String>,
     tally: Tally,
@@ -233,6 +242,7 @@
             trusted: BTreeSet::new(),
             weights: BTreeMap::new(),
             journaled: false,
+            shares: false,
             awaiting: BTreeMap::new(),
             restored: BTreeSet::new(),
             tally: Tally::default(),
--- a/state/src/reduce/visits.rs
+++ b/state/src/reduce/visits.rs
@@ -8,6 +8,11 @@
 use crate::told::{Asked, Message, Met};
 
 impl State {
+    /// From now on it tells what own proxies see of servers.
+    pub fn share(&mut self) {
+        self.shares = true;
+    }
+
     pub(super) fn opened(&mut self, id: u64, effects: &mut Vec<Effect>) {
         self.open.insert(id);
         self.strangers.insert(id);
@@ -27,7 +32,7 @@
             // Guards against sums from just anybody: only who has joined as a collector is heard.
             Message::Spoilt(_) if stranger => effects.push(Effect::Close(id, Reason::BadFields)),
             _ if stranger => effects.push(Effect::Close(id, Reason::NotJoined)),
-            Message::Met(met) => self.met(now, met),
+            Message::Met(met) => self.met(now, met, effects),
             Message::Asked(asked) => self.demanded(now, &asked),
             Message::Spoilt(what) => self.spoilt(now, &what),
         }
@@ -42,7 +47,7 @@
         }
     }
 
-    fn met(&mut self, now: Moment, met: Met) {
+    fn met(&mut self, now: Moment, met: Met, effects: &mut Vec<Effect>) {
         if !self.zones.contains(&met.zone) {
             return self.spoilt(now, "no such zone");
         }
@@ -55,6 +60,9 @@
             self.report_fields.iter().map(|field| value(field).unwrap_or(f64::NAN)).collect()
         };
         self.tally.reports += 1;
+        if self.shares {
+            effects.push(Effect::Saw { server: met.server.clone(), tries: met.tries, lost: met.failed });
+        }
         self.inbox.push(Input::Heard {
             server,
             tries: met.tries,
--- a/state/tests/fleet/mod.rs
+++ b/state/tests/fleet/mod.rs
@@ -90,6 +90,8 @@
         }
     }
 
+    /// For the tests that look at what is held; benches only time.
+    #[allow(dead_code)]
     pub fn status(&self) -> Status {
         self.state.status()
     }
--- a/state/tests/growth.rs
+++ b/state/tests/growth.rs
@@ -66,7 +66,7 @@
 fn hours_of_releases_leave_nothing_behind() {
     let before = HELD.load(Ordering::Relaxed);
     let mut fleet = Fleet::new(150);
-    let mut day = |fleet: &mut Fleet, hours: f64| {
+    let day = |fleet: &mut Fleet, hours: f64| {
         let until = fleet.now.secs() + hours * 3600.0;
         while fleet.now.secs() < until {
             fleet.reports();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -91,9 +91,9 @@
 }
 
 /// One event line: `list 1 2 cold:3 drain:4 gone:5`, `custody 0 1` (slice and stored owner), `join 0`, `part
-/// 0`, `answer 0 [old]`, `heard 1 tries lost seconds [held [span]]`, `demand 0 operation tries`; by hand `out 1`, `back 1`,
-/// `weigh 1 2.0`, `trust 1`, `judge 1`, `doubt 1 1`, `wish 0 1` (slice, server), which must not be refused,
-/// `no_wish 0 1`, which must.
+/// 0`, `answer 0 [old]`, `heard 1 tries lost seconds [held [span]]`, `demand 0 operation tries`; by hand `out
+/// 1`, `back 1`, `weigh 1 2.0`, `trust 1`, `judge 1`, `doubt 1 1`, `wish 0 1` (slice, server), which must not
+/// be refused, `no_wish 0 1`, which must.
 fn feed(to: &mut Assigner, line: &str, now: f64, mark: u16, old: u16) -> Result<(), String> {
     let words: Vec<&str> = line.split_whitespace().collect();
     let num = |k: usize| words[k].parse::<f64>().map_err(|e| format!("{line}: {e}"));
