--- a/cli/src/replay.rs
+++ b/cli/src/replay.rs
@@ -46,6 +46,10 @@
     /// Also plays the day as it was and tells where it differs.
     #[arg(long)]
     against_recorded: bool,
+    /// Also plays the day, with the last of the settings, with assigners that tell each other what they see of
+    /// servers, and tells where it differs.
+    #[arg(long)]
+    gossip: bool,
     /// Lists the settings that can be changed.
     #[arg(long)]
     list: bool,
@@ -186,6 +190,28 @@
     Ok(())
 }
 
+/// A case with and without assigners that talk to each other; the report of the former.
+fn gossip(day: &Day, case: &Case) -> Result<Report, Fail> {
+    let mut day = day.clone();
+    let configuration = knobs::apply(&mut day, case).map_err(Fail::BadSetting)?;
+    let one = |gossip| {
+        let how = Play { gossip, ..Play::default() };
+        play(&day, &configuration, &how, Memory::default()).map_err(other)
+    };
+    let (alone, mut together) = (one(false)?, one(true)?);
+    together.report.changed.push(("gossip".to_owned(), "on".to_owned()));
+    show(&together.report);
+    differs(&alone.report, &together.report, &compare(&alone.report, &together.report));
+    let rid = |span: Option<lynxmill::Span>| {
+        span.map_or("it kept some".to_owned(), |span| format!("{:.2} s", span.secs()))
+    };
+    for ((name, at, before), (_, _, now)) in alone.silent.iter().zip(&together.silent) {
+        let (before, now) = (rid(*before), rid(*now));
+        println!("  {name} silent from {:.2} s: last slice shut after {before} alone, {now}", at.secs());
+    }
+    Ok(together.report)
+}
+
 pub fn run(wish: &Wish) -> Result<ExitCode, Fail> {
     if wish.list {
         settings();
@@ -200,7 +226,7 @@
     if day.world.is_none() {
         return Err(Fail::BadDay("the day holds no world; `lynxmill day rebuild` infers one".to_owned()));
     }
-    let reports = plays(&day, &cases, wish)?;
+    let mut reports = plays(&day, &cases, wish)?;
     for report in &reports {
         show(report);
         if let Some(folder) = &wish.tables {
@@ -215,6 +241,9 @@
     if let (Some(to), Some(case)) = (&wish.record, cases.last()) {
         record(&day, case, to)?;
     }
+    if let (true, Some(case)) = (wish.gossip, cases.last()) {
+        reports.push(gossip(&day, case)?);
+    }
     if let Some(path) = &wish.json {
         let text = match reports.as_slice() {
             [one] => one.json(),
--- a/membership/io/src/runner.rs
+++ b/membership/io/src/runner.rs
@@ -204,8 +204,28 @@
     }
 
     /// A report of own proxies on a server.
-    pub fn met(&self, server: &str, tries: f64, lost: f64) {
-        self.sight.borrow_mut().met((self.clock)(), server, tries, lost);
+    pub fn met(self: &Rc<Self>, server: &str, tries: f64, lost: f64) {
+        let fell = self.sight.borrow_mut().met((self.clock)(), server, tries, lost);
+        if fell {
+            self.look();
+        }
+    }
+
+    fn look(self: &Rc<Self>) {
+        let mut out = Vec::new();
+        let doubts = self.node.borrow_mut().look((self.clock)(), &mut self.sight.borrow_mut(), &mut out);
+        self.carry(out);
+        self.doubted(doubts);
+    }
+
+    fn doubted(&self, doubts: Vec<(String, bool)>) {
+        for (server, doubted) in &doubts {
+            let word = if *doubted { "doubted" } else { "no longer doubted" };
+            log::warn!(server:% = server; "server {server} is {word} by others' words");
+        }
+        if !doubts.is_empty() {
+            (self.tell)(Told::Doubted(doubts));
+        }
     }
 
     fn heard(
@@ -226,6 +246,10 @@
             }
         }
         self.carry(out);
+        if self.node.borrow_mut().stirred() {
+            let doubts = self.node.borrow_mut().doubts((self.clock)(), &mut self.sight.borrow_mut());
+            self.doubted(doubts);
+        }
         self.changed();
         taken
     }
@@ -339,14 +363,7 @@
     async fn looks(self: Rc<Self>) {
         loop {
             sleep(Duration::from_millis(self.wish.period_ms)).await;
-            let doubts = self.node.borrow_mut().look((self.clock)(), &mut self.sight.borrow_mut());
-            for (server, doubted) in &doubts {
-                let word = if *doubted { "doubted" } else { "no longer doubted" };
-                log::warn!(server:% = server; "server {server} is {word} by others' words");
-            }
-            if !doubts.is_empty() {
-                (self.tell)(Told::Doubted(doubts));
-            }
+            self.look();
         }
     }
 
--- a/membership/src/evidence.rs
+++ b/membership/src/evidence.rs
@@ -1,6 +1,6 @@
 //! What all members saw of servers, and when that is enough. A server counts as silent by others' words only
-//! if this instance has not seen it well itself, if at least two others say so, and if they outweigh all who
-//! say otherwise. Who is often wrong weighs less; who has not spoken for a while weighs nothing.
+//! if this instance has not seen it well itself, if at least two others say so, if they have lost enough
+//! between them, and if they outweigh all who say otherwise. Who is often wrong weighs less; who has not spoken for a while weighs nothing.
 
 use std::collections::BTreeMap;
 
@@ -9,8 +9,11 @@
 use crate::codec::Row;
 
 /// Tries in a row that must be lost for a witness to say that a server is silent, and the part of its tries.
-const ENOUGH: u32 = 6;
+pub const ENOUGH: u32 = 3;
 const LOST: f64 = 0.9;
+/// Lost tries of all who say so, by their weight, and how many of one count at most: nobody makes up for another.
+const TOGETHER: f64 = 8.0;
+const OF_ONE: u32 = 6;
 /// Others that must say so.
 const WITNESSES: usize = 2;
 /// Weight of a witness that has never been judged, in judgements; and the least weight that still counts as a
@@ -136,7 +139,7 @@
             return Verdict::Well;
         }
         let Some(by) = self.seen.get(server) else { return Verdict::Open };
-        let (mut against, mut all) = (0.0, 0.0);
+        let (mut against, mut all, mut losses) = (0.0, 0.0, 0.0);
         let mut witnesses = Vec::new();
         for (author, seen) in by.iter().filter(|(_, seen)| now - seen.at < self.lasts && seen.tries >= ENOUGH)
         {
@@ -144,6 +147,7 @@
             all += weight;
             if seen.silent() {
                 against += weight;
+                losses += weight * f64::from(seen.lost.min(OF_ONE));
                 if weight >= TRUSTED {
                     witnesses.push(author.clone());
                 }
@@ -151,10 +155,12 @@
         }
         // Its own losses add to the weight, but are no other witness.
         if own.tries >= ENOUGH {
+            let lost = f64::from(own.lost) >= LOST * f64::from(own.tries);
             all += 1.0;
-            against += f64::from(u8::from(f64::from(own.lost) >= LOST * f64::from(own.tries)));
+            against += f64::from(u8::from(lost));
+            losses += if lost { f64::from(own.lost.min(OF_ONE)) } else { 0.0 };
         }
-        match witnesses.len() >= WITNESSES && against >= MAJORITY * all {
+        match witnesses.len() >= WITNESSES && losses >= TOGETHER && against >= MAJORITY * all {
             true => Verdict::Silent(witnesses),
             false => Verdict::Open,
         }
--- a/membership/src/node.rs
+++ b/membership/src/node.rs
@@ -9,7 +9,7 @@
 
 use crate::bucket::Bucket;
 use crate::codec::{Body, Datagram, Evidence, Row, Signed, VERSION, What, decode, encode};
-use crate::evidence::{Ledger, Own, Verdict};
+use crate::evidence::{ENOUGH, Ledger, Own, Verdict};
 use crate::keys::Seal;
 use crate::sight::Sight;
 use crate::swim::{Change, Send, State, Swim};
@@ -105,6 +105,9 @@
     spread: BTreeMap<String, Spread>,
     /// Servers that this instance has told something of and has not yet taken back.
     told: BTreeSet<String>,
+    /// Servers silent to own eyes when it looked last.
+    silent: BTreeSet<String>,
+    stirred: bool,
     pub tally: Tally,
     sends: Vec<Send>,
 }
@@ -125,6 +128,8 @@
             said: 0,
             spread: BTreeMap::new(),
             told: BTreeSet::new(),
+            silent: BTreeSet::new(),
+            stirred: false,
             tally: Tally::default(),
             sends: Vec::new(),
             terms,
@@ -170,11 +175,15 @@
         self.go(now, &mut sends, out);
     }
 
-    /// What this instance saw of servers of late, to be told with what it sends: only those that look silent,
-    /// and those that it said so of before.
-    pub fn saw(&mut self, rows: impl IntoIterator<Item = (String, Own)>) {
+    /// What this instance saw of servers of late, to be told with what it sends: only those that look silent, and
+    /// those that it said so of before. Returns whether one has fallen silent since it looked last.
+    pub fn saw(&mut self, rows: impl IntoIterator<Item = (String, Own)>) -> bool {
         let mut told = Vec::new();
+        let mut silent = BTreeSet::new();
         for (server, own) in rows {
+            if own.tries >= ENOUGH && own.lost == own.tries {
+                silent.insert(server.clone());
+            }
             let bad = own.tries > 0 && own.lost * 2 > own.tries;
             let asked = self.told.contains(&server) || self.ledger.servers().any(|known| known == server);
             if bad || asked {
@@ -188,8 +197,10 @@
         told.truncate(ROWS);
         let before = std::mem::take(&mut self.told);
         self.told = told.iter().filter(|(bad, _)| *bad).map(|(_, row)| row.server.clone()).collect();
+        let fell = !silent.is_subset(&self.silent);
+        self.silent = silent;
         if told.is_empty() && before.is_empty() {
-            return;
+            return false;
         }
         self.said += 1;
         let number = self.life.saturating_mul(1 << 16).saturating_add(self.said);
@@ -198,6 +209,7 @@
         let signature = self.swim.seal.sign(EVIDENCE, &text);
         let signed = Signed { author: author.clone(), key, text, signature };
         self.spread.insert(author, Spread { signed, passed: 0 });
+        fell
     }
 
     /// What to make of a server, with own eyes first.
@@ -207,12 +219,27 @@
 
     /// What own eyes tell judges those who spoke of the same servers, and what all words come to is told:
     /// servers that have become doubtful, or are so no longer.
-    pub fn look(&mut self, now: Moment, sight: &mut Sight) -> Vec<(String, bool)> {
+    pub fn look(&mut self, now: Moment, sight: &mut Sight, out: &mut Vec<Out>) -> Vec<(String, bool)> {
         let own = sight.all(now);
         for (server, own) in &own {
             self.ledger.judged(now, server, *own);
         }
-        self.saw(own);
+        if self.saw(own) {
+            // What is new is told some at once, not with the next probe.
+            let mut sends = Vec::new();
+            self.swim.tell_some(&mut sends);
+            self.go(now, &mut sends, out);
+        }
+        self.doubts(now, sight)
+    }
+
+    /// Whether others have said anything new of servers since this was asked last.
+    pub fn stirred(&mut self) -> bool {
+        std::mem::take(&mut self.stirred)
+    }
+
+    /// What all words come to by now, and nothing else.
+    pub fn doubts(&mut self, now: Moment, sight: &mut Sight) -> Vec<(String, bool)> {
         let ledger = &self.ledger;
         sight.doubts(now, ledger.servers(), |server, own| ledger.weigh(now, server, own))
     }
@@ -322,6 +349,7 @@
         let there = self.swim.member(&signed.author).is_some_and(|m| m.state != State::Left);
         if holds && there {
             self.ledger.told(now, &signed.author, said.number, &said.rows);
+            self.stirred = true;
             self.spread.insert(signed.author.clone(), Spread { signed: signed.clone(), passed: 0 });
         }
     }
--- a/membership/src/sight.rs
+++ b/membership/src/sight.rs
@@ -5,7 +5,7 @@
 
 use lynxmill::{Moment, Span};
 
-use crate::evidence::{Own, Verdict};
+use crate::evidence::{ENOUGH, Own, Verdict};
 
 #[derive(Clone, Copy, Debug)]
 struct Run {
@@ -34,11 +34,12 @@
         Sight { lasts, runs: BTreeMap::new(), doubted: BTreeMap::new() }
     }
 
-    /// A report of own proxies: so many tries at a server, so many of them lost.
-    pub fn met(&mut self, now: Moment, server: &str, tries: f64, lost: f64) {
+    /// A report of own proxies: so many tries at a server, so many of them lost. Returns whether it makes the server silent to
+    /// own eyes, which is worth a look at once.
+    pub fn met(&mut self, now: Moment, server: &str, tries: f64, lost: f64) -> bool {
         let (tries, lost) = (whole(tries), whole(lost).min(whole(tries)));
         if tries == 0 {
-            return;
+            return false;
         }
         let run = self.runs.get(server).filter(|run| now - run.heard < self.lasts);
         let before = run.copied().unwrap_or(Run { tries: 0, lost: 0, well: None, heard: now });
@@ -50,7 +51,9 @@
             let (tried, gone) = if begun { (0, 0) } else { (before.tries, before.lost) };
             Run { tries: tried.saturating_add(tries), lost: gone.saturating_add(lost), heard: now, ..before }
         };
+        let silent = |run: &Run| run.tries >= ENOUGH && run.lost == run.tries;
         self.runs.insert(server.to_owned(), run);
+        silent(&run) && !silent(&before)
     }
 
     pub fn own(&self, now: Moment, server: &str) -> Own {
--- a/membership/src/swim.rs
+++ b/membership/src/swim.rs
@@ -358,6 +358,16 @@
         }
     }
 
+    /// Something to some others at once, with whatever is to be told.
+    pub fn tell_some(&mut self, out: &mut Vec<Send>) {
+        let mut there = self.present_ones(None);
+        for _ in 0..self.terms.helpers.min(there.len()) {
+            let at = self.below(there.len());
+            let to = there.swap_remove(at);
+            self.send(to, What::News(true), out);
+        }
+    }
+
     pub fn wake(&self) -> Moment {
         let probes = self.probes.iter().map(|p| if p.asked { p.over_at } else { p.helped_at.min(p.over_at) });
         let favours = self.favours.iter().map(|f| f.nack_at);
--- a/replay/src/chance.rs
+++ b/replay/src/chance.rs
@@ -16,6 +16,7 @@
     Made,
     Spoilt,
     Hunt,
+    Key,
 }
 
 pub struct Chance(Pcg32);
--- a/replay/src/engine.rs
+++ b/replay/src/engine.rs
@@ -4,12 +4,14 @@
 mod assigners;
 mod clients;
 mod fleet;
+mod gossip;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use lynxmill::{Moment, Span};
 use lynxmill_day::{Asks, Clients, Course, Day, Happening, Head, Life, Link, Log, Operation, Trouble, World};
+use lynxmill_membership::Road;
 use lynxmill_state::Event;
 use lynxmill_wire::Fail;
 use serde_json::Value;
@@ -26,6 +28,7 @@
 
 use assigners::Node;
 use clients::{Invocation, Try};
+use gossip::Member;
 
 /// Between two looks at slices that nobody serves.
 const LOOK: Span = Span::from_micros(500_000);
@@ -51,6 +54,8 @@
     pub fault: Option<Fault>,
     /// Keep what assigners heard and ordered.
     pub record: bool,
+    /// Assigners tell each other what they see of servers.
+    pub gossip: bool,
 }
 
 /// All that can fall due.
@@ -79,6 +84,8 @@
     GiveBack(Life),
     Trouble(usize),
     Look,
+    Member(Life, Moment),
+    Word { from: usize, to: usize, road: Road, bytes: Vec<u8>, asks: bool },
 }
 
 /// What stays as it was recorded.
@@ -119,6 +126,10 @@
     checks: Checks,
     course: Course,
     log: Option<Vec<Log>>,
+    gossips: bool,
+    members: Vec<Option<Member>>,
+    /// When servers fell silent, and when the last slice of each was shut or moved, so long after.
+    silent: BTreeMap<u32, (Moment, Option<Span>)>,
     moves: u64,
     orders: u64,
     calls: u64,
@@ -128,6 +139,9 @@
 pub struct Played {
     pub report: Report,
     pub log: Vec<Log>,
+    /// Servers that fell silent while they owned slices: their names, when, and how long after that the last of their slices
+    /// had been shut.
+    pub silent: Vec<(String, Moment, Option<Span>)>,
 }
 
 fn span(micros: i64) -> Span {
@@ -226,6 +240,9 @@
             checks: Checks::new(slices),
             course: Course::default(),
             log: play.record.then(Vec::new),
+            gossips: play.gossip,
+            members: world.assigners.iter().map(|_| None).collect(),
+            silent: BTreeMap::new(),
             moves: 0,
             orders: 0,
             calls: 0,
@@ -291,6 +308,8 @@
             Due::Takeover(of) => self.take_over(of),
             Due::GiveBack(of) => self.give_back(of),
             Due::Trouble(index) => return self.trouble(index),
+            Due::Member(of, at) => return self.member_due(of, at),
+            Due::Word { from, to, road, bytes, asks } => self.word(from, to, road, bytes, asks),
             Due::Look => {
                 self.look();
                 self.agenda.at(self.agenda.now() + LOOK, Due::Look);
@@ -356,6 +375,10 @@
             longest_drain_s: self.checks.longest_drain.secs(),
             course: self.course.end(),
         };
-        Ok(Played { report, log: self.log.unwrap_or_default() })
+        let named = |(server, (at, rid)): (u32, (Moment, Option<Span>))| {
+            (self.servers[server as usize].kind().name.clone(), at, rid)
+        };
+        let silent = self.silent.into_iter().map(named).collect();
+        Ok(Played { report, log: self.log.unwrap_or_default(), silent })
     }
 }
--- a/replay/src/engine/assigners.rs
+++ b/replay/src/engine/assigners.rs
@@ -84,6 +84,10 @@
         }
     }
 
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     pub fn of(&self, assigner: usize) -> Life {
         Life { assigner: assigner as u16, life: self.life }
     }
@@ -95,6 +99,28 @@
         (node.alive && node.life == of.life).then_some(node)
     }
 
+    pub(super) fn lives(&mut self, of: Life) -> bool {
+        self.node(of).is_some()
+    }
+
+    /// Whether a server stands as any slice's owner.
+    pub(super) fn owns(&self, server: u32) -> bool {
+        self.store.slices.iter().any(|slice| slice.line.is_some_and(|line| line.server == server))
+    }
+
+    /// Silent servers whose last slice has been shut by now.
+    fn rid_of_silent(&mut self, now: Moment) {
+        let open: Vec<u32> =
+            self.silent.iter().filter(|(_, (_, rid))| rid.is_none()).map(|(server, _)| *server).collect();
+        for server in open {
+            if !self.owns(server)
+                && let Some((at, rid)) = self.silent.get_mut(&server)
+            {
+                *rid = Some(now - *at);
+            }
+        }
+    }
+
     fn note(&mut self, of: Life, entry: Entry) {
         let log = Log { at: self.agenda.now().micros(), of, entry };
         self.course.note(&log);
@@ -129,6 +155,7 @@
         let epoch = Epoch { unix_ms: self.day.began_ms };
         self.driver.start(of, now, epoch, &configuration)?;
         self.note(of, Entry::Started(configuration));
+        self.member_begins(of);
         self.tell(of, Event::Begin)?;
         for zone in 0..self.day.zones.len() {
             self.tell(of, Event::Opened(zone as u64))?;
@@ -225,6 +252,7 @@
         }
         let mut effects = Vec::new();
         self.note(of, Entry::Heard(event.clone()));
+        self.member_saw(of, &event);
         self.driver.tell(of, now, event, &mut effects)?;
         for effect in effects {
             self.effect(of, effect)?;
@@ -346,6 +374,7 @@
         };
         let carried = self.store.carry_out(now, a, &call.ops, listed, named);
         self.moves += carried.moves as u64;
+        self.rid_of_silent(now);
         let outcome = Outcome::Taken(carried.taken);
         match lost {
             Some(_) => self.tell_at(of, now + LOST, Event::Called(Outcome::Unknown)),
--- a/replay/src/engine/fleet.rs
+++ b/replay/src/engine/fleet.rs
@@ -59,6 +59,9 @@
                 self.list(s, Standing::Gone, 0.0, link.dropped);
             }
             Happening::ServerFallsSilent(s) => {
+                if self.owns(s) {
+                    self.silent.insert(s, (now, None));
+                }
                 for job in self.servers[s as usize].end(Running::Silent) {
                     self.write_ended(s, job);
                 }
