Custody by votes: who holds a slice where no store tells it, one at a time and one a generation

Need: other installations without a store. membership/src/custody.rs: everybody who belongs votes, most of the votes hold a slice, a voter that starts again keeps silent for as long as its old votes may count; `division` keeps what is held and moves only what a change must. No I/O, used by no program yet.

--- /dev/null
+++ b/membership/src/custody.rs
@@ -0,0 +1,281 @@
+//! Which member holds which slice where no store tells it. Everybody who belongs votes: a slice is held by
+//! whoever has the votes of most of them, each for a span that the voter counts from when it gives it and the
+//! holder, a little shorter, from when it asked. Each new charge has a generation above all before it. No
+//! clocks are compared, only spans, and a side of a partition without most of the votes holds nothing.
+//! `division` tells who should hold what.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lynxmill::{Moment, Span};
+
+/// Part of a vote's span that its holder counts on; the rest is for clocks that run at other rates.
+const SURE: f64 = 0.8;
+/// Votes are asked for again so many times in their span.
+const TIMES: f64 = 3.0;
+/// How far above a fair share of the slices a member may be.
+const BOUND: f64 = 1.1;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Ballot {
+    /// A charge that begins, in a generation that nobody may have had.
+    Claim,
+    /// One that goes on.
+    Keep,
+    /// One that is over: the slice is shut everywhere.
+    Release,
+}
+
+/// What a member asks of a voter; its answer names the round.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Asked {
+    pub ballot: Ballot,
+    pub slice: u32,
+    pub generation: u64,
+    pub round: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Voted {
+    pub slice: u32,
+    pub round: u64,
+    pub yes: bool,
+    /// The highest generation that the voter knows of the slice.
+    pub known: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Given {
+    to: String,
+    generation: u64,
+    until: Moment,
+}
+
+/// A member's votes, those for itself among them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Voter {
+    lasts: Span,
+    /// What it has said before its start it doesn't know: no vote until all of that is over, and no
+    /// generation of then.
+    silent_until: Moment,
+    floor: u64,
+    given: BTreeMap<u32, Given>,
+}
+
+impl Voter {
+    /// `floor` is to be above all generations before this start: the wall clock's milliseconds will do, as
+    /// charges change less often than that.
+    pub fn new(lasts: Span, floor: u64, now: Moment) -> Self {
+        Voter { lasts, silent_until: now + lasts, floor, given: BTreeMap::new() }
+    }
+
+    pub fn take(&mut self, now: Moment, from: &str, asked: &Asked) -> Voted {
+        let Asked { ballot, slice, generation, round } = *asked;
+        let given = self.given.get(&slice);
+        let known = given.map_or(self.floor, |given| given.generation.max(self.floor));
+        let taken = given.is_some_and(|given| given.until > now && given.to != from);
+        let its = given.is_some_and(|given| given.to == from && given.generation == generation);
+        let yes = match ballot {
+            Ballot::Claim => (generation > known || its) && !taken,
+            Ballot::Keep => its || (given.is_none_or(|given| given.generation < generation) && !taken),
+            Ballot::Release => its,
+        };
+        let yes = yes && now >= self.silent_until;
+        if yes {
+            let until = if ballot == Ballot::Release { now } else { now + self.lasts };
+            self.given.insert(slice, Given { to: from.to_owned(), generation, until });
+        }
+        Voted { slice, round, yes, known: known.max(if yes { generation } else { 0 }) }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Claims,
+    Holds,
+}
+
+#[derive(Clone, Debug)]
+struct Charge {
+    phase: Phase,
+    generation: u64,
+    /// The newest round, and when each that may still be answered was asked.
+    round: u64,
+    asked: BTreeMap<u64, Moment>,
+    /// Until when each voter's vote counts here.
+    until: BTreeMap<String, Moment>,
+    next: Moment,
+}
+
+/// What a holder asks for, and what has come of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    Ask(Asked),
+    Got { slice: u32, generation: u64 },
+    Lost(u32),
+}
+
+/// The slices that a member holds, or wants.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    lasts: Span,
+    voters: usize,
+    round: u64,
+    charges: BTreeMap<u32, Charge>,
+    known: BTreeMap<u32, u64>,
+}
+
+impl Holder {
+    /// `voters` are all who belong, whether there or not; rounds count from `round`, which is to be above
+    /// those of any start before.
+    pub fn new(lasts: Span, voters: usize, round: u64) -> Self {
+        Holder { lasts, voters, round, charges: BTreeMap::new(), known: BTreeMap::new() }
+    }
+
+    fn most(&self) -> usize {
+        self.voters / 2 + 1
+    }
+
+    fn ask(&mut self, now: Moment, slice: u32, ballot: Ballot, out: &mut Vec<Step>) {
+        self.round += 1;
+        let (round, lasts) = (self.round, self.lasts);
+        let Some(charge) = self.charges.get_mut(&slice) else { return };
+        charge.round = round;
+        charge.asked.retain(|_, at| now - *at < lasts);
+        charge.asked.insert(round, now);
+        charge.next = now + lasts.times(SURE / TIMES);
+        out.push(Step::Ask(Asked { ballot, slice, generation: charge.generation, round }));
+    }
+
+    /// Begins to claim a slice that it is to hold.
+    pub fn want(&mut self, now: Moment, slice: u32, out: &mut Vec<Step>) {
+        if self.charges.contains_key(&slice) {
+            return;
+        }
+        let generation = self.known.get(&slice).copied().unwrap_or(0) + 1;
+        let charge = Charge {
+            phase: Phase::Claims,
+            generation,
+            round: 0,
+            asked: BTreeMap::new(),
+            until: BTreeMap::new(),
+            next: now,
+        };
+        self.charges.insert(slice, charge);
+        self.ask(now, slice, Ballot::Claim, out);
+    }
+
+    /// Gives a slice up, once it is shut everywhere. A claim that is under way is over as well.
+    pub fn release(&mut self, now: Moment, slice: u32, out: &mut Vec<Step>) {
+        self.ask(now, slice, Ballot::Release, out);
+        self.charges.remove(&slice);
+    }
+
+    /// Generation of a slice that it holds for sure.
+    pub fn holds(&self, now: Moment, slice: u32) -> Option<u64> {
+        let charge = self.charges.get(&slice).filter(|charge| charge.phase == Phase::Holds)?;
+        let votes = charge.until.values().filter(|until| **until > now).count();
+        (votes >= self.most()).then_some(charge.generation)
+    }
+
+    pub fn slices(&self) -> impl Iterator<Item = u32> {
+        self.charges.keys().copied()
+    }
+
+    pub fn voted(&mut self, now: Moment, from: &str, voted: &Voted, out: &mut Vec<Step>) {
+        let known = self.known.entry(voted.slice).or_default();
+        *known = voted.known.max(*known);
+        let (sure, most) = (self.lasts.times(SURE), self.most());
+        let Some(charge) = self.charges.get_mut(&voted.slice) else { return };
+        let Some(asked) = charge.asked.get(&voted.round).copied().filter(|_| voted.yes) else { return };
+        let until = charge.until.entry(from.to_owned()).or_default();
+        *until = (asked + sure).max(*until);
+        let votes = charge.until.values().filter(|until| **until > now).count();
+        if charge.phase == Phase::Claims && votes >= most {
+            charge.phase = Phase::Holds;
+            out.push(Step::Got { slice: voted.slice, generation: charge.generation });
+        }
+    }
+
+    /// Keeps what it holds and claims anew what it has not got; `patience` spreads claims that get into each
+    /// other's way.
+    pub fn tick(&mut self, now: Moment, mut patience: impl FnMut() -> f64, out: &mut Vec<Step>) {
+        let due: Vec<u32> = self.charges.keys().copied().collect();
+        for slice in due {
+            let held = self.holds(now, slice).is_some();
+            let Some(charge) = self.charges.get_mut(&slice) else { continue };
+            match charge.phase {
+                Phase::Holds if !held => {
+                    self.charges.remove(&slice);
+                    out.push(Step::Lost(slice));
+                }
+                Phase::Holds if now >= charge.next => self.ask(now, slice, Ballot::Keep, out),
+                Phase::Claims if now >= charge.next => {
+                    // No vote of the generation before counts for the next.
+                    let above = self.known.get(&slice).copied().unwrap_or(0).max(charge.generation);
+                    charge.generation = above + 1;
+                    (charge.until, charge.asked) = (BTreeMap::new(), BTreeMap::new());
+                    self.ask(now, slice, Ballot::Claim, out);
+                    let wait = self.lasts.times(patience());
+                    if let Some(charge) = self.charges.get_mut(&slice) {
+                        charge.next = charge.next + wait;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// When there is something to do next.
+    pub fn wake(&self) -> Option<Moment> {
+        let due = |charge: &Charge| match charge.phase {
+            Phase::Claims => charge.next,
+            // When the votes are too few, it is to be known at once.
+            Phase::Holds => {
+                let mut until: Vec<Moment> = charge.until.values().copied().collect();
+                until.sort();
+                let over = until.len().checked_sub(self.most()).and_then(|k| until.get(k).copied());
+                over.map_or(charge.next, |over| over.min(charge.next))
+            }
+        };
+        self.charges.values().map(due).min()
+    }
+}
+
+/// FNV-1a over both, then mixed: alike on every machine and in every version.
+fn likes(slice: u32, name: &str) -> u64 {
+    let byte = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    let hash = name.as_bytes().iter().chain(&slice.to_be_bytes()).fold(0xcbf2_9ce4_8422_2325, byte);
+    let hash = (hash ^ hash >> 33).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    (hash ^ hash >> 33).wrapping_mul(0xc4ce_b9fe_1a85_ec53)
+}
+
+/// Who should hold each slice: whoever does, if it is there and not above its bound; else, among those with
+/// room, whom the slice likes best. Empty where nobody is there.
+pub fn division(held: &[Option<String>], present: &BTreeSet<String>) -> Vec<Option<String>> {
+    if present.is_empty() {
+        return vec![None; held.len()];
+    }
+    let most = (held.len() as f64 / present.len() as f64 * BOUND).ceil() as usize;
+    let mut count: BTreeMap<&String, usize> = present.iter().map(|name| (name, 0)).collect();
+    let mut divided: Vec<Option<String>> = vec![None; held.len()];
+    // Of one that holds too many those go that it is least liked by.
+    let mut order: Vec<usize> = (0..held.len()).collect();
+    let liked = |slice: usize| held[slice].as_ref().map_or(0, |name| likes(slice as u32, name));
+    order.sort_by_key(|&slice| std::cmp::Reverse(liked(slice)));
+    for &slice in &order {
+        if let Some(name) = &held[slice]
+            && let Some(count) = count.get_mut(name).filter(|count| **count < most)
+        {
+            *count += 1;
+            divided[slice] = Some(name.clone());
+        }
+    }
+    for (slice, divided) in divided.iter_mut().enumerate().filter(|(_, divided)| divided.is_none()) {
+        let room = count.iter_mut().filter(|(_, count)| **count < most);
+        if let Some((name, count)) = room.max_by_key(|(name, _)| likes(slice as u32, name)) {
+            *count += 1;
+            *divided = Some((*name).clone());
+        }
+    }
+    divided
+}
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -5,9 +5,11 @@
 //! how far this instance trusts its own eyes. `sight`: what this one sees of servers, `evidence`: what all
 //! saw of them, and when that is enough. `keys`, `codec`, `window`: who said it, in which bytes, and whether
 //! it was said before. `bucket`: how much may be said. `node`: all of it together.
+//! `custody`: who holds which slice where no store tells it; not part of a node.
 
 mod bucket;
 mod codec;
+mod custody;
 mod evidence;
 mod health;
 mod keys;
@@ -19,6 +21,7 @@
 
 pub use bucket::Bucket;
 pub use codec::{Ask, Body, Claim, Datagram, Evidence, Kind, Row, Signed, VERSION, What, decode, encode};
+pub use custody::{Asked, Ballot, Holder, Step, Voted, Voter, division};
 pub use evidence::{Ledger, Own, Verdict};
 pub use health::Health;
 pub use keys::{BadKey, Keys, Public, Seal, Secret, Trust};
