--- a/membership/src/swim.rs
+++ b/membership/src/swim.rs
@@ -3,7 +3,7 @@
 //! travel with probes and answers, in their authors' own signed words. Nobody is dead before this instance
 //! has probed for itself once more, and nobody by one other's word alone.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use lynxmill::{Moment, Span};
@@ -135,6 +135,9 @@
     word: Signed,
     members: Vec<Member>,
     by_name: BTreeMap<String, usize>,
+    /// Who is suspected, and how many others are there, so that nothing looks at all of them for each message.
+    suspects: BTreeSet<usize>,
+    there: usize,
     order: Vec<usize>,
     next: usize,
     probe_at: Moment,
@@ -183,6 +186,8 @@
             word: Signed::default(),
             members: Vec::new(),
             by_name: BTreeMap::new(),
+            suspects: BTreeSet::new(),
+            there: 0,
             order: Vec::new(),
             next: 0,
             probes: Vec::new(),
@@ -228,7 +233,7 @@
 
     /// Those who are there, this instance among them.
     pub fn present(&self) -> usize {
-        1 + self.members.iter().filter(|m| matches!(m.state, State::Alive | State::Suspect)).count()
+        1 + self.there
     }
 
     fn unit(&mut self) -> f64 {
@@ -371,7 +376,7 @@
     pub fn wake(&self) -> Moment {
         let probes = self.probes.iter().map(|p| if p.asked { p.over_at } else { p.helped_at.min(p.over_at) });
         let favours = self.favours.iter().map(|f| f.nack_at);
-        let suspects = self.members.iter().filter(|m| m.state == State::Suspect);
+        let suspects = self.suspects.iter().map(|&i| &self.members[i]);
         let suspects =
             suspects.map(|m| if m.looks >= LOOKS { m.deadline } else { self.look_at(m.looks, m.deadline) });
         // One that has left probes nobody any more; it only answers.
@@ -408,8 +413,8 @@
             self.health.worse(2);
             self.probes.clear();
             self.favours.clear();
-            for member in self.members.iter_mut().filter(|m| m.state == State::Suspect) {
-                member.deadline = member.deadline + still;
+            for &about in &self.suspects {
+                self.members[about].deadline = self.members[about].deadline + still;
             }
         }
     }
@@ -540,7 +545,7 @@
     }
 
     fn suspects_due(&mut self, now: Moment, out: &mut Vec<Send>) {
-        for about in 0..self.members.len() {
+        for about in self.suspects.iter().copied().collect::<Vec<_>>() {
             let Member { state: State::Suspect, deadline, looks, ref by, .. } = self.members[about] else {
                 continue;
             };
@@ -580,6 +585,13 @@
     fn become_(&mut self, now: Moment, about: usize, to: State) {
         let member = &mut self.members[about];
         if member.state != to {
+            let there = |state: State| usize::from(matches!(state, State::Alive | State::Suspect));
+            self.there = self.there + there(to) - there(member.state);
+            if to == State::Suspect {
+                self.suspects.insert(about);
+            } else {
+                self.suspects.remove(&about);
+            }
             self.changes.push(Change { name: member.name.clone(), from: Some(member.state), to });
             (member.state, member.since) = (to, now);
         }
@@ -751,6 +763,7 @@
             looks: 0,
         });
         self.by_name.insert(said.about.clone(), about);
+        self.there += usize::from(state == State::Alive);
         let place = self.below(self.order.len() + 1);
         self.order.insert(place, about);
         self.changes.push(Change { name: said.about.clone(), from: None, to: state });
--- a/membership/tests/custody.rs
+++ b/membership/tests/custody.rs
@@ -207,7 +207,7 @@
     let (model, mut seen) = (Two(fault), BTreeSet::new());
     for seed in seeds {
         let mut chance = Pcg32::new(seed, 3);
-        let mut below = |most: usize| (u64::from(chance.next_u32()) * most as u64 >> 32) as usize;
+        let mut below = |most: usize| ((u64::from(chance.next_u32()) * most as u64) >> 32) as usize;
         let mut world = model.first();
         for _ in 0..120 {
             let mut steps = Vec::new();
--- a/settings/tests/notation.rs
+++ b/settings/tests/notation.rs
@@ -176,8 +176,11 @@
 
 #[test]
 fn the_daemon_s_own_schema_takes_its_files() {
-    let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/on-registry.json");
-    for file in [example(), std::fs::read_to_string(deploy).expect("a file")] {
+    let deploy = |name: &str| {
+        let path = format!("{}/../deploy/{name}", env!("CARGO_MANIFEST_DIR"));
+        std::fs::read_to_string(path).expect("a file")
+    };
+    for file in [example(), deploy("on-registry.json"), deploy("with-members.json")] {
         let read = daemon().check(&file);
         let read = read.unwrap_or_else(|faults| panic!("{}", render("file", &file, &faults)));
         let told: Value = serde_json::from_str(&file).expect("JSON");
