Rumours in the order in which they go: a thousand of them are not sorted for each datagram

Seen with perf on 1,000 simulated members: a third of the time compared names of rumours, and each datagram sorted all. They are kept under what they are about, and in the order of how often they were passed on.

--- a/membership/src/swim.rs
+++ b/membership/src/swim.rs
@@ -3,6 +3,7 @@
 //! travel with probes and answers, in their authors' own signed words. Nobody is dead before this instance
 //! has probed for itself once more, and nobody by one other's word alone.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -37,6 +38,8 @@
 /// while more are there than are known.
 const EXCHANGED: f64 = 0.5;
 const SOON: f64 = 1.0 / 16.0;
+/// Rumours that are looked at for one datagram, which holds fewer.
+const AT_ONCE: usize = 32;
 /// Part of a datagram's bytes that its head and signature take.
 const HEAD: usize = 200;
 
@@ -117,12 +120,16 @@
     over_at: Moment,
 }
 
+/// What a rumour is about, of what kind, and whose where several may say it: a newer one takes its place.
+type Key = (String, i32, String);
+
+/// How often it was passed on, then which was said last.
+type Place = (u32, Reverse<u64>);
+
 /// Something to be passed on with whatever is sent.
 struct Rumour {
-    /// What it is about and of what kind: a newer one takes its place.
-    key: (String, i32, String),
     signed: Signed,
-    passed: u32,
+    place: Place,
 }
 
 pub struct Swim<S> {
@@ -135,7 +142,8 @@
     word: Signed,
     members: Vec<Member>,
     by_name: BTreeMap<String, usize>,
-    /// Who is suspected, and how many others are there, so that nothing looks at all of them for each message.
+    /// Who is suspected, and how many others are there, so that nothing looks at all of them for each
+    /// message.
     suspects: BTreeSet<usize>,
     there: usize,
     order: Vec<usize>,
@@ -144,7 +152,9 @@
     exchange_at: Moment,
     probes: Vec<Probe>,
     favours: Vec<Favour>,
-    rumours: Vec<Rumour>,
+    rumours: BTreeMap<Key, Rumour>,
+    due: BTreeMap<Place, Key>,
+    told: u64,
     seeds: Vec<SocketAddr>,
     /// As many as somebody lately took to be there.
     heard_of: u32,
@@ -192,7 +202,9 @@
             next: 0,
             probes: Vec::new(),
             favours: Vec::new(),
-            rumours: Vec::new(),
+            rumours: BTreeMap::new(),
+            due: BTreeMap::new(),
+            told: 0,
             seeds: Vec::new(),
             heard_of: 0,
             number: 0,
@@ -267,29 +279,50 @@
         let by = if kind == Kind::Suspect { signed.author.clone() } else { String::new() };
         let key = (about, kind as i32, by);
         // A sign of life makes the suspicions that it answers needless.
-        if kind == Kind::Alive {
-            self.rumours.retain(|rumour| rumour.key.0 != key.0);
+        let answered: Vec<Key> = match kind {
+            Kind::Alive => {
+                let from = (key.0.clone(), i32::MIN, String::new());
+                self.rumours
+                    .range(from..)
+                    .take_while(|(of, _)| of.0 == key.0)
+                    .map(|(of, _)| of.clone())
+                    .collect()
+            }
+            _ => vec![key.clone()],
+        };
+        for key in answered {
+            if let Some(rumour) = self.rumours.remove(&key) {
+                self.due.remove(&rumour.place);
+            }
         }
-        self.rumours.retain(|rumour| rumour.key != key);
-        self.rumours.push(Rumour { key, signed, passed: 0 });
+        self.told += 1;
+        let place = (0, Reverse(self.told));
+        self.due.insert(place, key.clone());
+        self.rumours.insert(key, Rumour { signed, place });
     }
 
-    /// What has been passed on least goes along, as far as there is room.
+    /// What has been passed on least goes along, the newest first, as far as there is room.
     fn claims(&mut self, mut room: usize) -> Vec<Signed> {
         let most = (PASSED * self.tenfolds()).ceil() as u32;
-        let mut order: Vec<usize> = (0..self.rumours.len()).collect();
-        order.sort_by_key(|&i| (self.rumours[i].passed, std::cmp::Reverse(i)));
+        let first: Vec<(Place, Key)> =
+            self.due.iter().take(AT_ONCE).map(|(place, key)| (*place, key.clone())).collect();
         let mut claims = Vec::new();
-        for i in order {
-            let size = self.rumours[i].signed.encoded_len() + 4;
+        for ((passed, number), key) in first {
+            let Some(rumour) = self.rumours.get_mut(&key) else { continue };
+            let size = rumour.signed.encoded_len() + 4;
             if size > room {
                 continue;
             }
             room -= size;
-            self.rumours[i].passed += 1;
-            claims.push(self.rumours[i].signed.clone());
+            claims.push(rumour.signed.clone());
+            self.due.remove(&(passed, number));
+            if passed + 1 < most {
+                rumour.place = (passed + 1, number);
+                self.due.insert(rumour.place, key);
+            } else {
+                self.rumours.remove(&key);
+            }
         }
-        self.rumours.retain(|rumour| rumour.passed < most);
         claims
     }
 
