--- a/membership/sim/src/main.rs
+++ b/membership/sim/src/main.rs
@@ -85,8 +85,8 @@
         world.run(DEATH);
         match world.known_after(size - 1, dies) {
             Some((first, half, all)) => {
-                row.first += first * part;
-                row.half += half * part;
+                row.first += first;
+                row.half += half;
                 row.all = row.all.max(all);
             }
             None => row.missed += 1,
@@ -95,9 +95,17 @@
         eprintln!("{size} members, {:.0} % lost, world {seed}", loss * 100.0);
         row.most = row.most.max(world.most_bytes);
     }
+    // Of the worlds in which all knew.
+    let known = (seeds - row.missed).max(1) as f64;
+    (row.first, row.half) = (row.first / known, row.half / known);
     row
 }
 
+/// Seconds, where there is anything to tell.
+fn secs(of: f64) -> String {
+    if of > 0.0 { format!("{of:.1} s") } else { "-".to_owned() }
+}
+
 /// Of the sizes but the largest, whose minutes take too long: a side of four in ten cut off for a minute; members that die, start again and stall.
 fn rough(size: usize, seed: u64) -> String {
     let mut world = World::new(size, Terms::default(), seed);
@@ -184,6 +192,7 @@
         let colour = Palette99::pick(k).mix(1.0);
         let points: Vec<(f64, f64)> =
             rows.iter().filter(|row| row.loss == *loss).map(|row| (row.size as f64, of(row))).collect();
+        let points: Vec<_> = points.into_iter().filter(|(_, value)| *value > 0.0).collect();
         let line = LineSeries::new(points.clone(), colour.stroke_width(2));
         let drawn = chart.draw_series(line)?.label(format!("{:.0} % lost", loss * 100.0));
         drawn.legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
@@ -213,14 +222,14 @@
     for row in &rows {
         writeln!(
             text,
-            "| {} | {:.0} % | {} | {:.0} s | {:.1} s | {:.1} s | {:.1} s | {} | {:.2} | {} | {:.0} | {:.1} | {} | {:.0} µs/s |",
+            "| {} | {:.0} % | {} | {} | {} | {} | {} | {} | {:.2} | {} | {:.0} | {:.1} | {} | {:.0} µs/s |",
             row.size,
             row.loss * 100.0,
             row.worlds,
-            row.met,
-            row.first,
-            row.half,
-            row.all,
+            if row.met < MEET as f64 { secs(row.met) } else { format!("not in {MEET} s") },
+            secs(row.first),
+            secs(row.half),
+            secs(row.all),
             row.missed,
             row.suspected,
             row.dead,
