Second reading of membership: exchanges stay under the ceiling, one piece where there were two

Faults found: what all members say of servers went whole into an exchange, which at some forty of them was above the ceiling and never left (a test of sixty fails without the bound); a trust file NAME.trust was written by way of NAME.next, the place of a new secret of NAME; ends of exchanges were told at debug level alone. lynxmill keys had no test. Written twice: the tables of members (runtime's are used), whether a member is there, when a server is silent, the hash of names, the deployment of two daemon tests, the arguments of keys. Names of those present and the count of slices held are only made when they are used. No behaviour else is changed; the module is the same.

--- a/cli/src/keys.rs
+++ b/cli/src/keys.rs
@@ -3,25 +3,32 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::Subcommand;
+use clap::{Args, Subcommand};
 use lynxmill_membership::Public;
-use lynxmill_membership_io::{Trusted, fresh, read_secret, write_secret};
+use lynxmill_membership_io::{Trusted, beside, fresh, read_secret, write_secret};
 
 use crate::end::{Fail, other};
 
+/// Whose key, and where it and its public part go.
+#[derive(Args)]
+pub struct Whose {
+    /// The file of the secret.
+    #[arg(long)]
+    secret: PathBuf,
+    /// The assigner whose key it is.
+    #[arg(long)]
+    name: String,
+    /// A trust file that the line is put into as well, or that is to have it.
+    #[arg(long)]
+    trust: Option<PathBuf>,
+}
+
 #[derive(Subcommand)]
 pub enum Command {
-    /// A new secret in a file of its own, and its public key as a line of the trust file.
+    /// A new secret in a file of its own, which must not be there yet, and its public key as a line of the trust file.
     New {
-        /// The file of the secret; it must not be there yet.
-        #[arg(long)]
-        secret: PathBuf,
-        /// The assigner whose key it is.
-        #[arg(long)]
-        name: String,
-        /// A trust file that the line is put into as well.
-        #[arg(long)]
-        trust: Option<PathBuf>,
+        #[command(flatten)]
+        whose: Whose,
     },
     /// The public key of a secret, or the keys of a trust file.
     Show {
@@ -33,12 +40,8 @@
     /// A key in another's place. First it makes `SECRET.next` and the line that all must trust; with
     /// `--finish`, once they do, it is put in place; the old key is then taken out with `revoke`.
     Rotate {
-        #[arg(long)]
-        secret: PathBuf,
-        #[arg(long)]
-        name: String,
-        #[arg(long)]
-        trust: Option<PathBuf>,
+        #[command(flatten)]
+        whose: Whose,
         #[arg(long)]
         finish: bool,
     },
@@ -55,9 +58,7 @@
 }
 
 fn next(secret: &Path) -> PathBuf {
-    let mut name = secret.as_os_str().to_owned();
-    name.push(".next");
-    PathBuf::from(name)
+    beside(secret, ".next")
 }
 
 /// Makes a secret; its line is told and put into a trust file.
@@ -80,7 +81,7 @@
 
 pub fn run(command: Command) -> Result<ExitCode, Fail> {
     match command {
-        Command::New { secret, name, trust } => made(&secret, &name, trust.as_deref())?,
+        Command::New { whose: Whose { secret, name, trust } } => made(&secret, &name, trust.as_deref())?,
         Command::Show { secret, trust } => {
             if let Some(secret) = secret {
                 println!("{}", read_secret(&secret).map_err(other)?.public());
@@ -89,10 +90,10 @@
                 Trusted::open(&trust).map_err(other)?.keys().for_each(|(name, key)| println!("{name} {key}"));
             }
         }
-        Command::Rotate { secret, name, trust, finish: false } => {
+        Command::Rotate { whose: Whose { secret, name, trust }, finish: false } => {
             made(&next(&secret), &name, trust.as_deref())?
         }
-        Command::Rotate { secret, name, trust, finish: true } => {
+        Command::Rotate { whose: Whose { secret, name, trust }, finish: true } => {
             let key = read_secret(&next(&secret)).map_err(other)?.public();
             if let Some(trust) = trust {
                 let trusted = Trusted::open(&trust).map_err(other)?;
--- a/cli/src/members.rs
+++ b/cli/src/members.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use clap::{Args, Subcommand};
+use lynxmill_runtime::{Show, tabled};
 use serde_json::Value;
 
 use crate::ctl::{Place, REFUSED, ask};
@@ -62,38 +63,13 @@
         .map_err(|_| other(format!("the assigner's answer can't be read: {}", text.trim())))
 }
 
-fn text(of: &Value) -> String {
-    of.as_str().map_or_else(|| if of.is_null() { "-".to_owned() } else { of.to_string() }, str::to_owned)
-}
-
-/// Columns as wide as their widest.
-pub fn table(heads: &[&str], rows: &[Value]) -> String {
-    let mut lines = vec![heads.iter().map(|head| (*head).to_owned()).collect::<Vec<_>>()];
-    lines.extend(rows.iter().map(|row| heads.iter().map(|head| text(&row[*head])).collect()));
-    let wide = |k: usize| lines.iter().map(|line| line[k].len()).max().unwrap_or(0);
-    let widths: Vec<usize> = (0..heads.len()).map(wide).collect();
-    let line = |line: &Vec<String>| {
-        let cells: Vec<String> =
-            line.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
-        format!("{}\n", cells.join("  ").trim_end())
-    };
-    lines.iter().map(line).collect()
-}
-
-const MEMBER: [&str; 7] = ["member", "at", "state", "seconds", "incarnation", "weight", "wrong"];
-const EVIDENCE: [&str; 6] = ["server", "by", "tries", "lost", "age_s", "doubted"];
-
-fn shown(heads: &[&str], rows: Vec<Value>, json: bool) {
-    if json {
-        println!("{}", Value::Array(rows));
-    } else {
-        print!("{}", table(heads, &rows));
-    }
+fn shown(what: Show, rows: Vec<Value>, json: bool) {
+    print!("{}", tabled(what, json, &Value::Array(rows)));
 }
 
 pub fn run(command: Command) -> Result<ExitCode, Fail> {
     match command {
-        Command::List { at, json } => shown(&MEMBER, rows(&at, "members")?, json),
+        Command::List { at, json } => shown(Show::Members, rows(&at, "members")?, json),
         Command::Show { at, name } => {
             let of = |key: &str, rows: Vec<Value>| -> Vec<Value> {
                 rows.into_iter().filter(|row| row[key] == name.as_str()).collect()
@@ -102,17 +78,17 @@
             if found.is_empty() {
                 return Err(other(format!("no member {name} is known")));
             }
-            shown(&MEMBER, found, false);
+            shown(Show::Members, found, false);
             let said = of("by", rows(&at, "evidence")?);
             if !said.is_empty() {
                 println!();
-                shown(&EVIDENCE, said, false);
+                shown(Show::Evidence, said, false);
             }
         }
         Command::Evidence { at, server, json } => {
             let mut told = rows(&at, "evidence")?;
             told.retain(|row| server.as_deref().is_none_or(|server| row["server"] == server));
-            shown(&EVIDENCE, told, json);
+            shown(Show::Evidence, told, json);
         }
         Command::Leave { at } => {
             let answer = said(&at, "leave members")?;
--- a/cli/tests/line.rs
+++ b/cli/tests/line.rs
@@ -334,3 +334,55 @@
     assert_eq!(code(&again), 5, "{}", text(&again.stdout));
     assert_eq!(code(&run(&["hunt", "--load", "0"])), 4);
 }
+
+/// Keys from their making to their end; a secret is in its own file alone.
+#[test]
+fn keys_are_made_shown_rotated_and_revoked() {
+    let folder = Folder::new("keys");
+    // Names that differ in their endings alone.
+    let (secret, trust) = (folder.file("n0"), folder.file("n0.trust"));
+    let of = ["--secret", &secret, "--name", "n0", "--trust", &trust];
+    let keys = |words: &[&str]| run(&[&["keys"], words].concat());
+    let done = |words: &[&str]| {
+        let output = keys(words);
+        assert_eq!(code(&output), 0, "{words:?}: {}", text(&output.stderr));
+        text(&output.stdout).trim().to_owned()
+    };
+    let line = done(&[&["new"], of.as_slice()].concat());
+    let written = std::fs::read_to_string(&secret).expect("a secret");
+    assert!(line.starts_with("n0 ") && !line.contains(written.trim()));
+    assert_eq!(done(&["show", "--trust", &trust]), line);
+    assert_eq!(format!("n0 {}", done(&["show", "--secret", &secret])), line);
+    assert_eq!(code(&keys(&[&["new"], of.as_slice()].concat())), 1, "a key is never overwritten");
+    // Both are trusted until the old one is taken out.
+    let next = done(&[&["rotate"], of.as_slice()].concat());
+    assert_eq!(done(&["show", "--trust", &trust]), format!("{line}\n{next}"));
+    assert_eq!(format!("n0 {}", done(&["show", "--secret", &secret])), line, "not in use yet");
+    done(&[&["rotate", "--finish"], of.as_slice()].concat());
+    assert_eq!(format!("n0 {}", done(&["show", "--secret", &secret])), next);
+    let old = line.trim_start_matches("n0 ");
+    done(&["revoke", "--trust", &trust, "--name", "n0", "--key", old]);
+    assert_eq!(done(&["show", "--trust", &trust]), next);
+    // What can't be is told in one line.
+    let refused = |words: &[&str], why: &str| {
+        let output = keys(words);
+        let told = text(&output.stderr);
+        assert_eq!((code(&output), told.lines().count()), (1, 1), "{told}");
+        assert!(told.contains(why), "{told}");
+    };
+    refused(&["revoke", "--trust", &trust, "--name", "n0", "--key", old], "no such key of n0");
+    refused(&["revoke", "--trust", &trust, "--name", "n0", "--key", "12"], "64 hexadecimal digits");
+    refused(&["new", "--secret", &folder.file("x"), "--name", "a b"], "can be no name");
+    refused(&["show", "--trust", &folder.file("none")], "No such file");
+    done(&[&["rotate"], &of[..4]].concat());
+    refused(&[&["rotate", "--finish"], of.as_slice()].concat(), "is not trusted there yet");
+    std::fs::write(&trust, "n0\n").expect("written");
+    refused(&["show", "--trust", &trust], "n0.trust:1: expected NAME KEY");
+}
+
+#[test]
+fn members_of_an_assigner_that_is_not_there_are_told_as_such() {
+    let output = run(&["members", "list", "--address", "127.0.0.1:1", "--patience", "0.2"]);
+    assert_eq!(code(&output), 1);
+    assert!(text(&output.stderr).contains("the assigner said nothing"));
+}
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -9,13 +9,26 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use lynxmill_standin::{Collector, Standin, config};
+use lynxmill_standin::{Collector, Standin, config, settings};
 use serde_json::Value;
 
 pub const ANY: &str = "127.0.0.1:0";
 /// How long what must come may take.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Four servers, eight slices at the first two, three proxies.
+pub fn standin() -> Standin {
+    let any = || ANY.parse().expect("an address");
+    let lease = settings()["specifics"]["lease"].as_f64().expect("a lease");
+    let standin = Standin::start(any(), any(), Duration::from_secs_f64(lease)).expect("free ports");
+    standin.change(|state| {
+        ["s-a", "s-b", "s-c", "s-d"].iter().for_each(|server| state.list(server, "ready", 0.0));
+        (0..8).for_each(|slice| state.give(slice, Some(["s-a", "s-b"][slice % 2])));
+        (0..3).for_each(|px| state.attach(px));
+    });
+    standin
+}
+
 /// What the program wrote so far.
 pub type Log = Arc<(Mutex<Vec<String>>, Condvar)>;
 
--- a/daemon/tests/membership.rs
+++ b/daemon/tests/membership.rs
@@ -10,10 +10,10 @@
 
 use lynxmill::Moment;
 use lynxmill_membership_io::{Opened, Runner, Trusted, Wish, fresh, write_secret};
-use lynxmill_standin::{Collector, Standin, config, settings};
+use lynxmill_standin::{Collector, config};
 use serde_json::{Value, json};
 
-use common::{ANY, Daemon, PATIENCE, command, write};
+use common::{ANY, Daemon, PATIENCE, command, standin, write};
 
 struct Keys(PathBuf);
 
@@ -44,18 +44,6 @@
     }
 }
 
-fn standin() -> Standin {
-    let any = || ANY.parse().expect("an address");
-    let lease = settings()["specifics"]["lease"].as_f64().expect("a lease");
-    let standin = Standin::start(any(), any(), Duration::from_secs_f64(lease)).expect("free ports");
-    standin.change(|state| {
-        ["s-a", "s-b", "s-c", "s-d"].iter().for_each(|server| state.list(server, "ready", 0.0));
-        (0..8).for_each(|slice| state.give(slice, Some(["s-a", "s-b"][slice % 2])));
-        (0..3).for_each(|px| state.attach(px));
-    });
-    standin
-}
-
 fn ask(at: SocketAddr, line: &str) -> String {
     let mut stream = TcpStream::connect(at).expect("the socket");
     stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
--- a/daemon/tests/runtime.rs
+++ b/daemon/tests/runtime.rs
@@ -8,26 +8,12 @@
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::Command;
-use std::time::Duration;
 
-use lynxmill_standin::{Fate, Standin, State, config, settings};
+use lynxmill_standin::{Fate, Standin, State, config};
 use rstest::rstest;
 use serde_json::{Value, json};
 
-use common::{ANY, Daemon, PATIENCE, command, write};
-
-/// Four servers, eight slices at the first two, three proxies.
-fn standin() -> Standin {
-    let any = || ANY.parse().expect("an address");
-    let lease = settings()["specifics"]["lease"].as_f64().expect("a lease");
-    let standin = Standin::start(any(), any(), Duration::from_secs_f64(lease)).expect("free ports");
-    standin.change(|state| {
-        ["s-a", "s-b", "s-c", "s-d"].iter().for_each(|server| state.list(server, "ready", 0.0));
-        (0..8).for_each(|slice| state.give(slice, Some(["s-a", "s-b"][slice % 2])));
-        (0..3).for_each(|px| state.attach(px));
-    });
-    standin
-}
+use common::{ANY, Daemon, PATIENCE, command, standin, write};
 
 struct Desk {
     daemon: Daemon,
--- a/membership/io/src/files.rs
+++ b/membership/io/src/files.rs
@@ -4,7 +4,7 @@
 use std::fs::{self, OpenOptions};
 use std::io::{self, Write};
 use std::os::unix::fs::{MetadataExt, OpenOptionsExt};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use lynxmill_membership::{Public, Secret, Trust};
 use zeroize::Zeroizing;
@@ -16,6 +16,13 @@
     format!("{}: {what}", path.display())
 }
 
+/// The file of this name with more at its end: another one for every file, whatever its ending.
+pub fn beside(path: &Path, more: &str) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(more);
+    PathBuf::from(name)
+}
+
 /// 32 bytes that nobody else has.
 ///
 /// # Errors
@@ -125,7 +132,7 @@
     /// # Errors
     /// One line.
     pub fn write(&self, path: &Path) -> Result<(), String> {
-        let next = path.with_extension("next");
+        let next = beside(path, ".new");
         let text: String = self.lines.iter().map(|line| format!("{line}\n")).collect();
         let write = || -> io::Result<()> {
             let mut file = fs::File::create(&next)?;
--- a/membership/io/src/runner.rs
+++ b/membership/io/src/runner.rs
@@ -148,7 +148,7 @@
 }
 
 fn ended(at: SocketAddr, reason: &'static str, detail: &str) {
-    log::debug!(reason, peer:% = at; "exchange {at} ended reason={reason} {detail}");
+    log::info!(reason, peer:% = at; "exchange {at} ended reason={reason} {detail}");
 }
 
 async fn read(stream: &mut TcpStream, most: usize) -> io::Result<Vec<u8>> {
--- a/membership/sim/src/lib.rs
+++ b/membership/sim/src/lib.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use lynxmill::{Moment, Span};
-use lynxmill_membership::{Charge, Node, Out, Road, Seal, State, Terms};
+use lynxmill_membership::{Charge, Node, Out, Road, Seal, State, Terms, mixed};
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 
@@ -19,11 +19,6 @@
     count: usize,
 }
 
-fn mixed(parts: &[&[u8]]) -> u64 {
-    let byte = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3);
-    parts.iter().flat_map(|part| part.iter()).fold(0xcbf2_9ce4_8422_2325, byte)
-}
-
 fn plain(name: &str, road: u8, text: &[u8]) -> Vec<u8> {
     mixed(&[name.as_bytes(), &[road], text]).to_be_bytes().repeat(8)
 }
@@ -343,7 +338,7 @@
     pub fn agree(&self) -> usize {
         let names: BTreeSet<String> = self.living().map(|(node, _)| name(node)).collect();
         let sees = |node: usize, of: &Node<Plain>| {
-            let seen = of.swim.members().iter().filter(|m| matches!(m.state, State::Alive | State::Suspect));
+            let seen = of.swim.members().iter().filter(|m| m.state.there());
             let mut seen: BTreeSet<String> = seen.map(|m| m.name.clone()).collect();
             seen.insert(name(node));
             seen == names
--- a/membership/src/charges.rs
+++ b/membership/src/charges.rs
@@ -13,8 +13,6 @@
 
 /// Rows of one datagram.
 const ROWS: usize = 40;
-/// Spans of a vote that claims which get into each other's way are spread over.
-const APART: f64 = 1.0;
 /// Spans of a vote after which a slice has been free for long.
 const FREE: f64 = 3.0;
 
@@ -79,12 +77,12 @@
 
     /// What is due: claims, votes that are to be kept, slices that should be another's. Returns what is to be
     /// asked of all others.
-    pub fn tick(&mut self, now: Moment, present: &BTreeSet<String>) -> Vec<What> {
+    pub fn tick(&mut self, now: Moment, present: impl FnOnce() -> BTreeSet<String>) -> Vec<What> {
         let mut steps = Vec::new();
         let chance = &mut self.chance;
-        self.holder.tick(now, || f64::from(chance.next_u32()) / 4_294_967_296.0 * APART, &mut steps);
+        self.holder.tick(now, || f64::from(chance.next_u32()) / 4_294_967_296.0, &mut steps);
         if now >= self.look_at && self.voter.speaks(now) {
-            self.look(now, present, &mut steps);
+            self.look(now, &present(), &mut steps);
         }
         if now >= self.look_at {
             self.look_at = now + self.period;
@@ -151,6 +149,9 @@
                 }
             }
         }
+        if rows.is_empty() {
+            return Vec::new();
+        }
         let holds = self.holds(now).len() as u32;
         rows.chunks(ROWS).map(|rows| What::Ballots(Ballots { rows: rows.to_vec(), holds })).collect()
     }
--- a/membership/src/custody.rs
+++ b/membership/src/custody.rs
@@ -266,10 +266,15 @@
     }
 }
 
-/// FNV-1a over both, then mixed: alike on every machine and in every version.
-pub fn likes(slice: u32, name: &str) -> u64 {
+/// FNV-1a over all of them, alike on every machine and in every version.
+pub fn mixed(parts: &[&[u8]]) -> u64 {
     let byte = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
-    let hash = name.as_bytes().iter().chain(&slice.to_be_bytes()).fold(0xcbf2_9ce4_8422_2325, byte);
+    parts.iter().flat_map(|part| part.iter()).fold(0xcbf2_9ce4_8422_2325, byte)
+}
+
+/// How much a slice likes to be a member's: its bits well mixed, or names that are alike would be liked alike.
+pub fn likes(slice: u32, name: &str) -> u64 {
+    let hash = mixed(&[name.as_bytes(), &slice.to_be_bytes()]);
     let hash = (hash ^ hash >> 33).wrapping_mul(0xff51_afd7_ed55_8ccd);
     (hash ^ hash >> 33).wrapping_mul(0xc4ce_b9fe_1a85_ec53)
 }
--- a/membership/src/evidence.rs
+++ b/membership/src/evidence.rs
@@ -9,7 +9,7 @@
 use crate::codec::Row;
 
 /// Tries in a row that must be lost for a witness to say that a server is silent, and the part of its tries.
-pub const ENOUGH: u32 = 3;
+const ENOUGH: u32 = 3;
 const LOST: f64 = 0.9;
 /// Lost tries of all who say so, by their weight, and how many of one count at most: nobody makes up for another.
 const TOGETHER: f64 = 8.0;
@@ -25,6 +25,16 @@
 /// Rows of one author that are kept at most.
 const ROWS: usize = 64;
 
+/// A witness's word that a server is silent.
+fn mostly_lost(tries: u32, lost: u32) -> bool {
+    tries >= ENOUGH && f64::from(lost) >= LOST * f64::from(tries)
+}
+
+/// A server is silent to own eyes.
+pub fn all_lost(tries: u32, lost: u32) -> bool {
+    tries >= ENOUGH && lost == tries
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Seen {
     tries: u32,
@@ -38,7 +48,7 @@
 
 impl Seen {
     fn silent(&self) -> bool {
-        self.tries >= ENOUGH && f64::from(self.lost) >= LOST * f64::from(self.tries)
+        mostly_lost(self.tries, self.lost)
     }
 }
 
@@ -155,7 +165,7 @@
         }
         // Its own losses add to the weight, but are no other witness.
         if own.tries >= ENOUGH {
-            let lost = f64::from(own.lost) >= LOST * f64::from(own.tries);
+            let lost = mostly_lost(own.tries, own.lost);
             all += 1.0;
             against += f64::from(u8::from(lost));
             losses += if lost { f64::from(own.lost.min(OF_ONE)) } else { 0.0 };
@@ -171,7 +181,7 @@
     /// that it begins to say so.
     pub fn judged(&mut self, now: Moment, server: &str, own: Own) {
         let Some(by) = self.seen.get_mut(server) else { return };
-        let lost = own.tries >= ENOUGH && own.lost == own.tries;
+        let lost = all_lost(own.tries, own.lost);
         for (author, seen) in by.iter_mut().filter(|(_, seen)| seen.silent() && !seen.judged) {
             let record = self.records.entry(author.clone()).or_default();
             let answered = own.quiet.is_some_and(|quiet| now - seen.since > self.lasts.times(0.5) + quiet);
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -26,7 +26,7 @@
     Ask, BallotKind, BallotRow, Ballots, Body, Claim, Datagram, Evidence, Kind, Row, Signed, VERSION,
     VoteRow, Votes, What, decode, encode,
 };
-pub use custody::{Asked, Ballot, Holder, Step, Voted, Voter, division};
+pub use custody::{Asked, Ballot, Holder, Step, Voted, Voter, division, mixed};
 pub use evidence::{Ledger, Own, Verdict};
 pub use health::Health;
 pub use keys::{BadKey, Keys, Public, Seal, Secret, Trust};
--- a/membership/src/node.rs
+++ b/membership/src/node.rs
@@ -10,7 +10,7 @@
 use crate::bucket::Bucket;
 use crate::charges::Charges;
 use crate::codec::{Body, Datagram, Evidence, Row, Signed, VERSION, What, decode, encode};
-use crate::evidence::{ENOUGH, Ledger, Own, Verdict};
+use crate::evidence::{Ledger, Own, Verdict, all_lost};
 use crate::keys::Seal;
 use crate::sight::Sight;
 use crate::swim::{Change, Send, State, Swim};
@@ -26,6 +26,8 @@
 /// How far above the present one a life may be told to be: two days of milliseconds, for clocks that were put
 /// right.
 const AHEAD: u64 = 2 * 86_400_000;
+/// Part of a second's bytes that words on servers may take of one half of an exchange.
+const EXCHANGED: f64 = 0.2;
 /// Rows that one says of servers, and how many times it is passed on.
 const ROWS: usize = 24;
 const EVIDENCE_PASSED: u32 = 6;
@@ -121,8 +123,8 @@
     pub fn new(name: &str, at: SocketAddr, life: u64, terms: Terms, seal: S, seed: u64, now: Moment) -> Self {
         let voters = seal.count();
         let of = (terms.slices, terms.vote_for, terms.period);
-        let votes = (terms.slices > 0 && voters > 0).then(|| Charges::new(name, of, voters, life, seed, now));
-        let charges = votes;
+        let divides = terms.slices > 0 && voters > 0;
+        let charges = divides.then(|| Charges::new(name, of, voters, life, seed, now));
         Node {
             swim: Swim::new(name, at, life, terms.clone(), seal, seed, now),
             ledger: Ledger::new(terms.evidence_for),
@@ -184,12 +186,11 @@
         self.go(now, &mut sends, out);
         self.sends = sends;
         if let Some(charges) = &mut self.charges {
-            let asks = charges.tick(now, &self.swim.present_names());
+            let asks = charges.tick(now, || self.swim.present_names());
             self.ask_all(now, asks, out);
         }
         let swim = &self.swim;
-        let present =
-            |name: &str| swim.member(name).is_some_and(|m| matches!(m.state, State::Alive | State::Suspect));
+        let present = |name: &str| swim.member(name).is_some_and(|m| m.state.there());
         self.ledger.age(now, present);
         self.spread.retain(|author, _| author == swim.name() || present(author));
     }
@@ -206,7 +207,7 @@
         let mut told = Vec::new();
         let mut silent = BTreeSet::new();
         for (server, own) in rows {
-            if own.tries >= ENOUGH && own.lost == own.tries {
+            if all_lost(own.tries, own.lost) {
                 silent.insert(server.clone());
             }
             let bad = own.tries > 0 && own.lost * 2 > own.tries;
@@ -392,8 +393,18 @@
         }
     }
 
+    /// What members saw of servers, for an exchange: what has been passed on least first, as far as there is room.
     fn all_evidence(&self) -> Vec<Signed> {
-        self.spread.values().map(|spread| spread.signed.clone()).collect()
+        let mut order: Vec<&Spread> = self.spread.values().collect();
+        order.sort_by_key(|spread| spread.passed);
+        let mut room = (self.terms.bytes_per_s * EXCHANGED) as usize;
+        let fits = |spread: &&Spread| {
+            let size = spread.signed.encoded_len() + 4;
+            let fits = size <= room;
+            room -= if fits { size } else { 0 };
+            fits
+        };
+        order.into_iter().filter(fits).map(|spread| spread.signed.clone()).collect()
     }
 
     // --- out ---
--- a/membership/src/sight.rs
+++ b/membership/src/sight.rs
@@ -5,7 +5,7 @@
 
 use lynxmill::{Moment, Span};
 
-use crate::evidence::{ENOUGH, Own, Verdict};
+use crate::evidence::{Own, Verdict, all_lost};
 
 #[derive(Clone, Copy, Debug)]
 struct Run {
@@ -51,7 +51,7 @@
             let (tried, gone) = if begun { (0, 0) } else { (before.tries, before.lost) };
             Run { tries: tried.saturating_add(tries), lost: gone.saturating_add(lost), heard: now, ..before }
         };
-        let silent = |run: &Run| run.tries >= ENOUGH && run.lost == run.tries;
+        let silent = |run: &Run| all_lost(run.tries, run.lost);
         self.runs.insert(server.to_owned(), run);
         silent(&run) && !silent(&before)
     }
--- a/membership/src/swim.rs
+++ b/membership/src/swim.rs
@@ -52,6 +52,11 @@
 }
 
 impl State {
+    /// Whether one in it counts as being there.
+    pub fn there(self) -> bool {
+        matches!(self, State::Alive | State::Suspect)
+    }
+
     pub fn word(self) -> &'static str {
         match self {
             State::Alive => "alive",
@@ -350,6 +355,7 @@
     /// What is known, for an exchange: this instance's own word, and as many others as there is room for,
     /// from anywhere on. One that is taken for dead here is told so first, so that it can answer for itself.
     fn everything(&mut self, of: &str, want: bool) -> Body {
+        let from = self.below(self.members.len());
         let mut room = (self.terms.bytes_per_s * EXCHANGED) as usize;
         let mut claims = Vec::new();
         let mut take = |signed: &Signed| {
@@ -364,8 +370,7 @@
         take(&self.word);
         let met = self.by_name.get(of).map(|&i| &self.members[i]).filter(|m| m.state == State::Dead);
         met.into_iter().flat_map(|member| member.by.values()).all(&mut take);
-        let from = (f64::from(self.chance.next_u32()) / 4_294_967_296.0 * self.members.len() as f64) as usize;
-        let (before, after) = self.members.split_at(from.min(self.members.len()));
+        let (before, after) = self.members.split_at(from);
         for member in after.iter().chain(before) {
             let suspected = member.by.values().filter(|_| member.state == State::Suspect);
             if !std::iter::once(&member.word).chain(suspected).all(&mut take) {
@@ -408,7 +413,7 @@
 
     /// To all who are there.
     pub fn tell_all(&mut self, what: &What, out: &mut Vec<Send>) {
-        for member in self.members.iter().filter(|m| matches!(m.state, State::Alive | State::Suspect)) {
+        for member in self.members.iter().filter(|m| m.state.there()) {
             let body = Body { what: Some(what.clone()), ..Body::default() };
             out.push(Send { to: member.at, name: member.name.clone(), road: Road::Datagram, body });
         }
@@ -416,7 +421,7 @@
 
     /// Names of those who are there, this instance among them unless it leaves.
     pub fn present_names(&self) -> BTreeSet<String> {
-        let there = self.members.iter().filter(|m| matches!(m.state, State::Alive | State::Suspect));
+        let there = self.members.iter().filter(|m| m.state.there());
         let own = (!self.left).then(|| self.name.clone());
         there.map(|m| m.name.clone()).chain(own).collect()
     }
@@ -480,7 +485,7 @@
             let about = *self.order.get(self.next)?;
             self.next += 1;
             let busy = self.probes.iter().any(|probe| probe.about == about);
-            if matches!(self.members[about].state, State::Alive | State::Suspect) && !busy {
+            if self.members[about].state.there() && !busy {
                 return Some(about);
             }
         }
@@ -557,7 +562,7 @@
     /// This instance's own probe brought nothing.
     fn suspect(&mut self, now: Moment, about: usize) {
         let member = &self.members[about];
-        if !matches!(member.state, State::Alive | State::Suspect) || member.by.contains_key(&self.name) {
+        if !member.state.there() || member.by.contains_key(&self.name) {
             return;
         }
         let signed = self.sign(&claim(&member.name, Kind::Suspect, member.incarnation, ""));
@@ -633,8 +638,7 @@
     fn become_(&mut self, now: Moment, about: usize, to: State) {
         let member = &mut self.members[about];
         if member.state != to {
-            let there = |state: State| usize::from(matches!(state, State::Alive | State::Suspect));
-            self.there = self.there + there(to) - there(member.state);
+            self.there = self.there + usize::from(to.there()) - usize::from(member.state.there());
             if to == State::Suspect {
                 self.suspects.insert(about);
             } else {
@@ -762,8 +766,8 @@
                 own && said.incarnation >= member.incarnation && member.state != State::Left
             }
             (Kind::Suspect, Some(member)) => {
-                let open = matches!(member.state, State::Alive | State::Suspect);
-                open && !own
+                member.state.there()
+                    && !own
                     && said.incarnation == member.incarnation
                     && !member.by.contains_key(&signed.author)
             }
--- a/membership/tests/trust.rs
+++ b/membership/tests/trust.rs
@@ -176,7 +176,7 @@
         }
         meet(&mut nodes, 10.0 + round as f64, 11.0 + round as f64);
         for seen in nodes[0].swim.members() {
-            assert!(matches!(seen.state, State::Alive | State::Suspect), "{round}: {seen:?}");
+            assert!(seen.state.there(), "{round}: {seen:?}");
         }
     }
 }
@@ -325,3 +325,29 @@
     sight.met(secs(3.0), "t1", 3.0, 0.0);
     assert_eq!(look(&mut sight, 3.0), [("t1".to_owned(), false)]);
 }
+
+/// Words on servers of very many members don't keep an exchange above the ceiling, where it would never go.
+#[test]
+fn an_exchange_with_all_that_is_said_of_servers_still_goes() {
+    let mut trust = Trust::default();
+    let secrets: Vec<Secret> = (0..60).map(secret).collect();
+    let name = |of: usize| format!("m{of}");
+    (0..60).for_each(|of| trust.add(&name(of), secrets[of].public()));
+    let terms = Terms { evidence_for: Span::from_secs(300.0), ..Terms::default() };
+    let keys = |of: usize| Keys { secret: secrets[of].clone(), trust: trust.clone() };
+    let node = |of: usize| Node::new(&name(of), at(of), 1000, terms.clone(), keys(of), 1, Moment::default());
+    let mut nodes: Vec<_> = (0..60).map(node).collect();
+    meet(&mut nodes, 0.0, 30.0);
+    // All of them have met, and see many servers fall silent.
+    for (of, node) in nodes.iter_mut().enumerate().skip(1) {
+        let rows = (0..24).map(|k| (format!("server-{of}-{k}"), own(9, 9, None)));
+        node.saw(rows);
+    }
+    meet(&mut nodes, 30.0, 75.0);
+    assert!(nodes[0].ledger.servers().count() > 700, "{}", nodes[0].ledger.servers().count());
+    let asked =
+        message("m1", "m0", 1 << 40, &keys(1), &Body { what: Some(What::Exchange(true)), ..Body::default() });
+    let answer = nodes[0].heard(secs(80.0), at(1), Road::Exchange, &asked, &mut Vec::new());
+    let bytes = answer.expect("heard").expect("it is answered").len();
+    assert!(bytes as f64 <= Terms::default().bytes_per_s * 0.75, "{bytes}");
+}
