--- /dev/null
+++ b/harbour/berths/src/orders.rs
@@ -0,0 +1,43 @@
+//! The writer that a round's decisions go to.
+
+use lynxmill::{Orders, Span};
+
+#[derive(Default)]
+pub struct Notes {
+    pub published: Vec<(usize, u32)>,
+    pub shut: Vec<usize>,
+    pub mark: Option<u16>,
+    pub wake: Option<Span>,
+    pub stays: Vec<usize>,
+}
+
+impl Orders for Notes {
+    fn publish(&mut self, slice: usize, task: u32) {
+        self.shut.retain(|s| *s != slice);
+        self.published.push((slice, task));
+    }
+
+    fn shut(&mut self, slice: usize, _task: u32) {
+        self.shut.push(slice);
+    }
+
+    fn let_in(&mut self, _slice: usize, _mask: u64, _level: f64, _again: u8) {}
+
+    fn mark(&mut self, number: u16) {
+        self.mark = Some(number);
+    }
+
+    fn wake(&mut self, after: Span) {
+        self.wake = Some(after);
+    }
+
+    fn subscribe(&mut self) {}
+
+    fn probe(&mut self, _task: u32) {}
+
+    fn answers_no_one(&mut self, _task: u32) {}
+
+    fn stays(&mut self, slice: usize) {
+        self.stays.push(slice);
+    }
+}
--- /dev/null
+++ b/harbour/harbourmaster/src/control.rs
@@ -0,0 +1,336 @@
+//! Calls of tasks and operators, each declared beside its handler.
+
+use std::io::Read;
+use std::sync::Arc;
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
+
+use lynxmill_berths::Told;
+use lynxmill_manifest::{Fault, Patch, evacuation, evacuation_key};
+use lynxmill_muster::{Round, Verdict, judge};
+use lynxmill_tidings::{Asked, Calls, Heard, State, Task, Tasks, ToEdgeBody};
+use prost::Message;
+use rouille::{Request, Response};
+use serde::{Deserialize, Serialize};
+
+use crate::agree::{Decision, Fail};
+use crate::port::{Port, lock};
+
+pub const CALLS: &str = "calls";
+/// Callers wait a second; a change of many items may take longer.
+const PATIENCE: Duration = Duration::from_millis(900);
+const FOR_MANY: Duration = Duration::from_millis(2_500);
+/// How long another member may take to have a drain.
+const SECOND: Duration = Duration::from_millis(350);
+/// The longest body that is read, in bytes.
+const LONGEST: u64 = 16 << 20;
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Refused {
+    error: String,
+}
+
+fn refused(status: u16, error: impl ToString) -> Response {
+    Response::json(&Refused { error: error.to_string() }).with_status_code(status)
+}
+
+fn unavailable(why: &str) -> Response {
+    refused(503, why)
+}
+
+fn body(request: &Request) -> Result<Vec<u8>, Response> {
+    let length = request.header("Content-Length").and_then(|v| v.parse::<usize>().ok());
+    let mut bytes = Vec::new();
+    let Some(reader) = request.data() else { return Err(refused(400, "the body has been read")) };
+    if reader.take(LONGEST + 1).read_to_end(&mut bytes).is_err() {
+        return Err(refused(400, "the body can't be read in full"));
+    }
+    if bytes.len() as u64 > LONGEST {
+        return Err(refused(413, "the body is too long"));
+    }
+    if length.is_some_and(|length| length != bytes.len()) {
+        return Err(refused(400, "the body is cut short"));
+    }
+    Ok(bytes)
+}
+
+// --- tasks ---
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Info {
+    service: String,
+    zone: String,
+    #[serde(default)]
+    version: String,
+    #[serde(default)]
+    slots: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Status {
+    state: String,
+    call_seq: u64,
+    #[serde(default)]
+    cold_left_s: f64,
+}
+
+/// `PUT /v1/instances/ID`: a task's beat.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Beat {
+    address: String,
+    info: Info,
+    status: Status,
+    /// From, to, fence.
+    #[serde(default)]
+    holdings: Vec<(u32, u32, u64)>,
+    /// From, to, handover.
+    #[serde(default)]
+    released: Vec<(u32, u32, String)>,
+}
+
+/// Its answer; `Holdings` are from, to, fence, handover.
+#[derive(Default, Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct BeatAnswer {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    beat_target: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    holdings: Option<Vec<(u32, u32, u64, String)>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    hold_s: Option<f64>,
+}
+
+fn beat(port: &Arc<Port>, id: &str, request: &Request) -> Result<Response, Response> {
+    let bytes = body(request)?;
+    let beat: Beat = serde_json::from_slice(&bytes).map_err(|e| refused(400, e))?;
+    port.count("beats");
+    let leaving = beat.status.state != "ready";
+    let task = Task {
+        id: id.to_owned(),
+        service: beat.info.service,
+        address: beat.address,
+        zone: beat.info.zone,
+        slots: beat.info.slots,
+        state: if leaving { State::Draining as i32 } else { State::Ready as i32 },
+        call_seq: beat.status.call_seq,
+        cold_left_ms: (beat.status.cold_left_s.clamp(0.0, 3600.0) * 1000.0) as u32,
+        silent: false,
+        version: beat.info.version,
+    };
+    let now = port.now();
+    let late = {
+        let yard = lock(&port.yard);
+        yard.get(id).is_some_and(|known| known.task.call_seq > task.call_seq)
+    };
+    if late {
+        port.count("beats-late");
+        return Ok(Response::json(&BeatAnswer::default()));
+    }
+    port.news(&[task.clone()], leaving)?;
+    let sharded = lock(&port.core).manifest.services().any(|s| s.name == task.service && s.sharded);
+    let mut answer = BeatAnswer::default();
+    if sharded {
+        let told = Told { id: id.to_owned(), holdings: beat.holdings, released: beat.released };
+        match port.grant(now, &task.service, &told) {
+            Some((grants, hold)) => {
+                let rows = grants.into_iter().map(|g| (g.from, g.to, g.fence, g.handover));
+                (answer.holdings, answer.hold_s) = (Some(rows.collect()), Some(hold));
+                answer.beat_target = Some(port.local.listen().control);
+            }
+            None => answer.beat_target = port.custodian(&task.service),
+        }
+    }
+    Ok(Response::json(&answer))
+}
+
+/// `DELETE /v1/instances/ID`: a task signs off.
+fn sign_off(port: &Arc<Port>, id: &str) -> Result<Response, Response> {
+    let gone = lock(&port.yard).gone(id);
+    // One that nobody here has heard of is as good as gone.
+    let Some(task) = gone else { return Ok(Response::json(&BeatAnswer::default())) };
+    port.signed_off(&task.service, id);
+    port.told_edges(&[task.clone()]);
+    port.spread(&[task], true)?;
+    Ok(Response::json(&BeatAnswer::default()))
+}
+
+impl Port {
+    /// Word of tasks; what is new goes to edges and other members. A drain is acknowledged only once another has it.
+    fn news(&self, tasks: &[Task], leaving: bool) -> Result<(), Response> {
+        let now = self.now();
+        let new: Vec<Task> = {
+            let mut yard = lock(&self.yard);
+            let new = tasks.iter().filter(|task| yard.word(now, task)).cloned();
+            new.collect::<Vec<_>>()
+        };
+        if !new.is_empty() {
+            self.told_edges(&new);
+        }
+        if !new.is_empty() || leaving {
+            self.spread(if new.is_empty() { tasks } else { &new }, leaving)?;
+        }
+        Ok(())
+    }
+
+    pub fn told_edges(&self, tasks: &[Task]) {
+        lock(&self.edges).push(ToEdgeBody::Tasks(Tasks { tasks: tasks.to_vec(), whole: false }));
+    }
+
+    fn spread(&self, tasks: &[Task], surely: bool) -> Result<(), Response> {
+        let members = self.members();
+        let others: Vec<&String> = members.ips.iter().filter(|ip| **ip != self.me).collect();
+        let word = Asked::Heard(Heard { tasks: tasks.to_vec(), ..Heard::default() });
+        if !surely {
+            others.iter().for_each(|ip| self.peers.tell(ip, word.clone()));
+            return Ok(());
+        }
+        let (waiting, answers) = channel();
+        others.iter().for_each(|ip| self.peers.ask(ip, word.clone(), &waiting));
+        drop(waiting);
+        if others.is_empty() || answers.recv_timeout(SECOND).is_ok() {
+            return Ok(());
+        }
+        self.count("drains-alone");
+        Err(unavailable("no other member has it"))
+    }
+}
+
+// --- the operator ---
+
+/// What became of a change.
+pub enum Changed {
+    Agreed,
+    Refused(Fault),
+    Unavailable,
+}
+
+impl Port {
+    /// Takes a change through the register of calls; `make` turns the newest state into it.
+    pub fn change(&self, until: Instant, make: impl Fn(&lynxmill_manifest::Manifest) -> Patch) -> Changed {
+        let mut fault = None;
+        let mut refuse_at = None;
+        let agreed = self.agree(CALLS, until, |round: &Round| {
+            let calls = round.current().and_then(|value| Calls::decode(value).ok()).unwrap_or_default();
+            let (held, merged) = {
+                let core = lock(&self.core);
+                (core.manifest.clone(), core.merged)
+            };
+            let last = calls.last;
+            match judge(&held, merged, calls.clone(), round.merged(), &make) {
+                Verdict::Propose(next) | Verdict::Again(next) => {
+                    fault = None;
+                    Decision::Propose(next.encode_to_vec())
+                }
+                Verdict::Refuse(why) => {
+                    fault = Some(why);
+                    // It was judged by calls that may not be agreed yet: they are, before the refusal counts.
+                    if round.stands() || round.current().is_none() || refuse_at == Some(last) {
+                        return Decision::Stop;
+                    }
+                    refuse_at = Some(last);
+                    Decision::Propose(calls.encode_to_vec())
+                }
+                Verdict::Behind => match round.foremost().filter(|(ip, _)| *ip != self.me) {
+                    Some((ip, _)) => Decision::Pull(ip.to_owned()),
+                    None => Decision::Stop,
+                },
+            }
+        });
+        match (agreed, fault) {
+            (Ok(value), fault) => {
+                let calls = Calls::decode(value.as_slice()).unwrap_or_default();
+                self.learn(&calls);
+                let members = self.members();
+                for ip in members.ips.iter().filter(|ip| **ip != self.me) {
+                    self.peers.tell(ip, Asked::Learn(calls.clone()));
+                }
+                fault.map_or(Changed::Agreed, Changed::Refused)
+            }
+            (Err(Fail::Stopped), Some(fault)) => Changed::Refused(fault),
+            (Err(_), _) => Changed::Unavailable,
+        }
+    }
+
+    /// Makes sure that all that was agreed is merged here.
+    pub fn newest(&self, until: Instant) -> bool {
+        matches!(self.change(until, |_| Patch::default()), Changed::Agreed)
+    }
+}
+
+/// `PATCH /v1/configuration`.
+fn patch(port: &Arc<Port>, request: &Request) -> Result<Response, Response> {
+    let bytes = body(request)?;
+    let patch = Patch::read(&bytes).map_err(|fault| {
+        port.count("changes-refused");
+        log::info!("a change was refused: {fault}");
+        refused(400, fault)
+    })?;
+    let patience = if patch.items.len() > 100 { FOR_MANY } else { PATIENCE };
+    match port.change(Instant::now() + patience, |_| patch.clone()) {
+        Changed::Agreed => {
+            port.count("changes");
+            Ok(Response::json(&serde_json::json!({})))
+        }
+        Changed::Refused(fault) => {
+            port.count("changes-refused");
+            log::info!("a change was refused: {fault}");
+            Err(refused(400, fault))
+        }
+        Changed::Unavailable => Err(unavailable("no majority of the core")),
+    }
+}
+
+/// `GET /v1/configuration`.
+fn read_back(port: &Arc<Port>) -> Result<Response, Response> {
+    if !port.newest(Instant::now() + PATIENCE) {
+        return Err(unavailable("no majority of the core"));
+    }
+    let body = lock(&port.core).manifest.read_back();
+    Ok(Response::from_data("application/json", body.to_string()))
+}
+
+/// `POST` and `DELETE /v1/evacuation/ZONE`.
+fn evacuate(port: &Arc<Port>, zone: &str, on: bool) -> Result<Response, Response> {
+    if !port.local.zones.contains_key(zone) {
+        return Err(refused(404, format!("zone {zone} is not known")));
+    }
+    let make = |newest: &lynxmill_manifest::Manifest| {
+        let stands = newest.evacuated().any(|z| z == zone);
+        let after = newest.version(&evacuation_key(zone));
+        let item = (stands != on).then(|| evacuation(zone, on, after));
+        Patch { items: item.into_iter().collect() }
+    };
+    match port.change(Instant::now() + PATIENCE, make) {
+        Changed::Agreed => {
+            log::info!("zone {zone} is {}", if on { "to be empty" } else { "taken back" });
+            Ok(Response::json(&serde_json::json!({})))
+        }
+        Changed::Refused(fault) => Err(refused(409, fault)),
+        Changed::Unavailable => Err(unavailable("no majority of the core")),
+    }
+}
+
+/// `GET /v1/counters`: what this process has counted.
+fn counters(port: &Arc<Port>) -> Response {
+    Response::from_data("application/json", serde_json::json!(port.counters()).to_string())
+}
+
+pub fn handle(port: &Arc<Port>, request: &Request) -> Response {
+    let url = request.url();
+    let parts: Vec<&str> = url.trim_matches('/').split('/').collect();
+    let answer = match (request.method(), parts.as_slice()) {
+        ("PUT", ["v1", "instances", id]) => beat(port, id, request),
+        ("DELETE", ["v1", "instances", id]) => sign_off(port, id),
+        ("PATCH", ["v1", "configuration"]) => patch(port, request),
+        ("GET", ["v1", "configuration"]) => read_back(port),
+        ("POST", ["v1", "evacuation", zone]) => evacuate(port, zone, true),
+        ("DELETE", ["v1", "evacuation", zone]) => evacuate(port, zone, false),
+        ("GET", ["v1", "counters"]) => Ok(counters(port)),
+        _ => Err(refused(404, "there is no such call")),
+    };
+    answer.unwrap_or_else(|refusal| refusal)
+}
--- /dev/null
+++ b/harbour/harbourmaster/src/members.rs
@@ -0,0 +1,214 @@
+//! Who the members are, what they ask of each other, how a blank one comes to count and copies are mended.
+
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
+
+use lynxmill_muster::Change;
+use lynxmill_strongroom::{Batch, differing, digests};
+use lynxmill_tidings::{Asked, Dump, Heard, Member, Members, Pick, Said, Tasks, ToEdgeBody, Welcome};
+
+use crate::port::{Port, Word, lock};
+
+const ANSWERS: Duration = Duration::from_millis(400);
+const CHANGE: Duration = Duration::from_millis(1_500);
+
+impl Port {
+    /// What this member tells of itself.
+    pub fn word(&self) -> Member {
+        let custody = self.in_custody();
+        let core = lock(&self.core);
+        Member {
+            ip: self.me.clone(),
+            members: core.acceptor.members.clone(),
+            merged: core.merged,
+            leaving: self.leaving(),
+            blank: core.acceptor.blank,
+            custody,
+            control: self.local.listen().control,
+        }
+    }
+
+    pub fn heard_word(&self, word: &Member) {
+        let now = self.now();
+        lock(&self.roll).heard(now, word);
+        let told = Word {
+            control: word.control.clone(),
+            custody: word.custody.clone(),
+            merged: word.merged,
+            at: now,
+        };
+        lock(&self.words).insert(word.ip.clone(), told);
+        self.know(&word.ip);
+        self.agreed_members(&word.members);
+    }
+
+    pub fn know(&self, ip: &str) {
+        if ip != self.me {
+            self.peers.know(ip, self.local.internal_port() + 1);
+        }
+    }
+
+    /// Members that were agreed.
+    pub fn agreed_members(&self, members: &Members) {
+        let ticket = {
+            let mut core = lock(&self.core);
+            let was = core.acceptor.members.ips.contains(&self.me);
+            if !core.acceptor.agreed(members) {
+                return;
+            }
+            if !was {
+                lock(&self.leases).seated(self.now());
+            }
+            let counts = Some(!core.acceptor.blank);
+            self.store.put(Batch { members: Some(members.clone()), counts, ..Batch::default() })
+        };
+        log::info!("members in epoch {}: {}", members.epoch, members.ips.join(" "));
+        members.ips.iter().for_each(|ip| self.know(ip));
+        let welcome = Welcome { name: self.local.node_name.clone(), members: members.ips.clone() };
+        lock(&self.edges).push(ToEdgeBody::Welcome(welcome));
+        if let Err(fault) = self.store.wait(ticket) {
+            self.failed(&fault.to_string());
+        }
+    }
+
+    pub fn tell_members(&self) {
+        let word = self.word();
+        for ip in self.peers.known() {
+            self.peers.tell(&ip, Asked::Member(word.clone()));
+        }
+    }
+
+    /// What another asks or tells.
+    pub fn asked(&self, body: Asked) -> Option<Said> {
+        Some(match body {
+            Asked::Prepare(asked) => Said::Promise(self.prepare(&asked)),
+            Asked::Accept(asked) => Said::Accepted(self.accept(&asked)),
+            Asked::Learn(calls) => Said::Yes(self.learn(&calls)),
+            Asked::Lease(asked) => {
+                let members = self.members();
+                Said::Yes(lock(&self.leases).ask(self.now(), &asked, &members))
+            }
+            Asked::Member(word) => {
+                self.heard_word(&word);
+                Said::Member(self.word())
+            }
+            Asked::Heard(heard) => {
+                self.heard(&heard);
+                Said::Yes(true)
+            }
+            Asked::Pick(pick) => Said::Dump(self.dump(Some(&pick.digests))),
+            Asked::Whole(_) => Said::Dump(self.dump(None)),
+        })
+    }
+
+    fn heard(&self, heard: &Heard) {
+        let now = self.now();
+        let news: Vec<_> = {
+            let mut yard = lock(&self.yard);
+            let mut news: Vec<_> = heard.tasks.iter().filter(|task| yard.word(now, task)).cloned().collect();
+            for (id, seq) in heard.ids.iter().zip(&heard.seqs) {
+                if yard.heard(now, id, *seq) {
+                    news.extend(yard.get(id).map(|known| known.told(now)));
+                }
+            }
+            news
+        };
+        for task in news.iter().filter(|t| t.state == lynxmill_tidings::State::Gone as i32) {
+            self.signed_off(&task.service, &task.id);
+        }
+        if !news.is_empty() {
+            lock(&self.edges).push(ToEdgeBody::Tasks(Tasks { tasks: news, whole: false }));
+        }
+    }
+
+    /// Copies for another: of ranges that differ, or of all and the registers as well.
+    fn dump(&self, told: Option<&[u64]>) -> Dump {
+        let core = lock(&self.core);
+        let items = match told {
+            Some(told) => differing(&core.manifest, told),
+            None => core.manifest.items.values().cloned().collect(),
+        };
+        let registers =
+            if told.is_none() { core.acceptor.registers.values().cloned().collect() } else { Vec::new() };
+        Dump {
+            merged: core.merged,
+            items,
+            registers,
+            members: core.acceptor.members.clone(),
+            blank: core.acceptor.blank || core.unsound,
+        }
+    }
+
+    /// Takes from another what it has merged and this one has not; whether that went well.
+    pub fn pull(&self, ip: &str) -> bool {
+        let digests = digests(&lock(&self.core).manifest);
+        let (waiting, answers) = channel();
+        self.peers.ask(ip, Asked::Pick(Pick { digests }), &waiting);
+        drop(waiting);
+        let Ok((_, Said::Dump(dump))) = answers.recv_timeout(ANSWERS) else { return false };
+        self.count("pulled");
+        self.merge(&dump.items, dump.merged);
+        true
+    }
+
+    /// A blank member reads the others; from enough of them it counts.
+    pub fn fill(&self) {
+        let members = self.members();
+        if !members.ips.contains(&self.me) {
+            return;
+        }
+        let (waiting, answers) = channel();
+        for ip in members.ips.iter().filter(|ip| **ip != self.me) {
+            self.peers.ask(ip, Asked::Whole(true), &waiting);
+        }
+        drop(waiting);
+        let until = Instant::now() + ANSWERS;
+        let mut dumps = Vec::new();
+        while let Ok((_, said)) = answers.recv_timeout(until.saturating_duration_since(Instant::now())) {
+            if let Said::Dump(dump) = said {
+                dumps.push(dump);
+            }
+        }
+        let (items, merged): (Vec<_>, u64) = (
+            dumps.iter().flat_map(|d| d.items.clone()).collect(),
+            dumps.iter().map(|d| d.merged).max().unwrap_or(0),
+        );
+        let ticket = {
+            let mut core = lock(&self.core);
+            if !core.acceptor.blank || !core.acceptor.merge(&dumps) {
+                return;
+            }
+            for item in &items {
+                core.manifest.merge(item);
+            }
+            core.merged = core.merged.max(merged);
+            // Not before it is on disk.
+            core.acceptor.blank = true;
+            self.store.put(Batch { counts: Some(true), ..core.whole() })
+        };
+        match self.store.wait(ticket) {
+            Ok(()) => {
+                lock(&self.core).acceptor.blank = false;
+                log::info!("it counts: all that was agreed has been read from others");
+                self.count("filled");
+            }
+            Err(fault) => self.failed(&fault.to_string()),
+        }
+    }
+
+    /// A member that leaves, is silent or has a newcomer waiting for it.
+    pub fn tend_members(&self) {
+        let members = self.members();
+        if !members.ips.contains(&self.me) || lock(&self.core).acceptor.blank {
+            return;
+        }
+        let due = lock(&self.roll).due(self.now(), &self.me, &members);
+        if let Change::To(next) = due {
+            let what = next.ips.join(" ");
+            match self.change_members(Some(next), Instant::now() + CHANGE) {
+                Ok(_) => self.count("members-changed"),
+                Err(fault) => log::warn!("the members can't be changed to {what}: {fault}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/harbour/harbourmaster/src/port.rs
@@ -0,0 +1,181 @@
+//! What all threads share, each part behind a lock of its own that is held for moments only. Where two are held the
+//! order is plans, edges, core, yard.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use lynxmill::{Moment, Pcg, Span};
+use lynxmill_manifest::{Item, Local, Manifest};
+use lynxmill_muster::{Acceptor, Leases, Roll, Yard};
+use lynxmill_strongroom::{Batch, Store};
+use lynxmill_tidings::{Calls, Goods, Members, ToEdgeBody};
+
+use crate::custody::Custody;
+use crate::edges::Edges;
+use crate::peers::Peers;
+
+/// The control state in memory; the disk follows.
+pub struct Core {
+    pub acceptor: Acceptor,
+    pub manifest: Manifest,
+    /// The last call whose items are merged.
+    pub merged: u64,
+    /// It has compared itself with a majority since its start.
+    pub settled: bool,
+    /// A write failed: no ballot is answered until all has been written once more.
+    pub unsound: bool,
+}
+
+impl Core {
+    /// All of it, as it has to be on disk.
+    pub fn whole(&self) -> Batch {
+        Batch {
+            items: self.manifest.items.values().cloned().collect(),
+            registers: self.acceptor.registers.values().cloned().collect(),
+            members: Some(self.acceptor.members.clone()),
+            merged: Some(self.merged),
+            counts: Some(!self.acceptor.blank),
+        }
+    }
+}
+
+/// What another member last told.
+#[derive(Clone, Debug, Default)]
+pub struct Word {
+    pub control: String,
+    pub custody: Vec<String>,
+    pub merged: u64,
+    pub at: Moment,
+}
+
+pub struct Port {
+    pub local: Local,
+    pub me: String,
+    born: Instant,
+    pub life: u64,
+    pub core: Mutex<Core>,
+    pub store: Store,
+    pub yard: Mutex<Yard>,
+    pub edges: Mutex<Edges>,
+    pub plans: Mutex<BTreeMap<String, Custody>>,
+    pub leases: Mutex<Leases>,
+    pub roll: Mutex<Roll>,
+    pub words: Mutex<BTreeMap<String, Word>>,
+    pub peers: Peers,
+    pub leaving: AtomicBool,
+    pub ballots: AtomicU64,
+    chance: Mutex<Pcg>,
+    counters: Mutex<BTreeMap<&'static str, u64>>,
+}
+
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+pub struct Made {
+    pub local: Local,
+    pub life: u64,
+    pub born: Instant,
+    pub core: Core,
+    pub store: Store,
+    pub fresh: bool,
+}
+
+impl Port {
+    pub fn new(made: Made) -> Self {
+        let Made { local, life, born, core, store, fresh } = made;
+        let now = Moment::default();
+        Port {
+            me: local.ip.clone(),
+            yard: Mutex::new(Yard::new(now, Span::from_secs(local.beat_interval_s))),
+            edges: Mutex::new(Edges::default()),
+            plans: Mutex::new(BTreeMap::new()),
+            leases: Mutex::new(Leases::new(now, fresh)),
+            roll: Mutex::new(Roll::new(now, local.core_size())),
+            words: Mutex::new(BTreeMap::new()),
+            peers: Peers::default(),
+            leaving: AtomicBool::new(false),
+            ballots: AtomicU64::new(0),
+            chance: Mutex::new(Pcg::new(life)),
+            counters: Mutex::new(BTreeMap::new()),
+            core: Mutex::new(core),
+            store,
+            born,
+            life,
+            local,
+        }
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment::from_micros(self.born.elapsed().as_micros() as i64)
+    }
+
+    pub fn drawn(&self) -> f64 {
+        lock(&self.chance).unit()
+    }
+
+    pub fn count(&self, what: &'static str) {
+        *lock(&self.counters).entry(what).or_default() += 1;
+    }
+
+    pub fn counters(&self) -> BTreeMap<&'static str, u64> {
+        lock(&self.counters).clone()
+    }
+
+    pub fn members(&self) -> Members {
+        lock(&self.core).acceptor.members.clone()
+    }
+
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Merges items that were agreed, up to the call `merged`, and tells the edges. They may reach the disk later:
+    /// a majority holds them in the register.
+    pub fn merge(&self, items: &[Item], merged: u64) {
+        let changed = {
+            let mut core = lock(&self.core);
+            let changed: Vec<Item> = items.iter().filter(|i| core.manifest.merge(i)).cloned().collect();
+            let further = merged > core.merged;
+            core.merged = core.merged.max(merged);
+            if !changed.is_empty() || further {
+                let (items, merged) = (changed.clone(), Some(core.merged));
+                let _queued = self.store.put(Batch { items, merged, ..Batch::default() });
+            }
+            changed
+        };
+        if !changed.is_empty() {
+            lock(&self.edges).push(ToEdgeBody::Goods(Goods { items: changed, whole: false }));
+        }
+    }
+
+    /// Calls that were agreed; false if earlier ones are missing.
+    pub fn learn(&self, calls: &Calls) -> bool {
+        let (behind, items) = {
+            let core = lock(&self.core);
+            let unmerged = lynxmill_muster::unmerged(core.merged, calls);
+            let items: Vec<Item> = unmerged.flat_map(|call| call.items.clone()).collect();
+            (lynxmill_muster::behind(core.merged, calls), items)
+        };
+        if behind {
+            return false;
+        }
+        self.merge(&items, calls.last);
+        true
+    }
+
+    /// It has compared itself with a majority: edges may go by what it has.
+    pub fn settle(&self) {
+        let items = {
+            let mut core = lock(&self.core);
+            if std::mem::replace(&mut core.settled, true) {
+                return;
+            }
+            core.manifest.items.values().cloned().collect()
+        };
+        log::info!("settled");
+        lock(&self.edges).push(ToEdgeBody::Goods(Goods { items, whole: true }));
+    }
+}
--- /dev/null
+++ b/harbour/harbourmaster/src/serve.rs
@@ -0,0 +1,103 @@
+//! The start: disk, memory, listeners, threads, and the end.
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use lynxmill_manifest::Local;
+use lynxmill_muster::Acceptor;
+use lynxmill_strongroom::{Batch, Store};
+use lynxmill_tidings::Members;
+use rouille::Server;
+
+use crate::port::{Core, Made, Port};
+use crate::{control, custody, directory, edges, peers, tick};
+
+const FILE: &str = "control.redb";
+/// Threads that answer calls.
+const CONTROL: usize = 16;
+const DIRECTORY: usize = 4;
+/// How long others get to hear that this member leaves.
+const LAST_WORDS: Duration = Duration::from_millis(300);
+
+fn open(local: &Local, life: u64) -> Result<(Core, Store, bool), String> {
+    let folder = local.data_path.clone().unwrap_or_default();
+    std::fs::create_dir_all(&folder).map_err(|e| format!("{folder}: {e}"))?;
+    let path = Path::new(&folder).join(FILE);
+    let (store, held) = Store::open(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let mut acceptor = Acceptor { me: local.ip.clone(), life, members: held.members, ..Acceptor::default() };
+    acceptor.registers = held.registers.into_iter().map(|r| (r.name.clone(), r)).collect();
+    acceptor.blank = !held.counts;
+    let seeds = local.seed_ips();
+    let first = local.bootstrap && acceptor.members.ips.is_empty() && seeds.contains(&local.ip);
+    if first {
+        acceptor.members = Members { epoch: 1, ips: seeds };
+        acceptor.blank = false;
+        let members = Some(acceptor.members.clone());
+        let written = store.write(Batch { members, counts: Some(true), ..Batch::default() });
+        written.map_err(|e| e.to_string())?;
+    }
+    let core =
+        Core { acceptor, manifest: held.manifest, merged: held.merged, settled: false, unsound: false };
+    Ok((core, store, first))
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), String> {
+    let thread = std::thread::Builder::new().name(name.to_owned()).stack_size(512 << 10);
+    thread.spawn(work).map(drop).map_err(|e| format!("no thread for {name}: {e}"))
+}
+
+pub fn run(local: Local) -> Result<(), String> {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let life = since.map_or(1, |d| d.as_nanos() as u64) ^ (u64::from(std::process::id()) << 40) | 1;
+    let born = Instant::now();
+    let (core, store, fresh) = open(&local, life)?;
+    let bind = |ip: &str, port: u16| TcpListener::bind((ip, port)).map_err(|e| format!("{ip}:{port}: {e}"));
+    let for_edges = bind(&local.ip, local.internal_port())?;
+    let for_members = bind(&local.ip, local.internal_port() + 1)?;
+    let listen = local.listen();
+    let port = Arc::new(Port::new(Made { local, life, born, core, store, fresh }));
+    log::info!("{} starts, {}", port.local.node_name, if fresh { "the very first time" } else { "again" });
+    port.local.seed_ips().iter().chain(&port.members().ips).for_each(|ip| port.know(ip));
+    let fault = |address: &str, e: &dyn std::fmt::Display| format!("{address}: {e}");
+    let shared = port.clone();
+    let calls = Server::new(&listen.control, move |request| control::handle(&shared, request))
+        .map_err(|e| fault(&listen.control, &e))?
+        .pool_size(CONTROL);
+    let shared = port.clone();
+    let asks = Server::new(&listen.directory, move |request| directory::handle(&shared, request))
+        .map_err(|e| fault(&listen.directory, &e))?
+        .pool_size(DIRECTORY);
+    let (for_peers, for_streams, for_ticks, for_custody) =
+        (port.clone(), port.clone(), port.clone(), port.clone());
+    spawn("members", move || peers::serve(for_peers, for_members))?;
+    spawn("edges", move || edges::serve(for_streams, for_edges))?;
+    spawn("custody", move || custody::run(for_custody))?;
+    spawn("tick", move || tick::run(for_ticks))?;
+    spawn("control", move || calls.run())?;
+    spawn("directory", move || asks.run())?;
+    end(&port)
+}
+
+/// Waits for the order to leave; leases are given back and others told first.
+fn end(port: &Port) -> Result<(), String> {
+    use signal_hook::consts::{SIGHUP, SIGTERM};
+    let term = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let hup = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    signal_hook::flag::register(SIGTERM, term.clone()).map_err(|e| e.to_string())?;
+    signal_hook::flag::register(SIGHUP, hup.clone()).map_err(|e| e.to_string())?;
+    while !term.load(Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(100));
+        if hup.swap(false, Ordering::Relaxed) {
+            log::info!("the settings file takes a new start of this program");
+        }
+    }
+    log::info!("leaving");
+    port.leaving.store(true, Ordering::Relaxed);
+    port.give_back();
+    port.tell_members();
+    std::thread::sleep(LAST_WORDS);
+    Ok(())
+}
--- /dev/null
+++ b/harbour/manifest/src/chart.rs
@@ -0,0 +1,66 @@
+//! The routing table: a host's routes by the longest prefix.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::items::Manifest;
+use crate::terms::{Limits, Route, Service};
+
+/// What a request may be sent by.
+#[derive(Clone, Debug, Default)]
+pub struct Chart {
+    hosts: BTreeMap<String, Vec<Arc<Route>>>,
+    services: BTreeMap<String, Arc<Service>>,
+    pub limits: Limits,
+    evacuated: Vec<String>,
+}
+
+/// A route that a request goes by.
+pub type Found = Arc<Route>;
+
+impl Chart {
+    pub fn new(of: &Manifest) -> Self {
+        let mut hosts: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
+        for route in of.routes() {
+            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        Chart {
+            hosts,
+            services: of.services().map(|s| (s.name.clone(), Arc::new(s))).collect(),
+            limits: of.limits(),
+            evacuated: of.evacuated().map(str::to_owned).collect(),
+        }
+    }
+
+    /// The route of a `Host` header (a port does not count) and a path.
+    pub fn find(&self, host: &str, path: &str) -> Option<Found> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let routes = self.hosts.get(&host)?;
+        routes.iter().find(|route| path.starts_with(&route.path_prefix)).cloned()
+    }
+
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    pub fn routes(&self) -> impl Iterator<Item = &Found> {
+        self.hosts.values().flatten()
+    }
+
+    pub fn evacuated(&self, zone: &str) -> bool {
+        self.evacuated.iter().any(|z| z == zone)
+    }
+
+    /// The least `TargetS` of the routes to a service, in seconds.
+    pub fn aim(&self, service: &str) -> Option<f64> {
+        let to = |r: &&Found| r.services().iter().any(|(s, _)| *s == service);
+        self.routes().filter(to).map(|r| r.target_s).min_by(f64::total_cmp)
+    }
+}
--- /dev/null
+++ b/harbour/muster/src/acceptor.rs
@@ -0,0 +1,137 @@
+//! A member's registers: what it has promised and accepted.
+
+use std::collections::BTreeMap;
+
+use lynxmill::Span;
+use lynxmill_tidings::{Accept, Accepted, Ballot, Dump, Members, Prepare, Promise, Register};
+use prost::Message;
+
+use crate::quorum::enough_to_merge;
+
+/// A blank member waits this long before it reads others: longer than any round of ballots may last, so that
+/// nobody still counts on a promise that it has forgotten.
+pub const BLANK_WAIT: Span = Span::from_micros(1_500_000);
+
+pub const MEMBERS: &str = "members";
+
+#[derive(Clone, Debug, Default)]
+pub struct Acceptor {
+    pub me: String,
+    /// A number of this life of its process.
+    pub life: u64,
+    /// The newest members that were agreed.
+    pub members: Members,
+    /// It answers no ballot: its disk is empty, or it is no member.
+    pub blank: bool,
+    pub registers: BTreeMap<String, Register>,
+}
+
+/// What has to be on disk before the reply goes out.
+pub type Write = Option<Register>;
+
+impl Acceptor {
+    /// The members that it may have helped to agree on.
+    fn pending(&self) -> Option<Members> {
+        let register = self.registers.get(MEMBERS)?;
+        Members::decode(register.value.as_slice()).ok().filter(|m| m.epoch > self.members.epoch)
+    }
+
+    fn register(&self, name: &str) -> Register {
+        let fresh = || Register { name: name.to_owned(), ..Register::default() };
+        self.registers.get(name).cloned().unwrap_or_else(fresh)
+    }
+
+    /// Guards against two majorities: whoever goes by older members than have been agreed here, or may have been,
+    /// is refused.
+    fn overtaken(&self, register: &str, members: &Members) -> bool {
+        members.epoch < self.members.epoch || (register != MEMBERS && self.pending().is_some())
+    }
+
+    pub fn prepare(&mut self, asked: &Prepare, merged: u64) -> (Promise, Write) {
+        let mut register = self.register(&asked.register);
+        let newer = (asked.members.epoch < self.members.epoch).then(|| self.members.clone());
+        let changing = asked.register != MEMBERS && self.pending().is_some();
+        let ok = !self.blank
+            && !self.overtaken(&asked.register, &asked.members)
+            // Ballots are of one maker each: the same one may be asked for twice.
+            && asked.ballot >= register.promised;
+        let promise = Promise {
+            ok,
+            promised: register.promised,
+            accepted: register.accepted,
+            value: register.value.clone(),
+            merged,
+            life: self.life,
+            members: newer,
+            changing,
+        };
+        if !ok {
+            return (promise, None);
+        }
+        register.promised = asked.ballot;
+        self.registers.insert(asked.register.clone(), register.clone());
+        (promise, Some(register))
+    }
+
+    pub fn accept(&mut self, asked: &Accept) -> (Accepted, Write) {
+        let mut register = self.register(&asked.register);
+        let ok = !self.blank
+            && (asked.life == 0 || asked.life == self.life)
+            && !self.overtaken(&asked.register, &asked.members)
+            && asked.ballot >= register.promised;
+        if !ok {
+            return (Accepted { ok, promised: register.promised }, None);
+        }
+        (register.promised, register.accepted) = (asked.ballot, asked.ballot);
+        register.value = asked.value.clone();
+        self.registers.insert(asked.register.clone(), register.clone());
+        (Accepted { ok, promised: asked.ballot }, Some(register))
+    }
+
+    /// What others hold, read by a blank member: from enough of them it becomes one that counts.
+    pub fn merge(&mut self, dumps: &[Dump]) -> bool {
+        let epoch = dumps.iter().map(|d| d.members.epoch).max().unwrap_or(0).max(self.members.epoch);
+        let stands = |d: &&Dump| !d.blank && d.members.epoch == epoch;
+        let Some(first) = dumps.iter().find(stands) else { return false };
+        let members = first.members.clone();
+        if !members.ips.contains(&self.me) || dumps.iter().filter(stands).count() < enough_to_merge(&members)
+        {
+            return false;
+        }
+        for register in dumps.iter().filter(stands).flat_map(|d| &d.registers) {
+            let held = self
+                .registers
+                .entry(register.name.clone())
+                .or_insert_with(|| Register { name: register.name.clone(), ..Register::default() });
+            held.promised = held.promised.max(register.promised);
+            if register.accepted > held.accepted {
+                held.accepted = register.accepted;
+                held.value = register.value.clone();
+            }
+        }
+        self.members = members;
+        self.blank = false;
+        true
+    }
+
+    /// Members that were agreed; whether they are news.
+    pub fn agreed(&mut self, members: &Members) -> bool {
+        let newer = members.epoch > self.members.epoch;
+        if newer {
+            let was = self.members.ips.contains(&self.me);
+            self.members = members.clone();
+            // A newcomer holds nothing of what was agreed without it.
+            self.blank |= !was;
+        }
+        newer
+    }
+
+    pub fn highest(&self, register: &str) -> Ballot {
+        self.registers.get(register).map_or(Ballot::default(), |r| r.promised.max(r.accepted))
+    }
+
+    pub fn value(&self, register: &str) -> Option<&[u8]> {
+        let register = self.registers.get(register)?;
+        (register.accepted != Ballot::default()).then_some(register.value.as_slice())
+    }
+}
--- /dev/null
+++ b/harbour/muster/src/round.rs
@@ -0,0 +1,126 @@
+//! One round of ballots over a register: prepare, then propose what follows from what was accepted.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lynxmill_tidings::{Accepted, Ballot, Members, Promise};
+
+use crate::quorum::holds;
+
+/// What a round has come to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Turn {
+    /// Others have still to answer.
+    Wait,
+    /// A majority has promised: propose.
+    Propose,
+    /// A majority has accepted.
+    Agreed,
+    /// A higher ballot is about: again with a higher one.
+    Lost(Ballot),
+    /// The members have changed.
+    Overtaken(Members),
+    /// The members may be changing: finish that first.
+    Changing,
+}
+
+#[derive(Clone, Debug)]
+pub struct Round {
+    pub ballot: Ballot,
+    /// Majorities of all of these are needed: one, or two while the members change.
+    needed: Vec<Members>,
+    promises: BTreeMap<String, Promise>,
+    refused: BTreeSet<String>,
+    accepted: BTreeSet<String>,
+    highest: Ballot,
+}
+
+impl Round {
+    pub fn new(ballot: Ballot, members: &Members) -> Self {
+        Round {
+            ballot,
+            needed: vec![members.clone()],
+            promises: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            accepted: BTreeSet::new(),
+            highest: ballot,
+        }
+    }
+
+    /// What is proposed changes the members: both majorities have to bear it.
+    pub fn also(&mut self, members: &Members) {
+        self.needed.push(members.clone());
+    }
+
+    pub fn asks(&self) -> BTreeSet<String> {
+        self.needed.iter().flat_map(|m| m.ips.iter().cloned()).collect()
+    }
+
+    /// Too many have refused for a majority of the rest.
+    fn hopeless(&self) -> bool {
+        self.needed.iter().any(|m| {
+            let left = m.ips.iter().filter(|ip| !self.refused.contains(*ip)).count();
+            left < crate::quorum::majority(m)
+        })
+    }
+
+    pub fn promised(&mut self, from: &str, promise: Promise) -> Turn {
+        if let Some(members) = promise.members {
+            return Turn::Overtaken(members);
+        }
+        if promise.changing {
+            return Turn::Changing;
+        }
+        self.highest = self.highest.max(promise.promised);
+        if promise.ok {
+            self.promises.insert(from.to_owned(), promise);
+        } else {
+            self.refused.insert(from.to_owned());
+            if self.hopeless() {
+                return Turn::Lost(self.highest);
+            }
+        }
+        let who = self.promises.keys().cloned().collect();
+        if self.needed.iter().all(|m| holds(m, &who)) { Turn::Propose } else { Turn::Wait }
+    }
+
+    /// The value of the highest ballot that was accepted by anyone asked.
+    pub fn current(&self) -> Option<&[u8]> {
+        let best = self.promises.values().max_by_key(|p| p.accepted)?;
+        (best.accepted != Ballot::default()).then_some(best.value.as_slice())
+    }
+
+    /// Whether that value was surely agreed: a majority holds it by one ballot.
+    pub fn stands(&self) -> bool {
+        let Some(best) = self.promises.values().map(|p| p.accepted).max() else { return false };
+        let who =
+            self.promises.iter().filter(|(_, p)| p.accepted == best).map(|(ip, _)| ip.clone()).collect();
+        best != Ballot::default() && self.needed.iter().all(|m| holds(m, &who))
+    }
+
+    /// The last call that every member that promised has merged.
+    pub fn merged(&self) -> u64 {
+        self.promises.values().map(|p| p.merged).min().unwrap_or(0)
+    }
+
+    /// Who has merged the most, and how much.
+    pub fn foremost(&self) -> Option<(&str, u64)> {
+        self.promises.iter().map(|(ip, p)| (ip.as_str(), p.merged)).max_by_key(|(_, merged)| *merged)
+    }
+
+    pub fn life(&self, of: &str) -> u64 {
+        self.promises.get(of).map_or(0, |p| p.life)
+    }
+
+    pub fn accepted(&mut self, from: &str, answer: Accepted) -> Turn {
+        self.highest = self.highest.max(answer.promised);
+        if answer.ok {
+            self.accepted.insert(from.to_owned());
+        } else {
+            self.refused.insert(from.to_owned());
+            if self.hopeless() {
+                return Turn::Lost(self.highest);
+            }
+        }
+        if self.needed.iter().all(|m| holds(m, &self.accepted)) { Turn::Agreed } else { Turn::Wait }
+    }
+}
--- /dev/null
+++ b/harbour/muster/src/tasks.rs
@@ -0,0 +1,100 @@
+//! Which tasks there are, by their beats and by what other members heard.
+
+use std::collections::BTreeMap;
+
+use lynxmill::{Moment, Span};
+use lynxmill_tidings::{State, Task};
+
+/// Beats missed until a task counts as silent, and until it is forgotten.
+const SILENT: f64 = 2.6;
+const FORGOTTEN: f64 = 40.0;
+
+#[derive(Clone, Debug)]
+pub struct Known {
+    pub task: Task,
+    pub heard: Moment,
+    cold_until: Moment,
+}
+
+impl Known {
+    /// As it is told to others now.
+    pub fn told(&self, now: Moment) -> Task {
+        let left = (self.cold_until - now).micros().max(0) / 1000;
+        Task { cold_left_ms: left as u32, ..self.task.clone() }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Yard {
+    born: Moment,
+    beat: Span,
+    tasks: BTreeMap<String, Known>,
+}
+
+impl Yard {
+    pub fn new(now: Moment, beat: Span) -> Self {
+        Yard { born: now, beat, tasks: BTreeMap::new() }
+    }
+
+    pub fn get(&self, id: &str) -> Option<&Known> {
+        self.tasks.get(id)
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &Known> {
+        self.tasks.values()
+    }
+
+    /// Up for long enough that every task must have been heard of.
+    pub fn grown(&self, now: Moment) -> bool {
+        now - self.born > self.beat.times(SILENT)
+    }
+
+    /// A task's own word or another's on it; whether it says anything of weight.
+    pub fn word(&mut self, now: Moment, word: &Task) -> bool {
+        let cold_until = now + Span::from_micros(i64::from(word.cold_left_ms) * 1000);
+        let Some(known) = self.tasks.get_mut(&word.id) else {
+            self.tasks.insert(word.id.clone(), Known { task: word.clone(), heard: now, cold_until });
+            return true;
+        };
+        let newer = word.call_seq > known.task.call_seq;
+        let colder = newer && cold_until > known.cold_until + self.beat.times(0.2);
+        if newer {
+            known.heard = now;
+            known.cold_until = cold_until;
+        }
+        let before = (known.task.state, known.task.silent);
+        known.task.merge(word);
+        before != (known.task.state, known.task.silent) || colder
+    }
+
+    /// Another member heard it lately.
+    pub fn heard(&mut self, now: Moment, id: &str, seq: u64) -> bool {
+        let Some(known) = self.tasks.get_mut(id) else { return false };
+        if seq <= known.task.call_seq {
+            return false;
+        }
+        (known.task.call_seq, known.heard) = (seq, now);
+        std::mem::take(&mut known.task.silent)
+    }
+
+    /// It signed off, or what it says is not to be waited for.
+    pub fn gone(&mut self, id: &str) -> Option<Task> {
+        let known = self.tasks.get_mut(id)?;
+        known.task.state = State::Gone as i32;
+        Some(known.task.clone())
+    }
+
+    /// Tasks that have fallen silent by now; those gone long ago are forgotten.
+    pub fn fallen(&mut self, now: Moment) -> Vec<Task> {
+        let (silent, forgotten) = (self.beat.times(SILENT), self.beat.times(FORGOTTEN));
+        self.tasks.retain(|_, known| now - known.heard < forgotten);
+        let late = |known: &&mut Known| !known.task.silent && now - known.heard > silent;
+        let fallen = self.tasks.values_mut().filter(late);
+        fallen
+            .map(|known| {
+                known.task.silent = true;
+                known.task.clone()
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/harbour/pilot/src/cold.rs
@@ -0,0 +1,53 @@
+//! What a cold task may be sent: few edges, by lot, share what it bears.
+
+use std::collections::VecDeque;
+
+use lynxmill::{Moment, Span};
+use lynxmill_tidings::EdgeAt;
+
+/// Part of what a cold task bears that is given out.
+const GIVEN: f64 = 0.8;
+/// Requests a second that make an edge's part worth having.
+const PART: f64 = 3.0;
+
+fn lot(task: &str, edge: &str) -> u64 {
+    let bytes = task.bytes().chain([0]).chain(edge.bytes());
+    let mixed = bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
+/// Requests a second that this edge may send to a cold task: 0 if the lot falls on others. Edges of the task's own
+/// zone go first.
+pub fn part(task: &str, zone: &str, me: &str, edges: &[EdgeAt], per_s: f64) -> f64 {
+    let sharing = ((per_s / PART) as usize).clamp(1, edges.len().max(1));
+    let rank = |edge: &EdgeAt| (edge.zone != zone, lot(task, &edge.name));
+    let Some(mine) = edges.iter().find(|edge| edge.name == me).map(rank) else { return 0.0 };
+    let before = edges.iter().filter(|edge| rank(edge) < mine).count();
+    if before < sharing { per_s * GIVEN / sharing as f64 } else { 0.0 }
+}
+
+/// Requests sent to a cold task within the last second.
+#[derive(Clone, Debug, Default)]
+pub struct Window {
+    sent: VecDeque<Moment>,
+}
+
+impl Window {
+    /// Whether one more keeps within so many in any second.
+    pub fn room(&mut self, now: Moment, part: f64) -> bool {
+        let second = Span::from_secs(1.05);
+        while self.sent.front().is_some_and(|at| now - *at > second) {
+            self.sent.pop_front();
+        }
+        // Parts under one a second are saved up over several.
+        if part < 1.0 {
+            let gap = Span::from_secs(1.0 / part.max(1e-3));
+            return part > 0.0 && self.sent.back().is_none_or(|at| now - *at >= gap);
+        }
+        (self.sent.len() as f64) < part.floor()
+    }
+
+    pub fn send(&mut self, now: Moment) {
+        self.sent.push_back(now);
+    }
+}
--- /dev/null
+++ b/harbour/pilot/src/view.rs
@@ -0,0 +1,273 @@
+//! What an edge knows: itself, the configuration, tasks and how they do, the other edges.
+
+use std::collections::{BTreeMap, HashMap};
+
+use lynxmill::{Moment, Span};
+use lynxmill_manifest::{Bounds, Chart, Service};
+use lynxmill_tidings::{EdgeAt, Fleet, Report, SliceSeen, State, Table, Task, TaskSeen};
+
+use crate::budget::Budget;
+use crate::cold::{Window, part};
+use crate::slices::{Found, Slices};
+
+/// Seconds that a request is taken to last where nothing is known yet.
+const MEAN: f64 = 0.06;
+/// Weight of the newest time in a running mean.
+const FRESH: f64 = 0.1;
+/// A load told by a task counts for so long.
+const TOLD: Span = Span::from_micros(400_000);
+/// How long a task rests after a failure, doubled with each further one up to the most.
+const REST: Span = Span::from_micros(300_000);
+const MOST_DOUBLED: u32 = 4;
+
+/// Where the edge stands.
+#[derive(Clone, Debug, Default)]
+pub struct Place {
+    pub name: String,
+    pub zone: String,
+    pub region: String,
+    pub regions: HashMap<String, String>,
+}
+
+impl Place {
+    pub fn region_of(&self, zone: &str) -> &str {
+        self.regions.get(zone).map_or("", String::as_str)
+    }
+}
+
+/// How a try at a task ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// An answer of its own, whatever it says.
+    Answered(Span),
+    /// It said that it did not run the request.
+    Shed,
+    /// It is another one, or doesn't hold the key.
+    Misdirected,
+    /// No connection, or none that held.
+    Failed,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub task: Task,
+    cold_until: Moment,
+    window: Window,
+    in_flight: u32,
+    /// Running and waiting as it last told, when, and what this edge had in flight there then.
+    told: Option<(f64, Moment, u32)>,
+    mean: Option<f64>,
+    failures: u32,
+    out_until: Moment,
+    // Since the last report.
+    tries: u32,
+    lost: u32,
+    seconds: f64,
+}
+
+impl Seen {
+    pub fn usable(&self) -> bool {
+        self.task.state == State::Ready as i32 && !self.task.silent
+    }
+
+    pub fn mean(&self) -> f64 {
+        self.mean.unwrap_or(MEAN)
+    }
+
+    pub fn out(&self, now: Moment) -> bool {
+        now < self.out_until
+    }
+
+    pub fn cold(&self, now: Moment) -> bool {
+        now < self.cold_until
+    }
+
+    /// Requests that it has, as far as this edge can tell.
+    pub fn load(&self, now: Moment) -> f64 {
+        let own = f64::from(self.in_flight);
+        match self.told {
+            Some((told, at, then)) if now - at < TOLD => (told + own - f64::from(then)).max(own),
+            _ => own,
+        }
+    }
+}
+
+pub struct Pilot {
+    pub place: Place,
+    bounds: Bounds,
+    chart: Chart,
+    tasks: BTreeMap<String, Seen>,
+    services: BTreeMap<String, Vec<String>>,
+    slices: BTreeMap<String, Slices>,
+    edges: Vec<EdgeAt>,
+    budgets: BTreeMap<String, Budget>,
+    demand: BTreeMap<(String, u32), u32>,
+    reported: Moment,
+}
+
+impl Pilot {
+    pub fn new(now: Moment, place: Place, bounds: Bounds) -> Self {
+        Pilot {
+            place,
+            bounds,
+            chart: Chart::default(),
+            tasks: BTreeMap::new(),
+            services: BTreeMap::new(),
+            slices: BTreeMap::new(),
+            edges: Vec::new(),
+            budgets: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            reported: now,
+        }
+    }
+
+    pub fn chart(&self) -> &Chart {
+        &self.chart
+    }
+
+    pub fn configured(&mut self, chart: Chart) {
+        self.chart = chart;
+    }
+
+    pub fn bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
+    pub fn seen(&self, id: &str) -> Option<&Seen> {
+        self.tasks.get(id)
+    }
+
+    pub(crate) fn of(&self, service: &str) -> &[String] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Word of a task.
+    pub fn task(&mut self, now: Moment, task: &Task) {
+        let cold_until = now + Span::from_micros(i64::from(task.cold_left_ms) * 1000);
+        let Some(seen) = self.tasks.get_mut(&task.id) else {
+            if task.state != State::Gone as i32 {
+                let seen = Seen { task: task.clone(), cold_until, ..Seen::default() };
+                self.tasks.insert(task.id.clone(), seen);
+                self.services.entry(task.service.clone()).or_default().push(task.id.clone());
+            }
+            return;
+        };
+        if task.call_seq > seen.task.call_seq {
+            seen.cold_until = cold_until;
+        }
+        seen.task.merge(task);
+    }
+
+    /// Tasks that nobody knows any more.
+    pub fn keep(&mut self, known: impl Fn(&str) -> bool) {
+        let tasks = &mut self.tasks;
+        tasks.retain(|id, seen| known(id) || seen.in_flight > 0);
+        for ids in self.services.values_mut() {
+            ids.retain(|id| tasks.contains_key(id));
+        }
+    }
+
+    pub fn edges(&mut self, fleet: Fleet) {
+        self.edges = fleet.edges;
+    }
+
+    pub fn edge_count(&self) -> usize {
+        self.edges.len().max(1)
+    }
+
+    /// A sharded service's table; whether its mark is to be answered.
+    pub fn table(&mut self, table: &Table) -> bool {
+        self.slices.entry(table.service.clone()).or_default().apply(table)
+    }
+
+    pub(crate) fn slice(&self, service: &str, key: u32) -> (u32, Found) {
+        self.slices.get(service).map_or((0, Found::Shut), |slices| slices.find(key))
+    }
+
+    pub(crate) fn demand(&mut self, service: &str, from: u32) {
+        *self.demand.entry((service.to_owned(), from)).or_default() += 1;
+    }
+
+    /// Guards cold tasks: whether this edge may send one more there.
+    pub(crate) fn cold_room(&mut self, now: Moment, id: &str, service: &Service) -> bool {
+        let Some(seen) = self.tasks.get_mut(id) else { return false };
+        if !seen.cold(now) || service.cold_per_s <= 0.0 {
+            return true;
+        }
+        let part = part(id, &seen.task.zone, &self.place.name, &self.edges, service.cold_per_s);
+        seen.window.room(now, part)
+    }
+
+    /// A request came for a service.
+    pub fn request(&mut self, service: &str) {
+        let (ratio, slack, edges) = (self.bounds.retry_ratio, self.bounds.retry_slack, self.edge_count());
+        let budget = self.budgets.entry(service.to_owned()).or_insert_with(|| Budget::new(slack, edges));
+        budget.request(ratio, slack, edges);
+    }
+
+    /// Whether a request may go to a further task of a service.
+    pub fn further(&mut self, service: &str) -> bool {
+        self.budgets.get_mut(service).is_some_and(Budget::take)
+    }
+
+    /// A request goes to a task.
+    pub fn sent(&mut self, now: Moment, id: &str) {
+        if let Some(seen) = self.tasks.get_mut(id) {
+            seen.in_flight += 1;
+            seen.window.send(now);
+        }
+    }
+
+    /// It has ended; `load` is what the task told: running and waiting.
+    pub fn ended(&mut self, now: Moment, id: &str, how: Ended, load: Option<f64>) {
+        let Some(seen) = self.tasks.get_mut(id) else { return };
+        seen.in_flight = seen.in_flight.saturating_sub(1);
+        if let Some(load) = load {
+            // Its own answer is no longer among what runs there.
+            seen.told = Some(((load - 1.0).max(0.0), now, seen.in_flight));
+        }
+        seen.tries += 1;
+        match how {
+            Ended::Answered(took) => {
+                let mean = seen.mean.get_or_insert(took.secs());
+                *mean += (took.secs() - *mean) * FRESH;
+                seen.seconds += took.secs();
+                seen.failures = 0;
+            }
+            Ended::Shed => seen.lost += 1,
+            Ended::Misdirected => {
+                seen.lost += 1;
+                seen.out_until = now + REST;
+            }
+            Ended::Failed => {
+                seen.lost += 1;
+                seen.failures = (seen.failures + 1).min(MOST_DOUBLED);
+                seen.out_until = now + REST.times(f64::from(1u32 << (seen.failures - 1)));
+            }
+        }
+    }
+
+    /// A try that was given up before anything of it was sent.
+    pub fn unsent(&mut self, id: &str) {
+        if let Some(seen) = self.tasks.get_mut(id) {
+            seen.in_flight = seen.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// What was seen since the last report.
+    pub fn report(&mut self, now: Moment) -> Report {
+        let over_ms = ((now - self.reported).micros() / 1000).max(0) as u32;
+        self.reported = now;
+        let mut tasks = Vec::new();
+        for (id, seen) in self.tasks.iter_mut().filter(|(_, seen)| seen.tries > 0) {
+            let answered = f64::from(seen.tries - seen.lost.min(seen.tries)).max(1.0);
+            let held = seen.load(now).max(0.0) as u32;
+            let took_ms = seen.seconds / answered * 1000.0;
+            tasks.push(TaskSeen { id: id.clone(), tries: seen.tries, lost: seen.lost, took_ms, held });
+            (seen.tries, seen.lost, seen.seconds) = (0, 0, 0.0);
+        }
+        let demand = std::mem::take(&mut self.demand);
+        let slice = |((service, from), requests)| SliceSeen { service, from, requests };
+        Report { over_ms, tasks, slices: demand.into_iter().map(slice).collect() }
+    }
+}
--- /dev/null
+++ b/harbour/quay/src/app.rs
@@ -0,0 +1,124 @@
+//! What all parts of the edge share, in its one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+
+use lynxmill::{Moment, Pcg, Span};
+use lynxmill_manifest::{Chart, Local, Manifest};
+use lynxmill_pilot::{Pilot, Place};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::back::Pools;
+use crate::ready::Shown;
+use crate::reports::Reports;
+
+pub struct App {
+    pub local: RefCell<Local>,
+    born: Instant,
+    pub life: u64,
+    pub pilot: RefCell<Pilot>,
+    pub pools: RefCell<Pools>,
+    pub manifest: RefCell<Manifest>,
+    /// A member that has compared itself with a majority told all it has.
+    pub compared: Cell<bool>,
+    /// A whole configuration is in hand.
+    pub whole: Cell<bool>,
+    pub leaving: Cell<bool>,
+    /// Tables have changed.
+    pub changed: Notify,
+    /// Readiness has changed.
+    pub announce: Notify,
+    pub shown: Arc<Shown>,
+    /// Tasks that each member of the core knows.
+    pub known: RefCell<BTreeMap<String, BTreeSet<String>>>,
+    pub reports: RefCell<Reports>,
+    pub busy: Cell<usize>,
+    /// Bytes of requests' bodies that are held.
+    pub held: Cell<usize>,
+    chance: RefCell<Pcg>,
+}
+
+impl App {
+    pub fn new(local: Local) -> Rc<Self> {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let life = since.map_or(0, |d| d.as_nanos() as u64) ^ u64::from(std::process::id()) << 40;
+        let place = Place {
+            name: local.node_name.clone(),
+            zone: local.zone.clone(),
+            region: local.region.clone(),
+            regions: local.zones.clone(),
+        };
+        Rc::new(App {
+            pilot: RefCell::new(Pilot::new(Moment::default(), place, local.bounds())),
+            born: Instant::now(),
+            life,
+            pools: RefCell::new(Pools::default()),
+            manifest: RefCell::new(Manifest::default()),
+            compared: Cell::new(false),
+            whole: Cell::new(false),
+            leaving: Cell::new(false),
+            changed: Notify::new(),
+            announce: Notify::new(),
+            shown: Arc::new(Shown::default()),
+            known: RefCell::new(BTreeMap::new()),
+            reports: RefCell::new(Reports::default()),
+            busy: Cell::new(0),
+            held: Cell::new(0),
+            chance: RefCell::new(Pcg::new(life)),
+            local: RefCell::new(local),
+        })
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment::from_micros(self.born.elapsed().as_micros() as i64)
+    }
+
+    pub fn instant(&self, at: Moment) -> Instant {
+        self.born + std::time::Duration::from_micros(at.micros().max(0) as u64)
+    }
+
+    pub fn drawn(&self) -> f64 {
+        self.chance.borrow_mut().unit()
+    }
+
+    pub fn count(&self, what: &'static str) {
+        *self.shown.counters.lock().unwrap_or_else(PoisonError::into_inner).entry(what).or_default() += 1;
+    }
+
+    /// The configuration has changed.
+    pub fn configured(&self) {
+        let manifest = self.manifest.borrow();
+        self.pilot.borrow_mut().configured(Chart::new(&manifest));
+        drop(manifest);
+        self.changed.notify_waiters();
+        self.look();
+    }
+
+    pub fn ready(&self) -> bool {
+        self.whole.get() && !self.leaving.get()
+    }
+
+    /// Tells whoever asks whether it is ready.
+    pub fn look(&self) {
+        let ready = self.ready();
+        if self.shown.ready.swap(ready, Ordering::Relaxed) != ready {
+            log::info!("{}", if ready { "ready" } else { "not ready" });
+            self.announce.notify_waiters();
+        }
+    }
+
+    /// The longest connections to one task may be many: its own bound divided among the edges.
+    pub fn conns(&self, max_conns: u32) -> usize {
+        let edges = self.pilot.borrow().edge_count();
+        ((f64::from(max_conns) * 0.8 / edges as f64) as usize).max(2)
+    }
+
+    pub fn span(&self, since: Moment) -> Span {
+        self.now() - since
+    }
+}
--- /dev/null
+++ b/harbour/quay/src/start.rs
@@ -0,0 +1,48 @@
+//! The command line, the settings file and the log.
+
+use std::path::PathBuf;
+
+use lynxmill_manifest::Local;
+
+const FILE: &str = "LYNXMILL_NODE_FILE";
+
+xflags::xflags! {
+    /// lynxmill's edge: carries clients' requests to tasks.
+    cmd quay {
+        /// The settings file; without it the one that LYNXMILL_NODE_FILE names.
+        optional --settings path: PathBuf
+        /// Checks the settings file and ends.
+        optional --check
+    }
+}
+
+pub fn path() -> Option<PathBuf> {
+    std::env::var_os(FILE).map(PathBuf::from)
+}
+
+fn local(path: &PathBuf) -> Result<Local, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    lynxmill_manifest::local(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Reads what it is told again.
+pub fn again() -> Result<Local, String> {
+    local(&file(Quay::from_env().ok().and_then(|flags| flags.settings))?)
+}
+
+fn file(named: Option<PathBuf>) -> Result<PathBuf, String> {
+    named.or_else(path).ok_or_else(|| format!("no settings file: name it by --settings or {FILE}"))
+}
+
+pub fn read() -> Result<Local, String> {
+    let flags = Quay::from_env_or_exit();
+    let local = local(&file(flags.settings)?)?;
+    if flags.check {
+        println!("the settings of {} are in order", local.node_name);
+        std::process::exit(0);
+    }
+    flexi_logger::Logger::try_with_env_or_str("info")
+        .and_then(|logger| logger.log_to_stderr().format(flexi_logger::opt_format).start())
+        .map_err(|e| format!("the log can't be started: {e}"))?;
+    Ok(local)
+}
--- /dev/null
+++ b/harbour/quay/src/streams.rs
@@ -0,0 +1,184 @@
+//! Streams to the members of the core: configuration, tasks and tables in, marks' answers and reports out.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use lynxmill_tidings::{Edge, EdgeSays, Frames, Hello, MarkAnswer, Ready, Tasks, ToEdge, ToEdgeBody, frame};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, interval, sleep, timeout};
+
+use crate::app::App;
+
+/// Between tries to reach a member.
+const PAUSE: Duration = Duration::from_millis(200);
+const CONNECT: Duration = Duration::from_millis(600);
+/// Reports go out this often, each is answered; a stream silent for so long is a dead one.
+const REPORT: Duration = Duration::from_millis(1000);
+const SILENT: Duration = Duration::from_millis(2600);
+
+fn says(edge: Edge) -> Vec<u8> {
+    frame(&EdgeSays { body: Some(edge) })
+}
+
+fn apply_tasks(app: &App, member: &str, tasks: &Tasks) {
+    let now = app.now();
+    let mut pilot = app.pilot.borrow_mut();
+    tasks.tasks.iter().for_each(|task| pilot.task(now, task));
+    let mut known = app.known.borrow_mut();
+    if tasks.whole {
+        known.insert(member.to_owned(), tasks.tasks.iter().map(|t| t.id.clone()).collect());
+        let all: BTreeSet<&String> = known.values().flatten().collect();
+        pilot.keep(|id| all.contains(&id.to_owned()));
+    } else if let Some(ids) = known.get_mut(member) {
+        ids.extend(tasks.tasks.iter().map(|t| t.id.clone()));
+    }
+    drop(pilot);
+    app.changed.notify_waiters();
+}
+
+/// Takes a message; what is to be answered, and members that are news.
+fn take(app: &Rc<App>, member: &str, body: ToEdgeBody) -> (Option<Edge>, Vec<String>) {
+    match body {
+        ToEdgeBody::Welcome(welcome) => return (None, welcome.members),
+        ToEdgeBody::Goods(goods) => {
+            let mut manifest = app.manifest.borrow_mut();
+            let changed = goods.items.iter().filter(|item| manifest.merge(item)).count() > 0;
+            // A configuration without an item is none yet.
+            app.compared.set(app.compared.get() || goods.whole);
+            let whole = app.compared.get() && !manifest.items.is_empty();
+            drop(manifest);
+            if app.whole.replace(whole) != whole || changed {
+                app.configured();
+            }
+        }
+        ToEdgeBody::Tasks(tasks) => apply_tasks(app, member, &tasks),
+        ToEdgeBody::Table(table) => {
+            let applied = app.pilot.borrow_mut().table(&table);
+            app.changed.notify_waiters();
+            if applied && table.mark > 0 {
+                let (service, term, mark) = (table.service, table.term, table.mark);
+                return (Some(Edge::Answer(MarkAnswer { service, term, mark })), Vec::new());
+            }
+        }
+        ToEdgeBody::Fleet(fleet) => app.pilot.borrow_mut().edges(fleet),
+        ToEdgeBody::Answered(_) => {}
+    }
+    (None, Vec::new())
+}
+
+async fn stream(
+    app: &Rc<App>,
+    member: &str,
+    members: &std::cell::RefCell<BTreeSet<String>>,
+) -> std::io::Result<()> {
+    let late = || std::io::Error::from(std::io::ErrorKind::TimedOut);
+    let port = app.local.borrow().internal_port();
+    let connecting = TcpStream::connect((member, port));
+    let stream = timeout(CONNECT, connecting).await.map_err(|_| late())??;
+    let _ = stream.set_nodelay(true);
+    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(Duration::from_secs(2)));
+    let (mut read, mut write) = stream.into_split();
+    let (out, mut outs) = tokio::sync::mpsc::unbounded_channel::<Vec<u8>>();
+    let writer = spawn_local(async move {
+        while let Some(bytes) = outs.recv().await {
+            write.write_all(&bytes).await?;
+        }
+        Ok::<(), std::io::Error>(())
+    });
+    let hello = {
+        let local = app.local.borrow();
+        Hello {
+            name: local.node_name.clone(),
+            zone: local.zone.clone(),
+            region: local.region.clone(),
+            front: local.listen().front,
+            life: app.life,
+        }
+    };
+    let _ = out.send(says(Edge::Hello(hello)));
+    let mut told = app.ready();
+    let _ = out.send(says(Edge::Ready(Ready { ready: told })));
+    let (mut frames, mut piece) = (Frames::default(), vec![0u8; 32 << 10]);
+    let mut heard = Instant::now();
+    let mut tick = interval(Duration::from_millis(250));
+    let ended = loop {
+        if app.ready() != told {
+            told = app.ready();
+            let _ = out.send(says(Edge::Ready(Ready { ready: told })));
+        }
+        tokio::select! {
+            got = read.read(&mut piece) => match got {
+                Ok(0) => break Ok(()),
+                Err(fault) => break Err(fault),
+                Ok(got) => {
+                    heard = Instant::now();
+                    frames.push(&piece[..got]);
+                    loop {
+                        let message = match frames.next::<ToEdge>() {
+                            Ok(Some(message)) => message,
+                            Ok(None) => break,
+                            Err(fault) => {
+                                writer.abort();
+                                return Err(std::io::Error::other(fault));
+                            }
+                        };
+                        let Some(body) = message.body else { continue };
+                        let (answer, news) = take(app, member, body);
+                        members.borrow_mut().extend(news);
+                        answer.into_iter().for_each(|edge| drop(out.send(says(edge))));
+                    }
+                }
+            },
+            _ = app.announce.notified() => {}
+            _ = tick.tick() => {
+                if heard.elapsed() > SILENT {
+                    break Err(late());
+                }
+                if let Some(report) = app_reports(app, member) {
+                    let _ = out.send(says(Edge::Report(report)));
+                }
+            }
+        }
+    };
+    writer.abort();
+    ended
+}
+
+/// The report that is due to a member, if one is.
+fn app_reports(app: &Rc<App>, member: &str) -> Option<lynxmill_tidings::Report> {
+    app.reports.borrow_mut().due(app, member, REPORT)
+}
+
+async fn follow(app: Rc<App>, member: String, members: Rc<std::cell::RefCell<BTreeSet<String>>>) {
+    let mut up = true;
+    loop {
+        let began = Instant::now();
+        let ended = stream(&app, &member, &members).await;
+        if up || began.elapsed() > Duration::from_secs(1) {
+            log::info!(
+                "stream to {member} ended: {}",
+                ended.err().map_or("closed".to_owned(), |e| e.to_string())
+            );
+        }
+        up = false;
+        sleep(PAUSE).await;
+    }
+}
+
+/// Keeps a stream to each member that is known.
+pub async fn keep(app: Rc<App>) {
+    let members = Rc::new(std::cell::RefCell::new(BTreeSet::new()));
+    let mut followed: BTreeSet<String> = BTreeSet::new();
+    loop {
+        members.borrow_mut().extend(app.local.borrow().seed_ips());
+        let new: Vec<String> = members.borrow().difference(&followed).cloned().collect();
+        for member in new {
+            followed.insert(member.clone());
+            spawn_local(follow(app.clone(), member, members.clone()));
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
--- /dev/null
+++ b/harbour/strongroom/src/lib.rs
@@ -0,0 +1,8 @@
+//! Durable store of the control state. What a write holds is on disk when it returns; writers that come while a
+//! sync is under way share the next one.
+
+mod digest;
+mod store;
+
+pub use digest::{RANGES, differing, digests, range};
+pub use store::{Batch, Fault, Held, Store, Ticket, VERSION};
--- /dev/null
+++ b/harbour/strongroom/src/store.rs
@@ -0,0 +1,233 @@
+//! The file and its tables.
+
+use std::path::Path;
+use std::sync::{Condvar, Mutex, PoisonError};
+
+use lynxmill_manifest::{Item, Manifest};
+use lynxmill_tidings::{Members, Register};
+use prost::Message;
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+
+/// The format of the file; a newer one is refused.
+pub const VERSION: u64 = 1;
+
+const ITEMS: TableDefinition<&str, &[u8]> = TableDefinition::new("items");
+const REGISTERS: TableDefinition<&str, &[u8]> = TableDefinition::new("registers");
+const FACTS: TableDefinition<&str, &[u8]> = TableDefinition::new("facts");
+/// Pages that are kept in memory, in bytes.
+const CACHE: usize = 2 << 20;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("the file is of format {0}, this program reads up to {VERSION}")]
+    Newer(u64),
+    #[error("the store can't be written: {0}")]
+    Disk(String),
+    #[error("the file says what can't be read: {0}")]
+    Spoilt(String),
+}
+
+impl Fault {
+    fn disk(e: impl Into<redb::Error>) -> Self {
+        Fault::Disk(e.into().to_string())
+    }
+}
+
+/// What goes to disk together.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    pub items: Vec<Item>,
+    pub registers: Vec<Register>,
+    pub members: Option<Members>,
+    /// The last call whose items are merged.
+    pub merged: Option<u64>,
+    /// The member counts: it holds all that was agreed before it came, or was there at the first start.
+    pub counts: Option<bool>,
+}
+
+impl Batch {
+    fn add(&mut self, other: Batch) {
+        self.items.extend(other.items);
+        self.registers.extend(other.registers);
+        self.members = other.members.or(self.members.take());
+        self.merged = other.merged.or(self.merged);
+        self.counts = other.counts.or(self.counts);
+    }
+}
+
+/// All that a file holds.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    pub manifest: Manifest,
+    pub registers: Vec<Register>,
+    pub members: Members,
+    pub merged: u64,
+    pub counts: bool,
+}
+
+/// A batch that is on its way to disk.
+#[derive(Clone, Copy, Debug)]
+#[must_use]
+pub struct Ticket(u64);
+
+#[derive(Default)]
+struct Queue {
+    batch: Batch,
+    /// The number of the group that `batch` will be, of the last one that is over, and how that and the one
+    /// before it ended.
+    next: u64,
+    done: u64,
+    ends: Vec<(u64, Option<String>)>,
+    busy: bool,
+}
+
+pub struct Store {
+    path: std::path::PathBuf,
+    file: Mutex<Option<Database>>,
+    queue: Mutex<Queue>,
+    over: Condvar,
+}
+
+fn open(path: &Path) -> Result<Database, Fault> {
+    redb::Builder::new().set_cache_size(CACHE).create(path).map_err(Fault::disk)
+}
+
+fn number(bytes: &[u8]) -> Result<u64, Fault> {
+    let read = bytes.try_into().map(u64::from_be_bytes);
+    read.map_err(|_| Fault::Spoilt("a number".to_owned()))
+}
+
+impl Store {
+    /// Opens the file, making it if there is none, and reads all of it.
+    pub fn open(path: &Path) -> Result<(Store, Held), Fault> {
+        let file = open(path)?;
+        let held = load(&file)?;
+        let queue = Mutex::new(Queue { next: 1, ..Queue::default() });
+        let store =
+            Store { path: path.to_owned(), file: Mutex::new(Some(file)), queue, over: Condvar::new() };
+        Ok((store, held))
+    }
+
+    /// Queues a batch behind those before it; `wait` tells when it is on disk.
+    pub fn put(&self, batch: Batch) -> Ticket {
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        queue.batch.add(batch);
+        Ticket(queue.next)
+    }
+
+    /// Returns once the batch is on disk, together with what others wrote meanwhile.
+    pub fn write(&self, batch: Batch) -> Result<(), Fault> {
+        self.wait(self.put(batch))
+    }
+
+    pub fn wait(&self, Ticket(mine): Ticket) -> Result<(), Fault> {
+        let lock = || self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut queue = lock();
+        loop {
+            if queue.done >= mine {
+                let end = queue.ends.iter().find(|(group, _)| *group == mine);
+                return match end.and_then(|(_, fault)| fault.clone()) {
+                    None => Ok(()),
+                    Some(fault) => Err(Fault::Disk(fault)),
+                };
+            }
+            if queue.busy {
+                queue = self.over.wait(queue).unwrap_or_else(PoisonError::into_inner);
+                continue;
+            }
+            queue.busy = true;
+            let (batch, group) = (std::mem::take(&mut queue.batch), queue.next);
+            queue.next += 1;
+            drop(queue);
+            let end = self.commit(&batch).err().map(|fault| fault.to_string());
+            queue = lock();
+            queue.busy = false;
+            queue.done = group;
+            queue.ends.push((group, end));
+            if queue.ends.len() > 64 {
+                queue.ends.remove(0);
+            }
+            self.over.notify_all();
+        }
+    }
+
+    fn commit(&self, batch: &Batch) -> Result<(), Fault> {
+        let mut file = self.file.lock().unwrap_or_else(PoisonError::into_inner);
+        // After a failed write the file has to be opened anew.
+        if file.is_none() {
+            *file = Some(open(&self.path)?);
+        }
+        let Some(database) = file.as_ref() else { return Ok(()) };
+        let written = put(database, batch);
+        if written.is_err() {
+            *file = None;
+        }
+        written
+    }
+}
+
+fn put(file: &Database, batch: &Batch) -> Result<(), Fault> {
+    let write = file.begin_write().map_err(Fault::disk)?;
+    {
+        let mut items = write.open_table(ITEMS).map_err(Fault::disk)?;
+        for item in &batch.items {
+            items.insert(item.key.as_str(), item.encode_to_vec().as_slice()).map_err(Fault::disk)?;
+        }
+        let mut registers = write.open_table(REGISTERS).map_err(Fault::disk)?;
+        for register in &batch.registers {
+            let bytes = register.encode_to_vec();
+            registers.insert(register.name.as_str(), bytes.as_slice()).map_err(Fault::disk)?;
+        }
+        let mut facts = write.open_table(FACTS).map_err(Fault::disk)?;
+        let mut fact = |name, bytes: &[u8]| facts.insert(name, bytes).map(drop).map_err(Fault::disk);
+        fact("format", &VERSION.to_be_bytes())?;
+        if let Some(members) = &batch.members {
+            fact("members", &members.encode_to_vec())?;
+        }
+        if let Some(merged) = batch.merged {
+            fact("merged", &merged.to_be_bytes())?;
+        }
+        if let Some(counts) = batch.counts {
+            fact("counts", &u64::from(counts).to_be_bytes())?;
+        }
+    }
+    write.commit().map_err(Fault::disk)
+}
+
+fn load(file: &Database) -> Result<Held, Fault> {
+    // A file that was just made has no tables yet.
+    let write = file.begin_write().map_err(Fault::disk)?;
+    write.open_table(ITEMS).map_err(Fault::disk)?;
+    write.open_table(REGISTERS).map_err(Fault::disk)?;
+    write.open_table(FACTS).map_err(Fault::disk)?;
+    write.commit().map_err(Fault::disk)?;
+    let read = file.begin_read().map_err(Fault::disk)?;
+    let facts = read.open_table(FACTS).map_err(Fault::disk)?;
+    let fact = |name: &str| -> Result<Option<Vec<u8>>, Fault> {
+        Ok(facts.get(name).map_err(Fault::disk)?.map(|value| value.value().to_vec()))
+    };
+    let spoilt = |e: prost::DecodeError| Fault::Spoilt(e.to_string());
+    let mut held = Held::default();
+    if let Some(format) = fact("format")? {
+        let format = number(&format)?;
+        if format > VERSION {
+            return Err(Fault::Newer(format));
+        }
+    }
+    if let Some(members) = fact("members")? {
+        held.members = Members::decode(members.as_slice()).map_err(spoilt)?;
+    }
+    held.merged = fact("merged")?.map_or(Ok(0), |bytes| number(&bytes))?;
+    held.counts = fact("counts")?.map_or(Ok(0), |bytes| number(&bytes))? == 1;
+    let items = read.open_table(ITEMS).map_err(Fault::disk)?;
+    for row in items.iter().map_err(Fault::disk)? {
+        let (_, value) = row.map_err(Fault::disk)?;
+        held.manifest.merge(&Item::decode(value.value()).map_err(spoilt)?);
+    }
+    let registers = read.open_table(REGISTERS).map_err(Fault::disk)?;
+    for row in registers.iter().map_err(Fault::disk)? {
+        let (_, value) = row.map_err(Fault::disk)?;
+        held.registers.push(Register::decode(value.value()).map_err(spoilt)?);
+    }
+    Ok(held)
+}
--- /dev/null
+++ b/harbour/tidings/src/core.rs
@@ -0,0 +1,267 @@
+//! What members of the core tell each other. Every request has a number, which its reply repeats; what wants no
+//! reply has none.
+
+use lynxmill_manifest::Item;
+
+use crate::edge::Task;
+
+/// Ballots are ordered by count, then by who made them; `life` is a number of the maker's process.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, prost::Message)]
+pub struct Ballot {
+    #[prost(uint64, tag = "1")]
+    pub count: u64,
+    #[prost(uint32, tag = "2")]
+    pub node: u32,
+    #[prost(uint32, tag = "3")]
+    pub life: u32,
+}
+
+/// The core's members by IPv4 address, in the order of their joining.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Members {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub ips: Vec<String>,
+}
+
+/// A compare-and-set register of one member.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Register {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(message, required, tag = "2")]
+    pub promised: Ballot,
+    #[prost(message, required, tag = "3")]
+    pub accepted: Ballot,
+    #[prost(bytes = "vec", tag = "4")]
+    pub value: Vec<u8>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Prepare {
+    #[prost(string, tag = "1")]
+    pub register: String,
+    #[prost(message, required, tag = "2")]
+    pub ballot: Ballot,
+    #[prost(message, required, tag = "3")]
+    pub members: Members,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Promise {
+    #[prost(bool, tag = "1")]
+    pub ok: bool,
+    /// Promised to whom, if not to this ballot.
+    #[prost(message, required, tag = "2")]
+    pub promised: Ballot,
+    #[prost(message, required, tag = "3")]
+    pub accepted: Ballot,
+    #[prost(bytes = "vec", tag = "4")]
+    pub value: Vec<u8>,
+    /// The number of the last call whose items are merged on this member's disk.
+    #[prost(uint64, tag = "5")]
+    pub merged: u64,
+    /// The number of the acceptor's life; an accept holds only within it.
+    #[prost(uint64, tag = "6")]
+    pub life: u64,
+    /// Newer members than the asker knows.
+    #[prost(message, optional, tag = "7")]
+    pub members: Option<Members>,
+    /// A change of the members may have been agreed: that has to be finished first.
+    #[prost(bool, tag = "8")]
+    pub changing: bool,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Accept {
+    #[prost(string, tag = "1")]
+    pub register: String,
+    #[prost(message, required, tag = "2")]
+    pub ballot: Ballot,
+    #[prost(message, required, tag = "3")]
+    pub members: Members,
+    #[prost(bytes = "vec", tag = "4")]
+    pub value: Vec<u8>,
+    /// As the acceptor's promise told; 0 from whom none came.
+    #[prost(uint64, tag = "5")]
+    pub life: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Accepted {
+    #[prost(bool, tag = "1")]
+    pub ok: bool,
+    #[prost(message, required, tag = "2")]
+    pub promised: Ballot,
+}
+
+/// A change of the control state: items that came together.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Call {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub items: Vec<Item>,
+}
+
+/// The value of the register `calls`: the last calls, from the first that is not merged on a majority.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Calls {
+    #[prost(uint64, tag = "1")]
+    pub last: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub calls: Vec<Call>,
+}
+
+/// A slice of a sharded service: keys `from` to `to`, both included.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Slice {
+    #[prost(uint32, tag = "1")]
+    pub from: u32,
+    #[prost(uint32, tag = "2")]
+    pub to: u32,
+    /// The stored owner's `InstanceId`; empty if there never was one.
+    #[prost(string, tag = "3")]
+    pub owner: String,
+    /// The generation, which only rises.
+    #[prost(uint64, tag = "4")]
+    pub fence: u64,
+}
+
+/// The value of a register `berth/SERVICE`.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Berth {
+    /// Rises with every custodian.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(string, tag = "2")]
+    pub holder: String,
+    #[prost(message, repeated, tag = "3")]
+    pub slices: Vec<Slice>,
+}
+
+/// A custodian asks for its lease, or for a further one.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Lease {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(string, tag = "2")]
+    pub holder: String,
+    #[prost(uint64, tag = "3")]
+    pub life: u64,
+    #[prost(uint64, tag = "4")]
+    pub epoch: u64,
+    /// It gives the lease back.
+    #[prost(bool, tag = "5")]
+    pub back: bool,
+}
+
+/// Who is there, told a few times a second; what a member knows of others' news is answered by `merged`.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Member {
+    #[prost(string, tag = "1")]
+    pub ip: String,
+    #[prost(message, required, tag = "2")]
+    pub members: Members,
+    #[prost(uint64, tag = "3")]
+    pub merged: u64,
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
+    #[prost(bool, tag = "5")]
+    pub blank: bool,
+    /// Services that it is custodian of.
+    #[prost(string, repeated, tag = "6")]
+    pub custody: Vec<String>,
+    /// Addresses for what it serves.
+    #[prost(string, tag = "7")]
+    pub control: String,
+}
+
+/// News of tasks, and who was heard lately: by `InstanceId` and `CallSeq`.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Heard {
+    #[prost(message, repeated, tag = "1")]
+    pub tasks: Vec<Task>,
+    #[prost(string, repeated, tag = "2")]
+    pub ids: Vec<String>,
+    #[prost(uint64, repeated, tag = "3")]
+    pub seqs: Vec<u64>,
+}
+
+/// Asks for items: of ranges whose digest differs.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Pick {
+    #[prost(uint64, repeated, tag = "1")]
+    pub digests: Vec<u64>,
+}
+
+/// Items of a member, all agreed, up to the call `merged`; `registers` where all was asked for.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Dump {
+    #[prost(uint64, tag = "1")]
+    pub merged: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub items: Vec<Item>,
+    #[prost(message, repeated, tag = "3")]
+    pub registers: Vec<Register>,
+    #[prost(message, required, tag = "4")]
+    pub members: Members,
+    #[prost(bool, tag = "5")]
+    pub blank: bool,
+}
+
+/// A request, or news.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Asked {
+    #[prost(message, tag = "2")]
+    Prepare(Prepare),
+    #[prost(message, tag = "3")]
+    Accept(Accept),
+    /// Calls that were agreed.
+    #[prost(message, tag = "4")]
+    Learn(Calls),
+    #[prost(message, tag = "5")]
+    Lease(Lease),
+    #[prost(message, tag = "6")]
+    Member(Member),
+    #[prost(message, tag = "7")]
+    Heard(Heard),
+    #[prost(message, tag = "8")]
+    Pick(Pick),
+    /// All that a blank member needs.
+    #[prost(bool, tag = "9")]
+    Whole(bool),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Packet {
+    /// 0 where no reply is wanted.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(oneof = "Asked", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    pub body: Option<Asked>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Said {
+    #[prost(message, tag = "2")]
+    Promise(Promise),
+    #[prost(message, tag = "3")]
+    Accepted(Accepted),
+    /// A lease is given; that something was taken.
+    #[prost(bool, tag = "4")]
+    Yes(bool),
+    #[prost(message, tag = "5")]
+    Dump(Dump),
+    #[prost(message, tag = "6")]
+    Member(Member),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Reply {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(oneof = "Said", tags = "2, 3, 4, 5, 6")]
+    pub body: Option<Said>,
+}
