--- a/harbour/harbourmaster/src/control.rs
+++ b/harbour/harbourmaster/src/control.rs
@@ -130,7 +130,7 @@
         port.count("beats-late");
         return Ok(Response::json(&BeatAnswer::default()));
     }
-    port.news(&[task.clone()], leaving)?;
+    port.news(std::slice::from_ref(&task), leaving)?;
     let sharded = lock(&port.core).manifest.services().any(|s| s.name == task.service && s.sharded);
     let mut answer = BeatAnswer::default();
     if sharded {
@@ -149,11 +149,11 @@
 
 /// `DELETE /v1/instances/ID`: a task signs off.
 fn sign_off(port: &Arc<Port>, id: &str) -> Result<Response, Response> {
-    let gone = lock(&port.yard).gone(id);
-    // One that nobody here has heard of is as good as gone.
-    let Some(task) = gone else { return Ok(Response::json(&BeatAnswer::default())) };
+    // One that has not been heard of here may be known elsewhere: its name alone is told.
+    let unknown = || Task { id: id.to_owned(), state: State::Gone as i32, ..Task::default() };
+    let task = lock(&port.yard).gone(id).unwrap_or_else(unknown);
     port.signed_off(&task.service, id);
-    port.told_edges(&[task.clone()]);
+    port.told_edges(std::slice::from_ref(&task));
     port.spread(&[task], true)?;
     Ok(Response::json(&BeatAnswer::default()))
 }
--- a/harbour/harbourmaster/src/edges.rs
+++ b/harbour/harbourmaster/src/edges.rs
@@ -193,7 +193,7 @@
             Ok(got) => frames.push(&piece[..got]),
         }
         let step = loop {
-            let body = match frames.next::<EdgeSays>() {
+            let body = match frames.take::<EdgeSays>() {
                 Ok(None) => break Ok(()),
                 Err(fault) => break Err(std::io::Error::other(fault)),
                 Ok(Some(says)) => says.body,
--- a/harbour/harbourmaster/src/main.rs
+++ b/harbour/harbourmaster/src/main.rs
@@ -15,7 +15,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match start::read().and_then(|local| serve::run(local)) {
+    match start::read().and_then(serve::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             eprintln!("harbourmaster: {fault}");
--- a/harbour/harbourmaster/src/peers.rs
+++ b/harbour/harbourmaster/src/peers.rs
@@ -58,7 +58,7 @@
                 break;
             }
             frames.push(&piece[..got]);
-            while let Ok(Some(reply)) = frames.next::<Reply>() {
+            while let Ok(Some(reply)) = frames.take::<Reply>() {
                 let waiting = lock(&self.waiting).remove(&reply.id);
                 if let (Some(waiting), Some(body)) = (waiting, reply.body) {
                     let _ = waiting.send((ip.to_owned(), body));
@@ -162,7 +162,7 @@
             return Ok(());
         }
         frames.push(&piece[..got]);
-        while let Some(packet) = frames.next::<Packet>().map_err(std::io::Error::other)? {
+        while let Some(packet) = frames.take::<Packet>().map_err(std::io::Error::other)? {
             if slow(&packet) {
                 let _ = hand.send(packet);
             } else {
--- a/harbour/harbourmaster/src/tick.rs
+++ b/harbour/harbourmaster/src/tick.rs
@@ -71,7 +71,8 @@
         // A call that was accepted here, but of which nobody has told that it was agreed.
         let last = held.and_then(|value| prost::Message::decode(value.as_slice()).ok());
         let open = last.is_some_and(|calls: lynxmill_tidings::Calls| calls.last > merged);
-        if !blank && (open || !settled) && self.newest(Instant::now() + PATIENCE) && !settled {
+        let due = !blank && (open || !settled);
+        if due && self.newest(Instant::now() + PATIENCE) {
             self.settle();
         }
     }
@@ -99,17 +100,17 @@
     loop {
         std::thread::sleep(TICK);
         ticks += 1;
-        if ticks % WORDS == 0 {
+        if ticks.is_multiple_of(WORDS) {
             port.words();
         }
-        if ticks % HEARD == 0 {
+        if ticks.is_multiple_of(HEARD) {
             let now = port.now();
             port.tasks(last);
             last = now;
             lock(&port.edges).tell_fleet();
         }
         let settled = lock(&port.core).settled;
-        if ticks % REPAIR == 0 || (!settled && ticks % WORDS == 0) {
+        if ticks.is_multiple_of(REPAIR) || (!settled && ticks.is_multiple_of(WORDS)) {
             port.repair();
         }
         if ticks % REPAIR == REPAIR / 2 {
@@ -117,7 +118,7 @@
             port.tend_members();
         }
         let blank = lock(&port.core).acceptor.blank;
-        if blank && ticks % WORDS == 0 && port.now() - born > BLANK_WAIT {
+        if blank && ticks.is_multiple_of(WORDS) && port.now() - born > BLANK_WAIT {
             port.fill();
         }
     }
--- a/harbour/manifest/src/items.rs
+++ b/harbour/manifest/src/items.rs
@@ -93,8 +93,8 @@
     let body = Value::Object(body);
     match key.split_at(2).0 {
         "r/" => alone(&typed::<Route>(&key, &body)?)?,
-        "s/" => drop(typed::<Service>(&key, &body)?),
-        _ => drop(typed::<Limits>(&key, &body)?),
+        "s/" => typed::<Service>(&key, &body).map(drop)?,
+        _ => typed::<Limits>(&key, &body).map(drop)?,
     }
     Ok(Item { key, version, dropped: false, body: body.to_string() })
 }
--- a/harbour/quay/src/streams.rs
+++ b/harbour/quay/src/streams.rs
@@ -117,7 +117,7 @@
                     heard = Instant::now();
                     frames.push(&piece[..got]);
                     loop {
-                        let message = match frames.next::<ToEdge>() {
+                        let message = match frames.take::<ToEdge>() {
                             Ok(Some(message)) => message,
                             Ok(None) => break,
                             Err(fault) => {
--- a/harbour/tidings/src/frame.rs
+++ b/harbour/tidings/src/frame.rs
@@ -35,7 +35,7 @@
     }
 
     /// The next whole message.
-    pub fn next<M: Message + Default>(&mut self) -> Result<Option<M>, Broken> {
+    pub fn take<M: Message + Default>(&mut self) -> Result<Option<M>, Broken> {
         let Some(head) = self.bytes.first_chunk::<4>() else { return Ok(None) };
         let length = u32::from_be_bytes(*head) as usize;
         if length > MOST {
