A task is silent only if all members say so; a member out of majority refuses beats

Cause: with one member cut off from the others each side heard half of the beats and told edges that the rest was silent, so that for seconds no task seemed usable; tasks kept beating at the member that was cut off. Change: an edge keeps each member's word apart; a member without majority tells edges what it hears and answers beats with 503, so tasks go to one that has one. Counters are logged.

--- a/harbour/harbourmaster/src/control.rs
+++ b/harbour/harbourmaster/src/control.rs
@@ -131,6 +131,11 @@
         return Ok(Response::json(&BeatAnswer::default()));
     }
     port.news(std::slice::from_ref(&task), leaving)?;
+    // Cut off from a majority it tells its edges what it hears, but the others have to hear it as well.
+    if !port.in_majority() {
+        port.count("beats-cut-off");
+        return Err(unavailable("no majority of the core"));
+    }
     let sharded = lock(&port.core).manifest.services().any(|s| s.name == task.service && s.sharded);
     let mut answer = BeatAnswer::default();
     if sharded {
--- a/harbour/harbourmaster/src/members.rs
+++ b/harbour/harbourmaster/src/members.rs
@@ -3,7 +3,7 @@
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
-use lynxmill_muster::Change;
+use lynxmill_muster::{Change, majority};
 use lynxmill_strongroom::{Batch, differing, digests};
 use lynxmill_tidings::{Asked, Dump, Heard, Member, Members, Pick, Said, Tasks, ToEdgeBody, Welcome};
 
@@ -211,4 +211,12 @@
             }
         }
     }
+
+    /// Whether a majority was heard of lately.
+    pub fn in_majority(&self) -> bool {
+        let members = self.members();
+        let (now, roll) = (self.now(), lock(&self.roll));
+        let well = |ip: &&String| **ip == self.me || roll.heard_lately(now, ip);
+        !members.ips.is_empty() && members.ips.iter().filter(well).count() >= majority(&members)
+    }
 }
--- a/harbour/harbourmaster/src/port.rs
+++ b/harbour/harbourmaster/src/port.rs
@@ -124,6 +124,12 @@
         lock(&self.counters).clone()
     }
 
+    /// One line with all that was counted.
+    pub fn log_counters(&self) {
+        let all: Vec<String> = self.counters().iter().map(|(what, n)| format!("{what}={n}")).collect();
+        log::info!("counted {}", all.join(" "));
+    }
+
     pub fn members(&self) -> Members {
         lock(&self.core).acceptor.members.clone()
     }
--- a/harbour/harbourmaster/src/serve.rs
+++ b/harbour/harbourmaster/src/serve.rs
@@ -99,5 +99,6 @@
     port.give_back();
     port.tell_members();
     std::thread::sleep(LAST_WORDS);
+    port.log_counters();
     Ok(())
 }
--- a/harbour/harbourmaster/src/tick.rs
+++ b/harbour/harbourmaster/src/tick.rs
@@ -14,6 +14,8 @@
 const WORDS: u64 = 5;
 const HEARD: u64 = 6;
 const REPAIR: u64 = 20;
+/// Ticks between two lines of counters.
+const COUNTED: u64 = 200;
 const PATIENCE: Duration = Duration::from_millis(900);
 
 impl Port {
@@ -103,6 +105,9 @@
         if ticks.is_multiple_of(WORDS) {
             port.words();
         }
+        if ticks.is_multiple_of(COUNTED) {
+            port.log_counters();
+        }
         if ticks.is_multiple_of(HEARD) {
             let now = port.now();
             port.tasks(last);
--- a/harbour/muster/src/roll.rs
+++ b/harbour/muster/src/roll.rs
@@ -45,9 +45,8 @@
         now - last > DEAD
     }
 
-    /// Heard of lately and not leaving.
-    pub fn well(&self, now: Moment, ip: &str) -> bool {
-        self.seen.get(ip).is_some_and(|seen| now - seen.at <= FRESH && !seen.leaving)
+    pub fn heard_lately(&self, now: Moment, ip: &str) -> bool {
+        self.seen.get(ip).is_some_and(|seen| now - seen.at <= FRESH)
     }
 
     /// The change that is due, as `me`, a member, sees it.
--- a/harbour/pilot/src/view.rs
+++ b/harbour/pilot/src/view.rs
@@ -51,6 +51,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
     pub task: Task,
+    /// Members of the core that have told of it, and whether they find it silent.
+    told_by: BTreeMap<String, bool>,
     cold_until: Moment,
     window: Window,
     in_flight: u32,
@@ -67,7 +69,9 @@
 
 impl Seen {
     pub fn usable(&self) -> bool {
-        self.task.state == State::Ready as i32 && !self.task.silent
+        // One member that is cut off may find all silent, or hear what no other hears.
+        let silent = !self.told_by.is_empty() && self.told_by.values().all(|silent| *silent);
+        self.task.state == State::Ready as i32 && !silent
     }
 
     pub fn mean(&self) -> f64 {
@@ -141,12 +145,13 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Word of a task.
-    pub fn task(&mut self, now: Moment, task: &Task) {
+    /// A member's word of a task.
+    pub fn task(&mut self, now: Moment, member: &str, task: &Task) {
         let cold_until = now + Span::from_micros(i64::from(task.cold_left_ms) * 1000);
         let Some(seen) = self.tasks.get_mut(&task.id) else {
             if task.state != State::Gone as i32 {
-                let seen = Seen { task: task.clone(), cold_until, ..Seen::default() };
+                let told_by = BTreeMap::from([(member.to_owned(), task.silent)]);
+                let seen = Seen { task: task.clone(), told_by, cold_until, ..Seen::default() };
                 self.tasks.insert(task.id.clone(), seen);
                 self.services.entry(task.service.clone()).or_default().push(task.id.clone());
             }
@@ -155,9 +160,19 @@
         if task.call_seq > seen.task.call_seq {
             seen.cold_until = cold_until;
         }
+        seen.told_by.insert(member.to_owned(), task.silent);
         seen.task.merge(task);
     }
 
+    /// A member's stream has ended: what it found silent may have been heard since.
+    pub fn parted(&mut self, member: &str) {
+        for seen in self.tasks.values_mut() {
+            if seen.told_by.len() > 1 {
+                seen.told_by.remove(member);
+            }
+        }
+    }
+
     /// Tasks that nobody knows any more.
     pub fn keep(&mut self, known: impl Fn(&str) -> bool) {
         let tasks = &mut self.tasks;
--- a/harbour/quay/src/app.rs
+++ b/harbour/quay/src/app.rs
@@ -90,6 +90,13 @@
         *self.shown.counters.lock().unwrap_or_else(PoisonError::into_inner).entry(what).or_default() += 1;
     }
 
+    /// One line with all that was counted.
+    pub fn log_counters(&self) {
+        let counters = self.shown.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        let all: Vec<String> = counters.iter().map(|(what, count)| format!("{what}={count}")).collect();
+        log::info!("counted {}", all.join(" "));
+    }
+
     /// The configuration has changed.
     pub fn configured(&self) {
         let manifest = self.manifest.borrow();
--- a/harbour/quay/src/front.rs
+++ b/harbour/quay/src/front.rs
@@ -23,6 +23,8 @@
 const GONE: f64 = 0.9;
 /// How often the settings file is looked at.
 const LOOK: Duration = Duration::from_secs(2);
+/// Looks between two lines of counters.
+const COUNTED: u32 = 5;
 
 async fn client(app: Rc<App>, stream: TcpStream, mut ends: watch::Receiver<bool>) {
     let _ = stream.set_nodelay(true);
@@ -99,9 +101,14 @@
 async fn upkeep(app: Rc<App>) {
     let modified = || start::path().and_then(|p| std::fs::metadata(p).ok()?.modified().ok());
     let mut last = modified();
+    let mut looks = 0u32;
     loop {
         sleep(LOOK).await;
         app.pools.borrow_mut().sweep();
+        looks += 1;
+        if looks.is_multiple_of(COUNTED) {
+            app.log_counters();
+        }
         let now = modified();
         if now.is_some() && now != last {
             last = now;
@@ -142,6 +149,7 @@
     }
     // The last answers have still to be written.
     let _ = timeout(Duration::from_millis(60), std::future::pending::<()>()).await;
+    app.log_counters();
     log::info!("gone");
     Ok(())
 }
--- a/harbour/quay/src/streams.rs
+++ b/harbour/quay/src/streams.rs
@@ -26,7 +26,7 @@
 fn apply_tasks(app: &App, member: &str, tasks: &Tasks) {
     let now = app.now();
     let mut pilot = app.pilot.borrow_mut();
-    tasks.tasks.iter().for_each(|task| pilot.task(now, task));
+    tasks.tasks.iter().for_each(|task| pilot.task(now, member, task));
     let mut known = app.known.borrow_mut();
     if tasks.whole {
         known.insert(member.to_owned(), tasks.tasks.iter().map(|t| t.id.clone()).collect());
@@ -157,6 +157,7 @@
     loop {
         let began = Instant::now();
         let ended = stream(&app, &member, &members).await;
+        app.pilot.borrow_mut().parted(&member);
         if up || began.elapsed() > Duration::from_secs(1) {
             log::info!(
                 "stream to {member} ended: {}",
