--- a/harbour/harbourmaster/src/control.rs
+++ b/harbour/harbourmaster/src/control.rs
@@ -146,7 +146,15 @@
                 (answer.holdings, answer.hold_s) = (Some(rows.collect()), Some(hold));
                 answer.beat_target = Some(port.local.listen().control);
             }
-            None => answer.beat_target = port.custodian(&task.service),
+            None => match port.custodian(&task.service) {
+                Some(control) => answer.beat_target = Some(control),
+                // Nobody may grant: the task asks again soon, at another, and not only with its next beat.
+                None if !leaving => {
+                    port.count("beats-no-custodian");
+                    return Err(unavailable("the service has no custodian yet"));
+                }
+                None => {}
+            },
         }
     }
     Ok(Response::json(&answer))
--- a/harbour/harbourmaster/src/custody.rs
+++ b/harbour/harbourmaster/src/custody.rs
@@ -17,8 +17,8 @@
 /// Between turns of placement.
 const TURN: Duration = Duration::from_millis(25);
 /// Leases are asked for this often; a later member in a service's order waits that much longer for each before it.
-const RENEW: Span = Span::from_micros(400_000);
-const ORDER: Span = Span::from_micros(300_000);
+const RENEW: Span = Span::from_micros(250_000);
+const ORDER: Span = Span::from_micros(200_000);
 /// Past the end of a dropped stream.
 const LEASE: Span = Span::from_micros(2_500_000);
 /// How long a task holds a slice from a beat, in seconds, within what the settings allow.
@@ -203,6 +203,8 @@
         }
         edges.push(ToEdgeBody::Table(plan.whole_table()));
         custody.plan = Some(plan);
+        drop((edges, plans));
+        self.tell_members();
     }
 
     /// One turn of a service's placement: decide, write, tell.
--- a/harbour/harbourmaster/src/directory.rs
+++ b/harbour/harbourmaster/src/directory.rs
@@ -10,7 +10,7 @@
 /// Addresses told at most.
 const MOST: usize = 64;
 /// Seconds that an answer holds.
-const TTL: f64 = 2.0;
+const TTL: f64 = 5.0;
 
 /// `GET /v1/resolve?Name&Region&Zone`: 200 with the addresses, or 503 while no edge is ready.
 #[derive(Serialize)]
