Control bytes: a warm task's beat is no news, the fleet is told by the tick, reports to custodians

At a start of 62 edges each join told all edges all edges. Change: only a beat with time left of the cold is one; the fleet goes out with the tick; reports go to who has custody, of sharded services alone; bytes to edges are counted by purpose.

--- a/harbour/harbourmaster/src/custody.rs
+++ b/harbour/harbourmaster/src/custody.rs
@@ -197,7 +197,7 @@
         log::info!("custody of {} in term {}", service.name, berth.term);
         self.count("custody-taken");
         let mut plan = Plan::new(now, self.life ^ berth.term, terms, berth);
-        let edges = lock(&self.edges);
+        let mut edges = lock(&self.edges);
         for (name, _) in edges.streams.iter() {
             plan.edge_joined(name);
         }
--- a/harbour/harbourmaster/src/edges.rs
+++ b/harbour/harbourmaster/src/edges.rs
@@ -46,19 +46,36 @@
     pub streams: BTreeMap<String, EdgeStream>,
     last: u64,
     told: Option<Fleet>,
+    /// Bytes that went out, by purpose.
+    pub sent: BTreeMap<&'static str, u64>,
 }
 
-fn message(body: ToEdgeBody) -> Bytes {
-    Arc::new(frame(&ToEdge { body: Some(body) }))
+fn purpose(body: &ToEdgeBody) -> &'static str {
+    match body {
+        ToEdgeBody::Welcome(_) => "bytes-welcome",
+        ToEdgeBody::Goods(_) => "bytes-goods",
+        ToEdgeBody::Tasks(_) => "bytes-tasks",
+        ToEdgeBody::Table(_) => "bytes-table",
+        ToEdgeBody::Fleet(_) => "bytes-fleet",
+        ToEdgeBody::Answered(_) => "bytes-answered",
+    }
 }
 
 impl Edges {
+    /// A message as bytes, counted for so many edges.
+    fn message(&mut self, body: ToEdgeBody, edges: usize) -> Bytes {
+        let purpose = purpose(&body);
+        let bytes = Arc::new(frame(&ToEdge { body: Some(body) }));
+        *self.sent.entry(purpose).or_default() += (bytes.len() * edges) as u64;
+        bytes
+    }
+
     /// To all edges, made into bytes once.
-    pub fn push(&self, body: ToEdgeBody) {
+    pub fn push(&mut self, body: ToEdgeBody) {
         if self.streams.is_empty() {
             return;
         }
-        let bytes = message(body);
+        let bytes = self.message(body, self.streams.len());
         self.streams.values().for_each(|edge| edge.send(bytes.clone()));
     }
 
@@ -116,28 +133,29 @@
             let items: Vec<_> = core.manifest.items.values().cloned().collect();
             (items, core.settled, core.acceptor.members.ips.clone())
         };
-        edge.send(message(ToEdgeBody::Welcome(Welcome { name: self.local.node_name.clone(), members })));
+        edge.send(
+            edges.message(ToEdgeBody::Welcome(Welcome { name: self.local.node_name.clone(), members }), 1),
+        );
         {
             let yard = lock(&self.yard);
             let tasks = yard.all().map(|known| known.told(now)).collect();
-            edge.send(message(ToEdgeBody::Tasks(Tasks { tasks, whole: yard.grown(now) })));
+            edge.send(edges.message(ToEdgeBody::Tasks(Tasks { tasks, whole: yard.grown(now) }), 1));
         }
         for custody in plans.values_mut() {
             if let Some(plan) = custody.plan.as_mut() {
                 plan.edge_joined(&hello.name);
-                edge.send(message(ToEdgeBody::Table(plan.whole_table())));
+                edge.send(edges.message(ToEdgeBody::Table(plan.whole_table()), 1));
             }
         }
         if settled {
-            edge.send(message(ToEdgeBody::Goods(Goods { items, whole: true })));
+            edge.send(edges.message(ToEdgeBody::Goods(Goods { items, whole: true }), 1));
         }
-        edge.send(message(ToEdgeBody::Fleet(edges.fleet())));
         log::info!("edge {} joined", hello.name);
         if let Some(old) = edges.streams.insert(hello.name, edge) {
             let _ = old.stream.shutdown(Shutdown::Both);
         }
+        // Who the edges are is told by the tick: where all join at once, once.
         edges.told = None;
-        edges.tell_fleet();
         Ok(number)
     }
 
@@ -150,7 +168,6 @@
         edges.streams.remove(name);
         log::info!("edge {name} parted");
         plans.values_mut().filter_map(|c| c.plan.as_mut()).for_each(|plan| plan.edge_parted(name));
-        // The number of edges is told by the tick, once it has settled.
     }
 
     fn edge_says(&self, name: &str, number: u64, body: Edge) {
@@ -171,9 +188,9 @@
             Edge::Report(report) => {
                 let plans = &mut *lock(&self.plans);
                 plans.values_mut().filter_map(|c| c.plan.as_mut()).for_each(|plan| plan.report(&report));
-                if let Some(edge) = lock(&self.edges).streams.get(name) {
-                    edge.send(message(ToEdgeBody::Answered(Answered {})));
-                }
+                let mut edges = lock(&self.edges);
+                let bytes = edges.message(ToEdgeBody::Answered(Answered {}), 1);
+                edges.streams.get(name).into_iter().for_each(|edge| edge.send(bytes.clone()));
             }
         }
     }
--- a/harbour/harbourmaster/src/port.rs
+++ b/harbour/harbourmaster/src/port.rs
@@ -121,7 +121,9 @@
     }
 
     pub fn counters(&self) -> BTreeMap<&'static str, u64> {
-        lock(&self.counters).clone()
+        let mut all = lock(&self.counters).clone();
+        all.extend(lock(&self.edges).sent.iter().map(|(what, bytes)| (*what, *bytes)));
+        all
     }
 
     /// One line with all that was counted.
--- a/harbour/muster/src/tasks.rs
+++ b/harbour/muster/src/tasks.rs
@@ -57,7 +57,7 @@
             return true;
         };
         let newer = word.call_seq > known.task.call_seq;
-        let colder = newer && cold_until > known.cold_until + self.beat.times(0.2);
+        let colder = newer && word.cold_left_ms > 0 && cold_until > known.cold_until + self.beat.times(0.2);
         if newer {
             known.heard = now;
             known.cold_until = cold_until;
--- /dev/null
+++ b/harbour/muster/tests/warm.rs
@@ -0,0 +1,22 @@
+//! A warm task's beats are no news.
+
+use lynxmill::{Moment, Span};
+use lynxmill_muster::Yard;
+use lynxmill_tidings::Task;
+
+fn beat(seq: u64, cold_left_ms: u32) -> Task {
+    Task { id: "i-1".to_owned(), call_seq: seq, cold_left_ms, ..Task::default() }
+}
+
+#[test]
+fn only_a_start_and_a_return_to_the_cold_are_news() {
+    let at = |s: f64| Moment::default() + Span::from_secs(s);
+    let mut yard = Yard::new(at(0.0), Span::from_secs(1.5));
+    assert!(yard.word(at(0.0), &beat(1, 0)));
+    for i in 1..20 {
+        assert!(!yard.word(at(f64::from(i) * 1.5), &beat(1 + i as u64, 0)));
+    }
+    assert!(yard.word(at(30.0), &beat(40, 3000)));
+    // The same cold spell, told again.
+    assert!(!yard.word(at(31.5), &beat(41, 1500)));
+}
--- a/harbour/pilot/src/view.rs
+++ b/harbour/pilot/src/view.rs
@@ -269,12 +269,14 @@
         }
     }
 
-    /// What was seen since the last report.
+    /// What was seen of sharded services since the last report: of others nobody asks.
     pub fn report(&mut self, now: Moment) -> Report {
         let over_ms = ((now - self.reported).micros() / 1000).max(0) as u32;
         self.reported = now;
         let mut tasks = Vec::new();
-        for (id, seen) in self.tasks.iter_mut().filter(|(_, seen)| seen.tries > 0) {
+        let (tables, all) = (&self.slices, &mut self.tasks);
+        let asked = |seen: &Seen| seen.tries > 0 && tables.contains_key(&seen.task.service);
+        for (id, seen) in all.iter_mut().filter(|(_, seen)| asked(seen)) {
             let answered = f64::from(seen.tries - seen.lost.min(seen.tries)).max(1.0);
             let held = seen.load(now).max(0.0) as u32;
             let took_ms = seen.seconds / answered * 1000.0;
--- a/harbour/quay/src/reports.rs
+++ b/harbour/quay/src/reports.rs
@@ -14,6 +14,7 @@
     /// The newest report and its number.
     newest: Option<(u64, Report)>,
     sent: BTreeMap<String, u64>,
+    custodians: BTreeMap<String, String>,
 }
 
 impl Reports {
@@ -25,6 +26,18 @@
         }
         let (number, report) = self.newest.as_ref()?;
         let sent = self.sent.insert(member.to_owned(), *number);
-        (sent != Some(*number)).then(|| report.clone())
+        if sent == Some(*number) {
+            return None;
+        }
+        // Who has custody of nothing gets it empty: that the edge is there.
+        let custodian = self.custodians.values().any(|of| of == member);
+        Some(if custodian { report.clone() } else { Report { over_ms: report.over_ms, ..Report::default() } })
+    }
+
+    /// A member told a service's table: it has custody.
+    pub fn custody(&mut self, service: &str, member: &str) {
+        if self.custodians.get(service).is_none_or(|of| of != member) {
+            self.custodians.insert(service.to_owned(), member.to_owned());
+        }
     }
 }
--- a/harbour/quay/src/streams.rs
+++ b/harbour/quay/src/streams.rs
@@ -58,6 +58,9 @@
         ToEdgeBody::Table(table) => {
             let applied = app.pilot.borrow_mut().table(&table);
             app.changed.notify_waiters();
+            if applied {
+                app.reports.borrow_mut().custody(&table.service, member);
+            }
             if applied && table.mark > 0 {
                 let (service, term, mark) = (table.service, table.term, table.mark);
                 return (Some(Edge::Answer(MarkAnswer { service, term, mark })), Vec::new());
