Tasks are kept on disk, so that a start of everything knows them; leases of 0.8 s

Cause: after all processes were killed at once edges and members knew no task until its next beat, up to 1.5 s after the core was back, and custody waited for leases that nobody could have kept. Change: words of tasks go to disk with whatever is written next; a start counts them as heard just then.

--- a/harbour/harbourmaster/src/control.rs
+++ b/harbour/harbourmaster/src/control.rs
@@ -8,6 +8,7 @@
 use lynxmill_berths::Told;
 use lynxmill_manifest::{Fault, Patch, evacuation, evacuation_key};
 use lynxmill_muster::{Round, Verdict, judge};
+use lynxmill_strongroom::Batch;
 use lynxmill_tidings::{Asked, Calls, Heard, State, Task, Tasks, ToEdgeBody};
 use prost::Message;
 use rouille::{Request, Response};
@@ -167,6 +168,7 @@
     let task = lock(&port.yard).gone(id).unwrap_or_else(unknown);
     port.signed_off(&task.service, id);
     port.told_edges(std::slice::from_ref(&task));
+    port.keep_tasks(std::slice::from_ref(&task));
     port.spread(&[task], true)?;
     Ok(Response::json(&BeatAnswer::default()))
 }
@@ -182,6 +184,7 @@
         };
         if !new.is_empty() {
             self.told_edges(&new);
+            self.keep_tasks(&new);
         }
         if !new.is_empty() || leaving {
             self.spread(if new.is_empty() { tasks } else { &new }, leaving)?;
@@ -189,6 +192,12 @@
         Ok(())
     }
 
+    /// On disk as soon as it comes: after a start of everything tasks are known before their next beats.
+    pub fn keep_tasks(&self, tasks: &[Task]) {
+        let warm = |task: &Task| Task { cold_left_ms: 0, silent: false, ..task.clone() };
+        let _queued = self.store.put(Batch { tasks: tasks.iter().map(warm).collect(), ..Batch::default() });
+    }
+
     pub fn told_edges(&self, tasks: &[Task]) {
         lock(&self.edges).push(ToEdgeBody::Tasks(Tasks { tasks: tasks.to_vec(), whole: false }));
     }
--- a/harbour/harbourmaster/src/custody.rs
+++ b/harbour/harbourmaster/src/custody.rs
@@ -17,7 +17,7 @@
 /// Between turns of placement.
 const TURN: Duration = Duration::from_millis(25);
 /// Leases are asked for this often; a later member in a service's order waits that much longer for each before it.
-const RENEW: Span = Span::from_micros(250_000);
+const RENEW: Span = Span::from_micros(200_000);
 const ORDER: Span = Span::from_micros(200_000);
 /// Past the end of a dropped stream.
 const LEASE: Span = Span::from_micros(2_500_000);
--- a/harbour/harbourmaster/src/members.rs
+++ b/harbour/harbourmaster/src/members.rs
@@ -117,6 +117,7 @@
             self.signed_off(&task.service, &task.id);
         }
         if !news.is_empty() {
+            self.keep_tasks(&news);
             lock(&self.edges).push(ToEdgeBody::Tasks(Tasks { tasks: news, whole: false }));
         }
     }
--- a/harbour/harbourmaster/src/port.rs
+++ b/harbour/harbourmaster/src/port.rs
@@ -37,6 +37,7 @@
             members: Some(self.acceptor.members.clone()),
             merged: Some(self.merged),
             counts: Some(!self.acceptor.blank),
+            ..Batch::default()
         }
     }
 }
--- a/harbour/harbourmaster/src/serve.rs
+++ b/harbour/harbourmaster/src/serve.rs
@@ -9,10 +9,10 @@
 use lynxmill_manifest::Local;
 use lynxmill_muster::Acceptor;
 use lynxmill_strongroom::{Batch, Store};
-use lynxmill_tidings::Members;
+use lynxmill_tidings::{Members, Task};
 use rouille::Server;
 
-use crate::port::{Core, Made, Port};
+use crate::port::{Core, Made, Port, lock};
 use crate::{control, custody, directory, edges, peers, tick};
 
 const FILE: &str = "control.redb";
@@ -22,7 +22,7 @@
 /// How long others get to hear that this member leaves.
 const LAST_WORDS: Duration = Duration::from_millis(300);
 
-fn open(local: &Local, life: u64) -> Result<(Core, Store, bool), String> {
+fn open(local: &Local, life: u64) -> Result<(Core, Store, bool, Vec<Task>), String> {
     let folder = local.data_path.clone().unwrap_or_default();
     std::fs::create_dir_all(&folder).map_err(|e| format!("{folder}: {e}"))?;
     let path = Path::new(&folder).join(FILE);
@@ -39,9 +39,10 @@
         let written = store.write(Batch { members, counts: Some(true), ..Batch::default() });
         written.map_err(|e| e.to_string())?;
     }
+    let tasks = held.tasks;
     let core =
         Core { acceptor, manifest: held.manifest, merged: held.merged, settled: false, unsound: false };
-    Ok((core, store, first))
+    Ok((core, store, first, tasks))
 }
 
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), String> {
@@ -53,12 +54,13 @@
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let life = since.map_or(1, |d| d.as_nanos() as u64) ^ (u64::from(std::process::id()) << 40) | 1;
     let born = Instant::now();
-    let (core, store, fresh) = open(&local, life)?;
+    let (core, store, fresh, tasks) = open(&local, life)?;
     let bind = |ip: &str, port: u16| TcpListener::bind((ip, port)).map_err(|e| format!("{ip}:{port}: {e}"));
     let for_edges = bind(&local.ip, local.internal_port())?;
     let for_members = bind(&local.ip, local.internal_port() + 1)?;
     let listen = local.listen();
     let port = Arc::new(Port::new(Made { local, life, born, core, store, fresh }));
+    lock(&port.yard).restore(tasks);
     log::info!("{} starts, {}", port.local.node_name, if fresh { "the very first time" } else { "again" });
     port.local.seed_ips().iter().chain(&port.members().ips).for_each(|ip| port.know(ip));
     let fault = |address: &str, e: &dyn std::fmt::Display| format!("{address}: {e}");
--- a/harbour/harbourmaster/src/tick.rs
+++ b/harbour/harbourmaster/src/tick.rs
@@ -5,6 +5,7 @@
 
 use lynxmill::Span;
 use lynxmill_muster::BLANK_WAIT;
+use lynxmill_strongroom::Batch;
 use lynxmill_tidings::{Asked, Heard};
 
 use crate::port::{Port, lock};
@@ -36,12 +37,17 @@
     /// Tells others who was heard here since the last time.
     fn tasks(&self, last: lynxmill::Moment) {
         let now = self.now();
-        let (heard, fallen) = {
+        let (heard, fallen, forgotten) = {
             let mut yard = lock(&self.yard);
+            let forgotten = yard.forgotten(now);
             let lately = yard.all().filter(|known| known.heard >= last);
             let (ids, seqs) = lately.map(|k| (k.task.id.clone(), k.task.call_seq)).unzip();
-            (Heard { tasks: Vec::new(), ids, seqs }, yard.fallen(now))
+            (Heard { tasks: Vec::new(), ids, seqs }, yard.fallen(now), forgotten)
         };
+        // What has been queued meanwhile goes to disk, whoever else writes.
+        if let Err(fault) = self.store.flush(Batch { forgotten, ..Batch::default() }) {
+            self.failed(&fault.to_string());
+        }
         if !heard.ids.is_empty() {
             for ip in self.members().ips.iter().filter(|ip| **ip != self.me) {
                 self.peers.tell(ip, Asked::Heard(heard.clone()));
--- a/harbour/muster/src/lease.rs
+++ b/harbour/muster/src/lease.rs
@@ -9,7 +9,7 @@
 use crate::quorum::holds;
 
 /// How long a lease lasts from when it was asked for.
-pub const LEASE: Span = Span::from_micros(1_000_000);
+pub const LEASE: Span = Span::from_micros(800_000);
 /// A clock may run slow by this part: promises last longer than leases.
 const SLOW: f64 = 1.05;
 
--- a/harbour/muster/src/tasks.rs
+++ b/harbour/muster/src/tasks.rs
@@ -36,6 +36,15 @@
         Yard { born: now, beat, tasks: BTreeMap::new() }
     }
 
+    /// Tasks as they were known before this process began: they count as heard now, and have to be heard again
+    /// soon.
+    pub fn restore(&mut self, tasks: Vec<Task>) {
+        for task in tasks {
+            let known = Known { heard: self.born, cold_until: self.born, task };
+            self.tasks.insert(known.task.id.clone(), known);
+        }
+    }
+
     pub fn get(&self, id: &str) -> Option<&Known> {
         self.tasks.get(id)
     }
@@ -84,10 +93,16 @@
         Some(known.task.clone())
     }
 
-    /// Tasks that have fallen silent by now; those gone long ago are forgotten.
+    /// Tasks that were not heard of for long: they are forgotten.
+    pub fn forgotten(&mut self, now: Moment) -> Vec<String> {
+        let most = self.beat.times(FORGOTTEN);
+        let old = self.tasks.extract_if(.., |_, known| now - known.heard >= most);
+        old.map(|(id, _)| id).collect()
+    }
+
+    /// Tasks that have fallen silent by now.
     pub fn fallen(&mut self, now: Moment) -> Vec<Task> {
-        let (silent, forgotten) = (self.beat.times(SILENT), self.beat.times(FORGOTTEN));
-        self.tasks.retain(|_, known| now - known.heard < forgotten);
+        let silent = self.beat.times(SILENT);
         let late = |known: &&mut Known| !known.task.silent && now - known.heard > silent;
         let fallen = self.tasks.values_mut().filter(late);
         fallen
--- a/harbour/strongroom/src/store.rs
+++ b/harbour/strongroom/src/store.rs
@@ -4,7 +4,7 @@
 use std::sync::{Condvar, Mutex, PoisonError};
 
 use lynxmill_manifest::{Item, Manifest};
-use lynxmill_tidings::{Members, Register};
+use lynxmill_tidings::{Members, Register, Task};
 use prost::Message;
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 
@@ -14,6 +14,7 @@
 const ITEMS: TableDefinition<&str, &[u8]> = TableDefinition::new("items");
 const REGISTERS: TableDefinition<&str, &[u8]> = TableDefinition::new("registers");
 const FACTS: TableDefinition<&str, &[u8]> = TableDefinition::new("facts");
+const TASKS: TableDefinition<&str, &[u8]> = TableDefinition::new("tasks");
 /// Pages that are kept in memory, in bytes.
 const CACHE: usize = 2 << 20;
 
@@ -39,6 +40,10 @@
     pub items: Vec<Item>,
     pub registers: Vec<Register>,
     pub members: Option<Members>,
+    /// Tasks as they were last known: where to look for them after a start of everything.
+    pub tasks: Vec<Task>,
+    /// Tasks that are forgotten, by `InstanceId`.
+    pub forgotten: Vec<String>,
     /// The last call whose items are merged.
     pub merged: Option<u64>,
     /// The member counts: it holds all that was agreed before it came, or was there at the first start.
@@ -46,9 +51,17 @@
 }
 
 impl Batch {
+    fn is_empty(&self) -> bool {
+        let lists = [self.items.len(), self.registers.len(), self.tasks.len(), self.forgotten.len()];
+        let facts = self.members.is_some() || self.merged.is_some() || self.counts.is_some();
+        !facts && lists.iter().all(|length| *length == 0)
+    }
+
     fn add(&mut self, other: Batch) {
         self.items.extend(other.items);
         self.registers.extend(other.registers);
+        self.tasks.extend(other.tasks);
+        self.forgotten.extend(other.forgotten);
         self.members = other.members.or(self.members.take());
         self.merged = other.merged.or(self.merged);
         self.counts = other.counts.or(self.counts);
@@ -61,6 +74,7 @@
     pub manifest: Manifest,
     pub registers: Vec<Register>,
     pub members: Members,
+    pub tasks: Vec<Task>,
     pub merged: u64,
     pub counts: bool,
 }
@@ -115,6 +129,16 @@
         Ticket(queue.next)
     }
 
+    /// Writes a batch together with what has been queued, if there is anything.
+    pub fn flush(&self, batch: Batch) -> Result<(), Fault> {
+        let ticket = {
+            let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+            queue.batch.add(batch);
+            (!queue.batch.is_empty()).then_some(Ticket(queue.next))
+        };
+        ticket.map_or(Ok(()), |ticket| self.wait(ticket))
+    }
+
     /// Returns once the batch is on disk, together with what others wrote meanwhile.
     pub fn write(&self, batch: Batch) -> Result<(), Fault> {
         self.wait(self.put(batch))
@@ -178,6 +202,13 @@
             let bytes = register.encode_to_vec();
             registers.insert(register.name.as_str(), bytes.as_slice()).map_err(Fault::disk)?;
         }
+        let mut tasks = write.open_table(TASKS).map_err(Fault::disk)?;
+        for task in &batch.tasks {
+            tasks.insert(task.id.as_str(), task.encode_to_vec().as_slice()).map_err(Fault::disk)?;
+        }
+        for id in &batch.forgotten {
+            tasks.remove(id.as_str()).map_err(Fault::disk)?;
+        }
         let mut facts = write.open_table(FACTS).map_err(Fault::disk)?;
         let mut fact = |name, bytes: &[u8]| facts.insert(name, bytes).map(drop).map_err(Fault::disk);
         fact("format", &VERSION.to_be_bytes())?;
@@ -200,6 +231,7 @@
     write.open_table(ITEMS).map_err(Fault::disk)?;
     write.open_table(REGISTERS).map_err(Fault::disk)?;
     write.open_table(FACTS).map_err(Fault::disk)?;
+    write.open_table(TASKS).map_err(Fault::disk)?;
     write.commit().map_err(Fault::disk)?;
     let read = file.begin_read().map_err(Fault::disk)?;
     let facts = read.open_table(FACTS).map_err(Fault::disk)?;
@@ -229,5 +261,10 @@
         let (_, value) = row.map_err(Fault::disk)?;
         held.registers.push(Register::decode(value.value()).map_err(spoilt)?);
     }
+    let tasks = read.open_table(TASKS).map_err(Fault::disk)?;
+    for row in tasks.iter().map_err(Fault::disk)? {
+        let (_, value) = row.map_err(Fault::disk)?;
+        held.tasks.push(Task::decode(value.value()).map_err(spoilt)?);
+    }
     Ok(held)
 }
