--- a/harbour/pilot/src/cold.rs
+++ b/harbour/pilot/src/cold.rs
@@ -26,28 +26,35 @@
     if before < sharing { per_s * GIVEN / sharing as f64 } else { 0.0 }
 }
 
-/// Requests sent to a cold task within the last second.
+/// Requests sent to a task within the last second, and the last of all.
 #[derive(Clone, Debug, Default)]
 pub struct Window {
     sent: VecDeque<Moment>,
+    last: Option<Moment>,
 }
 
 impl Window {
-    /// Whether one more keeps within so many in any second.
-    pub fn room(&mut self, now: Moment, part: f64) -> bool {
+    fn forget(&mut self, now: Moment) {
         let second = Span::from_secs(1.05);
         while self.sent.front().is_some_and(|at| now - *at > second) {
             self.sent.pop_front();
         }
+    }
+
+    /// Whether one more keeps within so many in any second.
+    pub fn room(&mut self, now: Moment, part: f64) -> bool {
+        self.forget(now);
         // Parts under one a second are saved up over several.
         if part < 1.0 {
             let gap = Span::from_secs(1.0 / part.max(1e-3));
-            return part > 0.0 && self.sent.back().is_none_or(|at| now - *at >= gap);
+            return part > 0.0 && self.last.is_none_or(|at| now - at >= gap);
         }
         (self.sent.len() as f64) < part.floor()
     }
 
     pub fn send(&mut self, now: Moment) {
+        self.forget(now);
         self.sent.push_back(now);
+        self.last = Some(now);
     }
 }
