--- a/harbour/berths/src/place.rs
+++ b/harbour/berths/src/place.rs
@@ -84,6 +84,8 @@
     shut: Option<u64>,
     /// Decided, but not on disk yet.
     next: Option<u32>,
+    /// Owner and fence of a write that may or may not stand in the register.
+    unsure: Option<(String, u64)>,
     handover: String,
     /// The owner was granted it: edges may send.
     granted: bool,
@@ -223,16 +225,18 @@
     /// A beat of one of the service's tasks: what the task is to hold, from when it sent the beat. None if it may
     /// not be told anything by this custodian.
     pub fn beat(&mut self, now: Moment, told: &Told) -> Vec<Grant> {
-        self.holder(&told.id);
+        // Once it has answered a shut it gets nothing that was shut by then, whatever edges have joined since.
+        let answered = self.holder(&told.id).answered;
         self.released(&told.id, &told.released);
         let mut grants = Vec::new();
         for i in 0..self.places.len() {
-            let cleared = self.places[i].shut.is_some_and(|mark| self.edges_clear(now, mark));
+            let over = |mark: u64| mark <= answered || self.edges_clear(now, mark);
+            let cleared = self.places[i].shut.is_some_and(over);
             let place = &mut self.places[i];
             let owns = place.slice.owner == told.id;
             let other = place.hold.by(now).is_some_and(|task| task != told.id);
             let leaves = place.next.is_some_and(|n| self.names[&n] != told.id);
-            if !owns || cleared || other || leaves {
+            if !owns || cleared || other || leaves || place.unsure.is_some() {
                 continue;
             }
             place.hold.grant(now, &told.id, self.terms.hold);
@@ -384,7 +388,9 @@
         let seen = if due { std::mem::take(&mut self.seen) } else { BTreeMap::new() };
         let demand: Vec<f64> = if due {
             self.reported = now;
-            self.places.iter_mut().map(|p| std::mem::take(&mut p.requests)).collect()
+            let demand: Vec<f64> = self.places.iter_mut().map(|p| std::mem::take(&mut p.requests)).collect();
+            // No request at all tells nothing of where they will be: without heat all places look alike.
+            if demand.iter().sum::<f64>() > 0.0 { demand } else { Vec::new() }
         } else {
             Vec::new()
         };
@@ -430,15 +436,16 @@
             let old = self.mark.saturating_sub(256);
             self.marked.retain(|mark, _| *mark > old);
         }
-        for i in notes.shut {
-            self.places[i].shut = Some(self.mark);
-            self.dirty.insert(i);
-        }
         let moves = notes.published.len();
         for (i, number) in notes.published {
-            self.places[i].next = Some(number);
+            (self.places[i].next, self.places[i].shut) = (Some(number), None);
             self.writing = true;
         }
+        // One that was published before, or in this very turn, stays shut once that is written.
+        for i in notes.shut {
+            self.places[i].shut = Some(self.mark);
+            self.dirty.insert(i);
+        }
         let wanted = std::mem::take(&mut self.writing).then(|| self.wanted());
         // The same owners go on: that is on disk already.
         let (same, write) = match wanted {
@@ -456,10 +463,14 @@
         for (slice, place) in berth.slices.iter_mut().zip(&self.places) {
             if let Some(number) = place.next {
                 let owner = &self.names[&number];
-                // The same owner goes on under its fence; a new one gets the next.
-                if slice.owner != *owner {
-                    (slice.fence, slice.owner) = (slice.fence + 1, owner.clone());
+                // The same owner goes on under its fence; a new one gets the next, beyond all that may stand.
+                match &place.unsure {
+                    Some((tried, fence)) if tried == owner => slice.fence = *fence,
+                    Some((_, fence)) => slice.fence = fence + 1,
+                    None if slice.owner != *owner => slice.fence += 1,
+                    None => {}
                 }
+                slice.owner = owner.clone();
             }
         }
         berth
@@ -474,15 +485,21 @@
             }
             let same = place.slice == *slice;
             place.slice = slice.clone();
-            (place.next, place.shut) = (None, None);
+            (place.next, place.unsure) = (None, None);
             place.granted = same && place.hold.task.as_deref() == Some(slice.owner.as_str());
             self.dirty.insert(i);
         }
         self.berth = berth;
     }
 
-    /// It could not be written: again with the next turn.
+    /// It could not be written, as far as can be told: again with the next turn.
     pub fn unwritten(&mut self) {
+        let tried = self.wanted();
+        for (slice, place) in tried.slices.into_iter().zip(&mut self.places) {
+            if place.next.is_some() && place.slice != slice {
+                place.unsure = Some((slice.owner, slice.fence));
+            }
+        }
         self.writing = true;
     }
 
@@ -514,6 +531,6 @@
     /// Slices on their way, and tasks that own any.
     pub fn counts(&self) -> (usize, usize) {
         let owners: BTreeSet<&str> = self.places.iter().map(|p| p.slice.owner.as_str()).collect();
-        (self.places.iter().filter(|p| p.shut.is_some()).count(), owners.len())
+        (self.places.iter().filter(|p| p.shut.is_some() || p.next.is_some()).count(), owners.len())
     }
 }
