Berths: a handover that comes between decision and write is carried; budgets with old lists of edges

Cause: with the shut taken back at the decision, what the former owner released before the write was dropped. Change: keys on their way count as released whether or not the decision has fallen; one test. The budget's test lets half the edges know two in three of them only.

--- a/harbour/berths/src/place.rs
+++ b/harbour/berths/src/place.rs
@@ -259,7 +259,7 @@
             for place in &mut self.places {
                 let covered = *from <= place.slice.from && place.slice.to <= *to;
                 // What it still is to hold it has not let go for good: such a row is older than its grant.
-                let leaves = place.shut.is_some() || place.slice.owner != id;
+                let leaves = place.shut.is_some() || place.next.is_some() || place.slice.owner != id;
                 if covered && leaves && place.hold.task.as_deref() == Some(id) {
                     place.hold.free();
                     place.handover = handover.clone();
--- a/harbour/berths/tests/place.rs
+++ b/harbour/berths/tests/place.rs
@@ -234,6 +234,22 @@
     assert!(waited > ms(2041) && waited < ms(2300), "{waited:?}");
 }
 
+#[test]
+fn a_handover_that_comes_in_the_midst_of_the_write_is_carried() {
+    let mut rig = Rig::settled(&["a", "b"], &["e"]);
+    let from = rig.some_of("a");
+    rig.tasks.get_mut("a").unwrap().silent = true;
+    rig.writes = false;
+    rig.run(2500, &["b"]);
+    // Sent before its hold was over, long under way.
+    rig.released.insert("a".to_owned(), vec![(0, 65535, "late".to_owned())]);
+    rig.beat("a");
+    rig.writes = true;
+    rig.turn();
+    let grants = rig.beat("b");
+    assert_eq!(grants.iter().find(|g| g.from == from).unwrap().handover, "late");
+}
+
 #[test]
 fn a_sign_off_frees_at_once() {
     let mut rig = Rig::settled(&["a", "b"], &["e"]);
--- a/harbour/pilot/tests/policy.rs
+++ b/harbour/pilot/tests/policy.rs
@@ -95,6 +95,9 @@
         let list = (0..count).map(|i| EdgeAt { name: format!("e{i}"), zone: "za".to_owned() }).collect();
         let fleet = Fleet { edges: list };
         edges.iter_mut().for_each(|e| e.edges(fleet.clone()));
+        // Half of them know of two in three only.
+        let old = Fleet { edges: fleet.edges[..count - count / 3].to_vec() };
+        edges.iter_mut().step_by(2).for_each(|e| e.edges(old.clone()));
         // By tenths of a second: requests, further tries.
         let mut counts = [(0.0, 0.0); 600];
         let mut busy = 0;
