--- a/harbour/pilot/tests/policy.rs
+++ b/harbour/pilot/tests/policy.rs
@@ -46,7 +46,7 @@
 
 fn with(tasks: &[(&str, &str)]) -> Pilot {
     let mut pilot = edge("e");
-    tasks.iter().for_each(|(id, zone)| pilot.task(at(0), &task(id, zone)));
+    tasks.iter().for_each(|(id, zone)| pilot.task(at(0), "core", &task(id, zone)));
     pilot
 }
 
@@ -136,7 +136,7 @@
     ask.service = service(per_s);
     let mut pilots: Vec<Pilot> = (0..edges).map(|i| edge(&format!("e{i}"))).collect();
     for (i, pilot) in pilots.iter_mut().enumerate() {
-        pilot.task(at(0), &cold);
+        pilot.task(at(0), "core", &cold);
         pilot.edges(if i % 2 == 0 { old.clone() } else { new.clone() });
     }
     let mut sent: Vec<u64> = Vec::new();
@@ -185,7 +185,7 @@
 #[test]
 fn an_edge_that_is_not_listed_sends_nothing_to_a_cold_task() {
     let mut pilot = with(&[]);
-    pilot.task(at(0), &Task { cold_left_ms: 500, ..task("t", "za") });
+    pilot.task(at(0), "core", &Task { cold_left_ms: 500, ..task("t", "za") });
     pilot.edges(Fleet { edges: vec![EdgeAt { name: "other".to_owned(), zone: "za".to_owned() }] });
     let ask = Ask { service: service(10.0), ..ask() };
     assert_eq!(ask.at(&mut pilot, at(10), 0.0), Pick::None);
@@ -320,7 +320,7 @@
         (State::Gone, 1, 0),
         (State::Draining, 11, 0),
     ] {
-        pilot.task(at(1), &Task { state: state as i32, call_seq: seq, ..task("t", "za") });
+        pilot.task(at(1), "core", &Task { state: state as i32, call_seq: seq, ..task("t", "za") });
         assert_eq!(ask().picks(&mut pilot, at(2)).len(), chosen, "{state:?} {seq}");
     }
     assert_eq!(pilot.seen("t").unwrap().task.state, State::Gone as i32);
@@ -330,7 +330,7 @@
 fn a_silent_task_is_left_until_it_is_heard_again() {
     let mut pilot = with(&[("t", "za")]);
     for (silent, seq, chosen) in [(true, 1, 0), (false, 1, 0), (false, 2, 1)] {
-        pilot.task(at(1), &Task { silent, call_seq: seq, ..task("t", "za") });
+        pilot.task(at(1), "core", &Task { silent, call_seq: seq, ..task("t", "za") });
         assert_eq!(ask().picks(&mut pilot, at(2)).len(), chosen);
     }
 }
