A member's word that a task is heard again counts only with a later call

Cause: a test of the pilot showed that an older word undid a newer one on silence. Change: each member's word is kept with the call that it is about.

--- a/harbour/pilot/src/view.rs
+++ b/harbour/pilot/src/view.rs
@@ -51,8 +51,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
     pub task: Task,
-    /// Members of the core that have told of it, and whether they find it silent.
-    told_by: BTreeMap<String, bool>,
+    /// Members of the core that have told of it: whether they find it silent, since which of its calls.
+    told_by: BTreeMap<String, (bool, u64)>,
     cold_until: Moment,
     window: Window,
     in_flight: u32,
@@ -70,7 +70,7 @@
 impl Seen {
     pub fn usable(&self) -> bool {
         // One member that is cut off may find all silent, or hear what no other hears.
-        let silent = !self.told_by.is_empty() && self.told_by.values().all(|silent| *silent);
+        let silent = !self.told_by.is_empty() && self.told_by.values().all(|(silent, _)| *silent);
         self.task.state == State::Ready as i32 && !silent
     }
 
@@ -150,7 +150,7 @@
         let cold_until = now + Span::from_micros(i64::from(task.cold_left_ms) * 1000);
         let Some(seen) = self.tasks.get_mut(&task.id) else {
             if task.state != State::Gone as i32 {
-                let told_by = BTreeMap::from([(member.to_owned(), task.silent)]);
+                let told_by = BTreeMap::from([(member.to_owned(), (task.silent, task.call_seq))]);
                 let seen = Seen { task: task.clone(), told_by, cold_until, ..Seen::default() };
                 self.tasks.insert(task.id.clone(), seen);
                 self.services.entry(task.service.clone()).or_default().push(task.id.clone());
@@ -160,7 +160,11 @@
         if task.call_seq > seen.task.call_seq {
             seen.cold_until = cold_until;
         }
-        seen.told_by.insert(member.to_owned(), task.silent);
+        // A member that found it silent has to have heard of a later call since.
+        let word = seen.told_by.entry(member.to_owned()).or_insert((task.silent, task.call_seq));
+        if task.silent || task.call_seq > word.1 {
+            *word = (task.silent, task.call_seq.max(word.1));
+        }
         seen.task.merge(task);
     }
 
