Claims to custody step back: no three-way split of promises after a start of the whole core

Change: a claim without majority is given back and made again after a wait by rank and chance; claims begin once leases may be promised.

--- a/harbour/harbourmaster/src/custody.rs
+++ b/harbour/harbourmaster/src/custody.rs
@@ -7,8 +7,8 @@
 use lynxmill::{Moment, Span};
 use lynxmill_berths::{Grant, Plan, Put, Terms, Told, fresh};
 use lynxmill_manifest::Service;
-use lynxmill_muster::Tenure;
-use lynxmill_tidings::{Asked, Berth, Lease, Said, Task, ToEdgeBody};
+use lynxmill_muster::{Claim, Step};
+use lynxmill_tidings::{Asked, Berth, Lease, Members, Said, Task, ToEdgeBody};
 use prost::Message;
 
 use crate::agree::Decision;
@@ -16,9 +16,6 @@
 
 /// Between turns of placement.
 const TURN: Duration = Duration::from_millis(25);
-/// Leases are asked for this often; a later member in a service's order waits that much longer for each before it.
-const RENEW: Span = Span::from_micros(200_000);
-const ORDER: Span = Span::from_micros(200_000);
 /// Past the end of a dropped stream.
 const LEASE: Span = Span::from_micros(2_500_000);
 /// How long a task holds a slice from a beat, in seconds, within what the settings allow.
@@ -28,21 +25,13 @@
 const WRITE: Duration = Duration::from_millis(700);
 
 /// A service that this member has custody of, or would like to have.
+#[derive(Default)]
 pub struct Custody {
-    pub tenure: Tenure,
+    pub claim: Claim,
     pub plan: Option<Plan>,
-    asked: Moment,
-    free_since: Option<Moment>,
     answers: Option<Receiver<(String, Said)>>,
 }
 
-impl Custody {
-    fn new(now: Moment) -> Self {
-        let asked = now + Span::from_micros(-RENEW.micros());
-        Custody { tenure: Tenure::default(), plan: None, asked, free_since: None, answers: None }
-    }
-}
-
 fn register(service: &str) -> String {
     format!("berth/{service}")
 }
@@ -81,12 +70,12 @@
         let mut plans = lock(&self.plans);
         let custody = plans.get_mut(service)?;
         let plan = custody.plan.as_mut()?;
-        if !custody.tenure.holds(self.now()) {
+        if !custody.claim.holds(self.now()) {
             return None;
         }
         let grants = plan.beat(now, told);
         // Guards against a freeze between the look and the grant.
-        custody.tenure.holds(self.now()).then(|| (grants, self.hold()))
+        custody.claim.holds(self.now()).then(|| (grants, self.hold()))
     }
 
     pub fn signed_off(&self, service: &str, id: &str) {
@@ -107,7 +96,7 @@
     pub fn in_custody(&self) -> Vec<String> {
         let now = self.now();
         let plans = lock(&self.plans);
-        let own = plans.iter().filter(|(_, c)| c.plan.is_some() && c.tenure.holds(now));
+        let own = plans.iter().filter(|(_, c)| c.plan.is_some() && c.claim.holds(now));
         own.map(|(service, _)| service.clone()).collect()
     }
 
@@ -126,50 +115,43 @@
         answers
     }
 
-    /// Whether it is this member's turn to ask for a lease that nobody has.
-    fn may_ask(&self, now: Moment, service: &str, custody: &mut Custody) -> bool {
-        if custody.plan.is_some() {
-            return true;
-        }
-        let members = self.members();
-        if self.leaving() || lock(&self.core).acceptor.blank || !members.ips.contains(&self.me) {
-            return false;
-        }
-        let taken = lock(&self.leases).holder(now, service).is_some_and(|h| h != self.me);
-        if taken {
-            custody.free_since = None;
-            return false;
-        }
-        let since = *custody.free_since.get_or_insert(now);
-        let mine = rank(service, &self.me);
-        let before = members.ips.iter().filter(|ip| rank(service, ip) < mine).count();
-        now - since >= ORDER.times(before as f64)
+    /// Whether another may hold a lease, or this member may have none.
+    fn taken(&self, now: Moment, service: &str, members: &Members) -> bool {
+        let leases = lock(&self.leases);
+        let other = leases.holder(now, service).is_some_and(|holder| holder != self.me);
+        let none = self.leaving() || lock(&self.core).acceptor.blank || !members.ips.contains(&self.me);
+        none || other || !leases.open(now)
     }
 
-    fn tenure(&self, now: Moment, service: &Service) {
+    fn claim(&self, now: Moment, service: &Service) {
         let members = self.members();
         let name = service.name.as_str();
+        let taken = self.taken(now, name, &members);
+        let mine = rank(name, &self.me);
+        let before = members.ips.iter().filter(|ip| rank(name, ip) < mine).count();
         let mut plans = lock(&self.plans);
-        let custody = plans.entry(name.to_owned()).or_insert_with(|| Custody::new(now));
+        let custody = plans.entry(name.to_owned()).or_default();
         if let Some(answers) = &custody.answers {
             while let Ok((from, said)) = answers.try_recv() {
                 if said == Said::Yes(true) {
-                    custody.tenure.yes(&from, &members);
+                    custody.claim.yes(&from, &members);
                 }
             }
         }
-        let holds = custody.tenure.holds(now);
-        if !holds && custody.plan.take().is_some() {
+        if !custody.claim.holds(now) && custody.plan.take().is_some() {
             log::warn!("custody of {name} has run out");
             self.count("custody-lost");
         }
-        let due = now - custody.asked >= RENEW;
-        if due && self.may_ask(now, name, custody) {
-            custody.asked = now;
-            custody.tenure.ask(now);
-            custody.answers = Some(self.ask_lease(name, false));
+        match custody.claim.step(now, taken, before, self.drawn()) {
+            Step::Wait => {}
+            Step::Ask => custody.answers = Some(self.ask_lease(name, false)),
+            Step::GiveBack => {
+                (custody.answers, custody.plan) = (None, None);
+                let _ = self.ask_lease(name, true);
+                self.count("claims-given-back");
+            }
         }
-        let take_over = holds && custody.plan.is_none();
+        let take_over = custody.claim.holds(now) && custody.plan.is_none();
         drop(plans);
         if take_over {
             self.take_over(service);
@@ -193,7 +175,7 @@
         let now = self.now();
         let terms = self.terms(service);
         let mut plans = lock(&self.plans);
-        let Some(custody) = plans.get_mut(&service.name).filter(|c| c.tenure.holds(now)) else { return };
+        let Some(custody) = plans.get_mut(&service.name).filter(|c| c.claim.holds(now)) else { return };
         log::info!("custody of {} in term {}", service.name, berth.term);
         self.count("custody-taken");
         let mut plan = Plan::new(now, self.life ^ berth.term, terms, berth);
@@ -238,7 +220,7 @@
             Err(crate::agree::Fail::Stopped) => {
                 log::warn!("another has custody of {service}");
                 custody.plan = None;
-                custody.tenure.end();
+                custody.claim.end();
             }
         }
     }
@@ -250,7 +232,7 @@
         for service in own {
             if let Some(custody) = plans.get_mut(&service) {
                 custody.plan = None;
-                custody.tenure.end();
+                custody.claim.end();
             }
             let _ = self.ask_lease(&service, true);
         }
@@ -271,7 +253,7 @@
             continue;
         }
         for service in &sharded {
-            port.tenure(now, service);
+            port.claim(now, service);
         }
         let own = port.in_custody();
         if own.is_empty() {
--- /dev/null
+++ b/harbour/muster/src/claim.rs
@@ -0,0 +1,82 @@
+//! A member's claim to custody of a service: when it asks for the lease, renews it, or steps back.
+
+use lynxmill::{Moment, Span};
+use lynxmill_tidings::Members;
+
+use crate::lease::Tenure;
+
+/// Between renewals.
+const RENEW: Span = Span::from_micros(200_000);
+/// Later members in a service's order wait this much longer for each before them.
+const ORDER: Span = Span::from_micros(200_000);
+/// How long the others may take to answer a claim.
+const ANSWERS: Span = Span::from_micros(150_000);
+/// A claim without majority is made again after up to so long, by chance.
+const BACK_OFF: Span = Span::from_micros(400_000);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    Wait,
+    /// Ask all members for the lease, or for a further one.
+    Ask,
+    /// Give back what some have promised: others may have it.
+    GiveBack,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Claim {
+    tenure: Tenure,
+    asked: Option<Moment>,
+    not_before: Moment,
+    free_since: Option<Moment>,
+}
+
+impl Claim {
+    /// `taken`: another may hold the lease, or this member may not have it; `rank`: how many go before it;
+    /// `drawn` from 0 to 1.
+    pub fn step(&mut self, now: Moment, taken: bool, rank: usize, drawn: f64) -> Step {
+        if let Some(asked) = self.asked {
+            let holds = self.tenure.holds(now);
+            if now - asked < if holds { RENEW } else { ANSWERS } {
+                return Step::Wait;
+            }
+            if holds && !taken {
+                return self.ask(now);
+            }
+            // Guards against claims that split the promises among them and renew their own part for ever.
+            self.end();
+            self.not_before = now + ORDER.times(rank as f64) + BACK_OFF.times(drawn);
+            return Step::GiveBack;
+        }
+        if taken {
+            self.free_since = None;
+            return Step::Wait;
+        }
+        let since = *self.free_since.get_or_insert(now);
+        let due = now - since >= ORDER.times(rank as f64) && now >= self.not_before;
+        if due { self.ask(now) } else { Step::Wait }
+    }
+
+    fn ask(&mut self, now: Moment) -> Step {
+        self.asked = Some(now);
+        self.tenure.ask(now);
+        Step::Ask
+    }
+
+    /// A member has promised.
+    pub fn yes(&mut self, from: &str, members: &Members) {
+        if self.asked.is_some() {
+            self.tenure.yes(from, members);
+        }
+    }
+
+    pub fn holds(&self, now: Moment) -> bool {
+        self.tenure.holds(now)
+    }
+
+    pub fn end(&mut self) {
+        self.tenure.end();
+        self.asked = None;
+        self.free_since = None;
+    }
+}
--- a/harbour/muster/src/lease.rs
+++ b/harbour/muster/src/lease.rs
@@ -61,6 +61,11 @@
         true
     }
 
+    /// Whether it promises any yet.
+    pub fn open(&self, now: Moment) -> bool {
+        now >= self.from
+    }
+
     /// Who holds it, as far as this member has promised.
     pub fn holder(&self, now: Moment, service: &str) -> Option<&str> {
         self.given.get(service).filter(|given| given.until > now).map(|given| given.holder.as_str())
--- a/harbour/muster/src/lib.rs
+++ b/harbour/muster/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod acceptor;
 mod calls;
+mod claim;
 mod lease;
 mod quorum;
 mod roll;
@@ -11,6 +12,7 @@
 
 pub use acceptor::{Acceptor, BLANK_WAIT};
 pub use calls::{Verdict, behind, judge, unmerged};
+pub use claim::{Claim, Step};
 pub use lease::{LEASE, Leases, Tenure};
 pub use quorum::{enough_to_merge, majority, node};
 pub use roll::{Change, Roll};
