--- a/harbour/berths/src/place.rs
+++ b/harbour/berths/src/place.rs
@@ -225,7 +225,7 @@
     /// A beat of one of the service's tasks: what the task is to hold, from when it sent the beat. None if it may
     /// not be told anything by this custodian.
     pub fn beat(&mut self, now: Moment, told: &Told) -> Vec<Grant> {
-        // Once it has answered a shut it gets nothing that was shut by then, whatever edges have joined since.
+        // Once it has answered a shut it gets nothing that was shut by then, whatever edges have joined.
         let answered = self.holder(&told.id).answered;
         self.released(&told.id, &told.released);
         let mut grants = Vec::new();
--- a/harbour/berths/tests/place.rs
+++ b/harbour/berths/tests/place.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Turns for so long; these tasks beat twice a second, and once more at once when they have let go of keys.
+    /// Turns for so long; these tasks beat twice a second, and at once when they have let go of keys.
     fn run(&mut self, span: i64, beating: &[&str]) {
         for i in 0..span / TURN {
             self.turn();
--- a/harbour/berths/tests/world/mod.rs
+++ b/harbour/berths/tests/world/mod.rs
@@ -1,5 +1,5 @@
-//! A simulated sharded service on a clock of its own: custodians one after another, a register, edges, tasks, and
-//! the checks that hold at each step. All chance comes from one seed.
+//! A simulated sharded service on a clock of its own: custodians one after another, a register, edges, tasks,
+//! and the checks that hold at each step. All chance comes from one seed.
 
 use std::collections::{BTreeMap, BTreeSet};
 
