--- /dev/null
+++ b/harbour/manifest/tests/items.rs
@@ -0,0 +1,248 @@
+//! Calls of the operator: what is refused, what changes nothing, what is read back.
+
+use lynxmill_manifest::{Fault, Item, Manifest, Patch, evacuation};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use serde_json::{Value, json};
+
+fn route(name: &str, prefix: &str, version: &str) -> Value {
+    json!({"Name": name, "Host": "ficu95.example", "PathPrefix": prefix, "RouteKind": "idempotent",
+        "TimeoutS": 2.5, "TargetS": 0.6, "Priority": 2, "Service": "huvo", "MaxAttempts": 2,
+        "HomeRegions": [], "Version": version})
+}
+
+fn service(name: &str, version: &str) -> Value {
+    json!({"Name": name, "HealthPath": "/health", "MaxConns": 130, "Protocol": "h1", "Tls": false,
+        "ColdStartS": 3.0, "ColdPerS": 3.9, "Version": version})
+}
+
+fn call(routes: &[Value], services: &[Value], remove: Value) -> Vec<u8> {
+    json!({"Upsert": {"Routes": routes, "Services": services}, "Remove": remove}).to_string().into_bytes()
+}
+
+fn read(routes: &[Value], services: &[Value], remove: Value) -> Result<Patch, Fault> {
+    Patch::read(&call(routes, services, remove))
+}
+
+fn merge<'a>(to: &mut Manifest, items: impl IntoIterator<Item = &'a Item>) {
+    for item in items {
+        to.merge(item);
+    }
+}
+
+/// Takes a call if it is valid, as the register of calls does.
+fn take(to: &mut Manifest, patch: Result<Patch, Fault>) -> Result<(), Fault> {
+    let patch = patch?;
+    to.check(&patch)?;
+    merge(to, &patch.items);
+    Ok(())
+}
+
+fn first() -> Manifest {
+    let mut all = Manifest::default();
+    let routes = [route("r-a", "/a/", "00000007"), route("r-b", "/b/", "00000007")];
+    take(&mut all, read(&routes, &[service("huvo", "00000007"), service("wuno", "00000007")], json!({})))
+        .unwrap();
+    all
+}
+
+/// The fault of a route that differs in one field, sent beside a valid one.
+fn fault(field: &str, value: Value) -> Fault {
+    let mut spoilt = route("r-z", "/z/", "00000009");
+    spoilt[field] = value;
+    let mut all = first();
+    let before = all.clone();
+    let told = take(&mut all, read(&[route("r-y", "/y/", "00000009"), spoilt], &[], json!({}))).unwrap_err();
+    assert_eq!(all, before, "no part of an invalid call takes effect");
+    told
+}
+
+#[test]
+fn each_invalid_kind_is_refused_and_changes_nothing() {
+    let z = || "r-z".to_owned();
+    assert_eq!(fault("Service", json!("nobody")), Fault::UnknownService(z(), "nobody".to_owned()));
+    assert_eq!(fault("Service", json!("")), Fault::UnknownService(z(), String::new()));
+    assert_eq!(fault("PathPrefix", json!("/a/")), Fault::SamePlace("r-a".to_owned(), z()));
+    assert_eq!(fault("PathPrefix", json!("/y/")), Fault::SamePlace("r-y".to_owned(), z()));
+    assert_eq!(fault("TimeoutS", json!(0)), Fault::NoTimeout(z()));
+    assert_eq!(fault("TimeoutS", json!(0.0)), Fault::NoTimeout(z()));
+    assert_eq!(fault("TimeoutS", json!(-1)), Fault::NoTimeout(z()));
+    assert_eq!(fault("TargetS", json!(62.5)), Fault::AimOver(z()));
+    assert_eq!(fault("TargetS", json!(4000)), Fault::AimOver(z()));
+    assert_eq!(fault("MaxAttempts", json!(0)), Fault::NoAttempts(z()));
+    assert_eq!(fault("Host", json!("")), Fault::NoHost(z()));
+    assert_eq!(fault("PathPrefix", json!("/z")), Fault::Prefix(z()));
+    assert_eq!(fault("PathPrefix", json!("z/")), Fault::Prefix(z()));
+    let split = |a: f64, b: f64| json!([{"Service": "huvo", "Weight": a}, {"Service": "wuno", "Weight": b}]);
+    assert_eq!(fault("Split", split(0.0, 0.0)), Fault::NoWeight(z()));
+    assert_eq!(fault("Split", split(5.0, -1.0)), Fault::NoWeight(z()));
+    let strange = json!([{"Service": "huvo", "Weight": 1}, {"Service": "nobody", "Weight": 1}]);
+    assert_eq!(fault("Split", strange), Fault::UnknownService(z(), "nobody".to_owned()));
+    assert_eq!(fault("Version", json!("")), Fault::Version("r/r-z".to_owned()));
+    assert_eq!(fault("Version", json!("xyz")), Fault::Version("r/r-z".to_owned()));
+    assert_eq!(fault("Version", Value::Null), Fault::Version("r/r-z".to_owned()));
+    assert_eq!(fault("Name", Value::Null), Fault::NoName("Routes".to_owned()));
+    for (field, value) in [("TimeoutS", json!("2")), ("MaxAttempts", json!(-1)), ("Split", json!(7))] {
+        assert!(matches!(fault(field, value), Fault::Unreadable(_)), "{field}");
+    }
+}
+
+#[test]
+fn an_aim_less_than_a_minute_above_is_taken() {
+    let mut near = route("r-z", "/z/", "00000009");
+    near["TargetS"] = json!(62.499);
+    assert_eq!(take(&mut first(), read(&[near], &[], json!({}))), Ok(()));
+}
+
+#[test]
+fn a_call_cut_short_is_unreadable() {
+    let whole =
+        call(&[route("r-z", "/z/", "00000009")], &[service("huvo", "00000009")], json!({"Routes": []}));
+    for cut in 0..whole.len() {
+        assert!(matches!(Patch::read(&whole[..cut]), Err(Fault::Unreadable(_))), "cut at {cut}");
+    }
+    for other in
+        ["[]", "7", r#"{"Upsert":[]}"#, r#"{"Upsert":{"Routes":{}}}"#, r#"{"Remove":{"Routes":[7]}}"#]
+    {
+        assert!(matches!(Patch::read(other.as_bytes()), Err(Fault::Unreadable(_))), "{other}");
+    }
+    assert!(matches!(Patch::read(b"{\"Upsert\":{}}\xff"), Err(Fault::Unreadable(_))));
+}
+
+#[test]
+fn a_service_goes_only_once_no_route_names_it() {
+    let mut all = first();
+    let gone = || json!({"Services": [{"Name": "huvo", "Version": "0000000a"}]});
+    let unknown = Fault::UnknownService("r-a".to_owned(), "huvo".to_owned());
+    assert_eq!(take(&mut all, read(&[], &[], gone())), Err(unknown));
+    let mut moved = [route("r-a", "/a/", "0000000a"), route("r-b", "/b/", "0000000a")];
+    moved.iter_mut().for_each(|r| r["Service"] = json!("wuno"));
+    assert_eq!(take(&mut all, read(&moved, &[], gone())), Ok(()));
+    assert_eq!(all.services().map(|s| s.name).collect::<Vec<_>>(), ["wuno"]);
+}
+
+#[test]
+fn overtaken_items_change_nothing_and_do_no_harm() {
+    let mut all = first();
+    let before = all.clone();
+    // Each would be a fault if it were newer.
+    let mut strange = route("r-a", "/a/", "00000006");
+    strange["Service"] = json!("nobody");
+    let late = [strange, route("r-b", "/a/", "00000007")];
+    let remove = json!({"Services": [{"Name": "huvo", "Version": "00000003"}],
+        "Routes": [{"Name": "r-a", "Version": "00000007"}]});
+    assert_eq!(take(&mut all, read(&late, &[], remove)), Ok(()));
+    assert_eq!(all, before);
+}
+
+#[test]
+fn places_are_free_again_after_a_drop_and_swaps_go_through() {
+    let mut all = first();
+    let swap = [route("r-a", "/b/", "00000008"), route("r-b", "/a/", "00000008")];
+    assert_eq!(take(&mut all, read(&swap, &[], json!({}))), Ok(()));
+    let drop_a = json!({"Routes": [{"Name": "r-a", "Version": "00000009"}]});
+    assert_eq!(take(&mut all, read(&[route("r-c", "/b/", "00000009")], &[], drop_a)), Ok(()));
+    let mut shouted = route("r-d", "/b/", "00000009");
+    shouted["Host"] = json!("FICU95.example");
+    let same = Fault::SamePlace("r-c".to_owned(), "r-d".to_owned());
+    assert_eq!(take(&mut all, read(&[shouted], &[], json!({}))), Err(same));
+}
+
+#[test]
+fn drops_keep_their_version() {
+    let mut all = first();
+    let remove =
+        json!({"Routes": [{"Name": "r-a", "Version": "0000001f"}, {"Name": "r-x", "Version": "0000001f"}]});
+    take(&mut all, read(&[], &[], remove)).unwrap();
+    for (name, version, stands) in [("r-a", "0000001e", 1), ("r-a", "0000001f", 1), ("r-a", "00000020", 2)] {
+        take(&mut all, read(&[route(name, "/a/", version)], &[], json!({}))).unwrap();
+        assert_eq!(all.routes().count(), stands, "{name} {version}");
+    }
+    take(&mut all, read(&[route("r-x", "/x/", "0000001f")], &[], json!({}))).unwrap();
+    assert_eq!((all.routes().count(), all.version("r/r-x")), (2, 0x1f), "a drop came before what it drops");
+}
+
+#[test]
+fn read_back_equals_what_was_sent() {
+    let mut split = route("r-a", "/a/", "0000000c");
+    split["Split"] = json!([{"Service": "huvo", "Weight": 90}, {"Service": "wuno", "Weight": 0.125}]);
+    split.as_object_mut().unwrap().remove("Service");
+    split["TimeoutS"] = json!(3);
+    split["TargetS"] = json!(0.30000000000000004);
+    split["Later"] = json!({"Deep": [1, 2.5, null, "ü\n\""], "Big": 18446744073709551615u64});
+    let mut sharded = service("wuno", "fffffffe");
+    (sharded["Sharded"], sharded["WarmupS"]) = (json!(true), json!(2.0));
+    let limits = json!({"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutS": 3,
+        "IdleTimeoutS": 1.75, "New": false, "Version": "0000000c"});
+    let sent = json!({"Routes": [split, route("r-b", "/b/", "0000000d")],
+        "Services": [service("huvo", "00000007"), sharded], "Limits": limits});
+    let mut all = Manifest::default();
+    take(&mut all, Patch::read(json!({"Upsert": sent}).to_string().as_bytes())).unwrap();
+    all.merge(&evacuation("hal1", true, 0));
+    assert_eq!(all.read_back().to_string(), sent.to_string());
+    assert_eq!(all.limits().idle_timeout_s, 1.75);
+    // What was read back can be sent again and changes nothing.
+    let before = all.clone();
+    let again = json!({"Upsert": before.read_back()}).to_string();
+    take(&mut all, Patch::read(again.as_bytes())).unwrap();
+    assert_eq!(all, before);
+}
+
+#[test]
+fn fractions_come_back_to_the_last_digit() {
+    fn same(bits: u64) -> bool {
+        let sent = f64::from_bits((bits % (1 << 52)) | 0x3ff0_0000_0000_0000);
+        let mut own = service("huvo", "00000007");
+        own["Other"] = json!(sent);
+        let text = json!({"Upsert": {"Services": [own]}}).to_string();
+        assert!(text.contains(&format!("{sent}")));
+        let mut all = Manifest::default();
+        take(&mut all, Patch::read(text.as_bytes())).unwrap();
+        all.read_back()["Services"][0].to_string().contains(&format!("\"Other\":{sent}"))
+    }
+    QuickCheck::new().tests(400).quickcheck(same as fn(u64) -> bool);
+}
+
+#[test]
+fn evacuations_rise_by_one_and_are_taken_back() {
+    let mut all = Manifest::default();
+    assert!(all.merge(&evacuation("hal1", true, 0)));
+    assert_eq!(all.evacuated().collect::<Vec<_>>(), ["hal1"]);
+    assert!(all.merge(&evacuation("hal1", false, all.version("e/hal1"))));
+    assert_eq!((all.evacuated().count(), all.version("e/hal1")), (0, 2));
+    assert!(!all.merge(&evacuation("hal1", true, 0)), "an older order that comes again");
+}
+
+/// A few names and versions, so that copies meet; what an item says follows from its name and version.
+#[derive(Clone, Debug)]
+struct Held(Manifest);
+
+impl Arbitrary for Held {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut all = Manifest::default();
+        for _ in 0..u8::arbitrary(g) % 12 {
+            let (name, version) = (u8::arbitrary(g) % 6, u64::arbitrary(g) % 4);
+            let dropped = (u64::from(name) + version).is_multiple_of(3);
+            let body = if dropped { String::new() } else { format!("{name}@{version}") };
+            all.items.insert(format!("r/{name}"), Item { key: format!("r/{name}"), version, dropped, body });
+        }
+        Held(all)
+    }
+}
+
+fn merged(a: &Manifest, b: &Manifest) -> Manifest {
+    let mut both = a.clone();
+    merge(&mut both, b.items.values());
+    both
+}
+
+#[test]
+fn merge_is_commutative_idempotent_and_associative() {
+    fn holds(Held(a): Held, Held(b): Held, Held(c): Held) -> bool {
+        let both = merged(&a, &b);
+        both == merged(&b, &a)
+            && merged(&a, &a) == a
+            && merged(&both, &b) == both
+            && merged(&both, &c) == merged(&a, &merged(&b, &c))
+    }
+    QuickCheck::new().tests(500).quickcheck(holds as fn(Held, Held, Held) -> bool);
+}
--- /dev/null
+++ b/harbour/tidings/tests/frames.rs
@@ -0,0 +1,109 @@
+//! Frames of a stream as they come in, and words on tasks merged.
+
+use lynxmill_tidings::{Asked, Broken, Frames, Heard, MOST, Member, Members, Packet, State, Task, frame};
+
+fn packets() -> [Packet; 3] {
+    let members = Members { epoch: 4, ips: vec!["10.0.0.1".to_owned(), "10.0.0.2".to_owned()] };
+    let word = Member { ip: "10.0.0.1".to_owned(), members, merged: 300, ..Member::default() };
+    let heard = Heard { ids: vec!["i-1".to_owned()], seqs: vec![7], ..Heard::default() };
+    [
+        Packet { id: 1, body: Some(Asked::Member(word)) },
+        Packet::default(), // its body has no bytes
+        Packet { id: u64::MAX, body: Some(Asked::Heard(heard)) },
+    ]
+}
+
+fn all(frames: &mut Frames) -> Vec<Packet> {
+    std::iter::from_fn(|| frames.take::<Packet>().unwrap()).collect()
+}
+
+#[test]
+fn frames_come_whole_wherever_the_stream_is_cut() {
+    let stream: Vec<u8> = packets().iter().flat_map(frame).collect();
+    for first in 0..=stream.len() {
+        for second in first..=stream.len() {
+            let (mut frames, mut got) = (Frames::default(), Vec::new());
+            for piece in [&stream[..first], &stream[first..second], &stream[second..]] {
+                frames.push(piece);
+                got.extend(all(&mut frames));
+            }
+            assert_eq!(got, packets(), "cut at {first} and {second}");
+        }
+    }
+}
+
+#[test]
+fn a_frame_too_long_is_refused_before_its_body_comes() {
+    let mut frames = Frames::default();
+    frames.push(&((MOST + 1) as u32).to_be_bytes());
+    assert_eq!(frames.take::<Packet>(), Err(Broken::TooLong(MOST + 1)));
+    let mut longest = Frames::default();
+    longest.push(&(MOST as u32).to_be_bytes());
+    assert_eq!(longest.take::<Packet>(), Ok(None));
+}
+
+#[test]
+fn a_frame_that_cant_be_read_is_told() {
+    let mut frames = Frames::default();
+    frames.push(&[0, 0, 0, 3, 0xff, 0xff, 0xff]);
+    frames.push(&frame(&packets()[2]));
+    assert!(matches!(frames.take::<Packet>(), Err(Broken::Unreadable(_))));
+    assert_eq!(all(&mut frames), [packets()[2].clone()], "and those behind it are whole");
+}
+
+fn task(seq: u64, state: State) -> Task {
+    Task { id: "i-1".to_owned(), call_seq: seq, state: state as i32, slots: seq as u32, ..Task::default() }
+}
+
+/// The word that stands after two, and whether the second changed anything.
+fn after(first: &Task, second: &Task) -> (Task, bool) {
+    let mut held = first.clone();
+    let changed = held.merge(second);
+    (held, changed)
+}
+
+#[test]
+fn draining_and_gone_never_go_back() {
+    let states = [State::Ready, State::Draining, State::Gone];
+    for (one, two) in states.iter().flat_map(|a| states.map(|b| (*a, b))) {
+        for (seq, other) in [(1, 2), (2, 2), (3, 2)] {
+            let (held, changed) = after(&task(seq, one), &task(other, two));
+            assert_eq!(held.state, one.max(two) as i32, "{one:?} at {seq}, {two:?} at {other}");
+            assert_eq!(changed, two > one);
+        }
+    }
+}
+
+#[test]
+fn a_late_beat_changes_nothing() {
+    let new = Task { address: "10.0.0.9:80".to_owned(), cold_left_ms: 10, ..task(5, State::Ready) };
+    let old =
+        Task { address: "10.0.0.8:80".to_owned(), cold_left_ms: 900, silent: true, ..task(4, State::Ready) };
+    assert_eq!(after(&new, &old), (new.clone(), false));
+    assert_eq!(after(&old, &new).0, new, "whatever their order");
+    let again = after(&new, &new);
+    assert_eq!(again, (new, false));
+}
+
+#[test]
+fn silence_holds_until_a_newer_beat() {
+    let (beat, silent) = (task(5, State::Ready), Task { silent: true, ..task(5, State::Ready) });
+    assert_eq!(after(&beat, &silent), (silent.clone(), true));
+    assert_eq!(after(&silent, &beat), (silent.clone(), false));
+    assert_eq!(after(&silent, &task(6, State::Ready)), (task(6, State::Ready), true));
+    assert!(!after(&beat, &task(6, State::Ready)).1, "a beat alone is no news");
+    assert!(after(&beat, &Task { cold_left_ms: 900, ..task(6, State::Ready) }).1, "that it is cold again is");
+}
+
+#[test]
+fn words_merge_to_the_same_in_any_order() {
+    let words: Vec<Task> = (0..24)
+        .map(|n| Task {
+            silent: n % 2 == 1,
+            ..task(n / 6, [State::Ready, State::Draining, State::Gone][n as usize % 3])
+        })
+        .collect();
+    for (a, b) in words.iter().flat_map(|a| words.iter().map(move |b| (a, b))) {
+        assert_eq!(after(a, b).0, after(b, a).0, "{a:?} {b:?}");
+    }
+}
