Digests: two items that went on by one call no longer cancel each other

Cause: a range's digest is a sum, and FNV's last step left the versions in the low bits: two items of a range that both went from one version to another often left the sum as it was, so that repair missed them. The highest versions overflowed. Change: each item's digest is mixed before it is added; the drop is hashed as a byte of its own.

--- a/harbour/strongroom/src/digest.rs
+++ b/harbour/strongroom/src/digest.rs
@@ -15,9 +15,16 @@
     (hash(key.as_bytes(), START) >> 32) as usize % RANGES
 }
 
+/// SplitMix64's last steps: without them the sum of two items that went on by the same version often stays.
+fn mixed(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
 fn digest(item: &Item) -> u64 {
-    let version = item.version * 2 + u64::from(item.dropped);
-    hash(&version.to_be_bytes(), hash(item.key.as_bytes(), START))
+    let versioned = hash(&item.version.to_be_bytes(), hash(item.key.as_bytes(), START));
+    mixed(hash(&[u8::from(item.dropped)], versioned))
 }
 
 /// One number a range; the order of items does not matter.
