--- a/harbour/strongroom/src/store.rs
+++ b/harbour/strongroom/src/store.rs
@@ -73,11 +73,12 @@
 #[derive(Default)]
 struct Queue {
     batch: Batch,
-    /// The number of the group that `batch` will be, of the last one that is over, and how that and the one
-    /// before it ended.
+    /// The number of the group that `batch` will be, and of the last one that is over.
     next: u64,
     done: u64,
-    ends: Vec<(u64, Option<String>)>,
+    /// The last groups that failed, and the last one of those before them.
+    failed: Vec<(u64, String)>,
+    forgotten: u64,
     busy: bool,
 }
 
@@ -125,10 +126,11 @@
         let mut queue = lock();
         loop {
             if queue.done >= mine {
-                let end = queue.ends.iter().find(|(group, _)| *group == mine);
-                return match end.and_then(|(_, fault)| fault.clone()) {
+                let end = queue.failed.iter().find(|(group, _)| *group == mine);
+                return match end {
+                    Some((_, fault)) => Err(Fault::Disk(fault.clone())),
+                    None if mine <= queue.forgotten => Err(Fault::Disk("too long ago to tell".to_owned())),
                     None => Ok(()),
-                    Some(fault) => Err(Fault::Disk(fault)),
                 };
             }
             if queue.busy {
@@ -139,13 +141,13 @@
             let (batch, group) = (std::mem::take(&mut queue.batch), queue.next);
             queue.next += 1;
             drop(queue);
-            let end = self.commit(&batch).err().map(|fault| fault.to_string());
+            let fault = self.commit(&batch).err().map(|fault| (group, fault.to_string()));
             queue = lock();
             queue.busy = false;
             queue.done = group;
-            queue.ends.push((group, end));
-            if queue.ends.len() > 64 {
-                queue.ends.remove(0);
+            queue.failed.extend(fault);
+            if queue.failed.len() > 64 {
+                queue.forgotten = queue.failed.remove(0).0;
             }
             self.over.notify_all();
         }
