--- a/harbour/muster/src/acceptor.rs
+++ b/harbour/muster/src/acceptor.rs
@@ -47,11 +47,23 @@
         members.epoch < self.members.epoch || (register != MEMBERS && self.pending().is_some())
     }
 
+    /// Whether it was a member right before these were agreed: it knows those before, or has as one of them
+    /// accepted these.
+    fn follows(&self, members: &Members) -> bool {
+        let next = members.epoch <= self.members.epoch + 1 && self.members.ips.contains(&self.me);
+        next || self.pending().is_some_and(|pending| pending == *members)
+    }
+
+    /// Whether it may answer ballots of these members: it is one and has not been out since it last counted.
+    fn counts(&self, members: &Members) -> bool {
+        !self.blank && members.ips.contains(&self.me) && self.follows(members)
+    }
+
     pub fn prepare(&mut self, asked: &Prepare, merged: u64) -> (Promise, Write) {
         let mut register = self.register(&asked.register);
         let newer = (asked.members.epoch < self.members.epoch).then(|| self.members.clone());
         let changing = asked.register != MEMBERS && self.pending().is_some();
-        let ok = !self.blank
+        let ok = self.counts(&asked.members)
             && !self.overtaken(&asked.register, &asked.members)
             // Ballots are of one maker each: the same one may be asked for twice.
             && asked.ballot >= register.promised;
@@ -75,7 +87,7 @@
 
     pub fn accept(&mut self, asked: &Accept) -> (Accepted, Write) {
         let mut register = self.register(&asked.register);
-        let ok = !self.blank
+        let ok = self.counts(&asked.members)
             && (asked.life == 0 || asked.life == self.life)
             && !self.overtaken(&asked.register, &asked.members)
             && asked.ballot >= register.promised;
@@ -118,10 +130,9 @@
     pub fn agreed(&mut self, members: &Members) -> bool {
         let newer = members.epoch > self.members.epoch;
         if newer {
-            let was = self.members.ips.contains(&self.me);
+            // Who was out holds nothing of what was agreed without it, and who is out no longer counts.
+            self.blank |= !self.follows(members) || !members.ips.contains(&self.me);
             self.members = members.clone();
-            // A newcomer holds nothing of what was agreed without it.
-            self.blank |= !was;
         }
         newer
     }
--- a/harbour/muster/src/calls.rs
+++ b/harbour/muster/src/calls.rs
@@ -47,7 +47,7 @@
     if let Err(fault) = newest.check(&patch) {
         return Verdict::Refuse(fault);
     }
-    let news = |item: &&Item| newest.version(&item.key) < item.version;
+    let news = |item: &&Item| newest.items.get(&item.key).is_none_or(|held| held.version < item.version);
     let items: Vec<Item> = patch.items.iter().filter(news).cloned().collect();
     if items.is_empty() {
         return Verdict::Again(next);
