--- a/harbour/harbourmaster/src/control.rs
+++ b/harbour/harbourmaster/src/control.rs
@@ -131,6 +131,11 @@
         return Ok(Response::json(&BeatAnswer::default()));
     }
     port.news(std::slice::from_ref(&task), leaving)?;
+    // Cut off from a majority it tells its edges what it hears, but the others have to hear it as well.
+    if !port.in_majority() {
+        port.count("beats-cut-off");
+        return Err(unavailable("no majority of the core"));
+    }
     let sharded = lock(&port.core).manifest.services().any(|s| s.name == task.service && s.sharded);
     let mut answer = BeatAnswer::default();
     if sharded {
@@ -141,7 +146,15 @@
                 (answer.holdings, answer.hold_s) = (Some(rows.collect()), Some(hold));
                 answer.beat_target = Some(port.local.listen().control);
             }
-            None => answer.beat_target = port.custodian(&task.service),
+            None => match port.custodian(&task.service) {
+                Some(control) => answer.beat_target = Some(control),
+                // Nobody may grant: the task asks again soon, at another, and not only with its next beat.
+                None if !leaving => {
+                    port.count("beats-no-custodian");
+                    return Err(unavailable("the service has no custodian yet"));
+                }
+                None => {}
+            },
         }
     }
     Ok(Response::json(&answer))
--- a/harbour/harbourmaster/src/port.rs
+++ b/harbour/harbourmaster/src/port.rs
@@ -121,7 +121,15 @@
     }
 
     pub fn counters(&self) -> BTreeMap<&'static str, u64> {
-        lock(&self.counters).clone()
+        let mut all = lock(&self.counters).clone();
+        all.extend(lock(&self.edges).sent.iter().map(|(what, bytes)| (*what, *bytes)));
+        all
+    }
+
+    /// One line with all that was counted.
+    pub fn log_counters(&self) {
+        let all: Vec<String> = self.counters().iter().map(|(what, n)| format!("{what}={n}")).collect();
+        log::info!("counted {}", all.join(" "));
     }
 
     pub fn members(&self) -> Members {
