--- /dev/null
+++ b/harbour/gauge/src/slices.rs
@@ -0,0 +1,126 @@
+//! Placement of one sharded service: turns, beats, reports, tables.
+
+use std::hint::black_box;
+
+use lynxmill::{Moment, Span};
+use lynxmill_berths::{Plan, Terms, Told, fresh};
+use lynxmill_tidings::{Berth, Report, SliceSeen, Task, TaskSeen, frame};
+use prost::Message;
+
+use crate::fit::{Point, processor_us, show, time};
+use crate::heap::holds;
+use crate::made;
+
+const SLICES: u32 = 64;
+const TURN: f64 = 0.025;
+/// Turns of a beat's interval.
+const BEAT: u64 = 60;
+
+struct World {
+    plan: Plan,
+    tasks: Vec<Task>,
+    edges: Vec<String>,
+    now: Moment,
+    turns: u64,
+    /// Microseconds of each turn and beat, once it is steady.
+    turn_us: Vec<f64>,
+    beat_us: Vec<f64>,
+    writes: usize,
+}
+
+impl World {
+    fn new(tasks: usize, edges: usize) -> Self {
+        let terms = Terms {
+            service: made::service_name(0),
+            aim: Span::from_secs(0.6),
+            hold: Span::from_secs(5.0),
+            longest_hold: Span::from_secs(5.0),
+            lease: Span::from_secs(2.5),
+            interval: Span::from_secs(1.0),
+            drain: Span::from_secs(3.0),
+            gather: Span::from_secs(2.0),
+            warm_after: Span::from_secs(3.0),
+        };
+        let berth = Berth { term: 1, holder: "10.0.0.1".to_owned(), slices: fresh(SLICES) };
+        let mut plan = Plan::new(Moment::default(), 7, terms, berth);
+        let edges: Vec<String> = (0..edges).map(made::edge_name).collect();
+        edges.iter().for_each(|name| plan.edge_joined(name));
+        let tasks = made::tasks(tasks, 1, 1);
+        let (turn_us, beat_us) = (Vec::new(), Vec::new());
+        World { plan, tasks, edges, now: Moment::default(), turns: 0, turn_us, beat_us, writes: 0 }
+    }
+
+    fn step(&mut self, holdings: &mut [Vec<(u32, u32, u64)>]) {
+        self.turns += 1;
+        self.now = self.now + Span::from_secs(TURN);
+        let begun = processor_us();
+        let put = self.plan.turn(self.now, &self.tasks, &|_| false);
+        self.turn_us.push(processor_us() - begun);
+        if let Some(berth) = put.write {
+            self.writes += 1;
+            self.plan.written(berth);
+        }
+        if let Some(table) = put.table {
+            self.edges.iter().for_each(|name| self.plan.edge_answered(name, table.term, table.mark));
+        }
+        for (i, held) in holdings.iter_mut().enumerate() {
+            if self.turns % BEAT != i as u64 % BEAT {
+                continue;
+            }
+            let told = Told { id: self.tasks[i].id.clone(), holdings: held.clone(), released: Vec::new() };
+            let begun = processor_us();
+            let grants = self.plan.beat(self.now, &told);
+            self.beat_us.push(processor_us() - begun);
+            *held = grants.iter().map(|g| (g.from, g.to, g.fence)).collect();
+        }
+    }
+
+    /// Ten seconds to come to rest, then as many turns as are measured.
+    fn play(tasks: usize, edges: usize, turns: usize) -> World {
+        let mut world = World::new(tasks, edges);
+        let mut holdings = vec![Vec::new(); tasks];
+        (0..400).for_each(|_| world.step(&mut holdings));
+        (world.turn_us, world.beat_us, world.writes) = (Vec::new(), Vec::new(), 0);
+        (0..turns).for_each(|_| world.step(&mut holdings));
+        world
+    }
+}
+
+fn report(rows: usize) -> Report {
+    let task = |i| TaskSeen { id: made::id(i), tries: 3, lost: 0, took_ms: 61.7, held: 2 };
+    let slice =
+        |i| SliceSeen { service: made::service_name(0), from: (i as u32 % SLICES) * 1024, requests: 2 };
+    Report { over_ms: 1_000, tasks: (0..rows).map(task).collect(), slices: (0..rows).map(slice).collect() }
+}
+
+pub fn run(runs: usize) {
+    let turns = runs.max(10) * 20;
+    let by_edges = [12, 60, 200, 735].map(|n| (n, World::play(36, n, turns)));
+    let of = |worlds: &[(usize, World)], pick: fn(&World) -> &Vec<f64>| -> Vec<Point> {
+        worlds.iter().map(|(n, w)| Point::of(*n, pick(w).clone())).collect()
+    };
+    show("slices: Plan::turn, 36 tasks", "us", "edge", &of(&by_edges, |w| &w.turn_us));
+    show("slices: Plan::beat, 36 tasks", "us", "edge", &of(&by_edges, |w| &w.beat_us));
+    for edges in [12, 735] {
+        let by_tasks = [8, 16, 36, 64].map(|n| (n, World::play(n, edges, turns)));
+        show(&format!("slices: Plan::turn, {edges} edges"), "us", "task", &of(&by_tasks, |w| &w.turn_us));
+        show(&format!("slices: Plan::beat, {edges} edges"), "us", "task", &of(&by_tasks, |w| &w.beat_us));
+    }
+    let rows = [8, 36, 150];
+    let taken = |n: usize| {
+        let (mut world, report) = (World::play(36, 12, 10), report(n));
+        Point::of(n, time(runs, 10, || world.plan.report(black_box(&report))))
+    };
+    show("slices: Plan::report", "us", "row", &rows.map(taken));
+    let read = |n: usize| {
+        let bytes = report(n).encode_to_vec();
+        Point::of(n, time(runs, 10, || drop(black_box(Report::decode(bytes.as_slice())))))
+    };
+    show("slices: report decoded", "us", "row", &rows.map(read));
+    let table = World::play(36, 12, 10).plan.whole_table();
+    println!("slices: a whole table of 64 slices: {} B", frame(&table).len());
+    let one = lynxmill_tidings::Table { rows: table.rows[..1].to_vec(), whole: false, ..table };
+    println!("slices: a change of one slice: {} B", frame(&one).len());
+    let memory = |n: usize| Point::exact(n, holds(|| World::play(36, n, 10).plan).0);
+    show("slices: memory of a Plan, 36 tasks", "B", "edge", &[12, 60, 200, 735].map(memory));
+}
