--- a/harbour/berths/src/place.rs
+++ b/harbour/berths/src/place.rs
@@ -202,6 +202,11 @@
         plan
     }
 
+    /// How long a task holds what a beat's answer names.
+    pub fn hold(&self) -> Span {
+        self.terms.hold
+    }
+
     pub fn term(&self) -> u64 {
         self.berth.term
     }
--- a/harbour/harbourmaster/src/control.rs
+++ b/harbour/harbourmaster/src/control.rs
@@ -132,12 +132,13 @@
         return Ok(Response::json(&BeatAnswer::default()));
     }
     port.news(std::slice::from_ref(&task), leaving)?;
+    lock(&port.yard).beaten(now, id);
     // Cut off from a majority it tells its edges what it hears, but the others have to hear it as well.
     if !port.in_majority() {
         port.count("beats-cut-off");
         return Err(unavailable("no majority of the core"));
     }
-    let sharded = lock(&port.core).manifest.services().any(|s| s.name == task.service && s.sharded);
+    let sharded = lock(&port.core).sharded.iter().any(|s| s.name == task.service);
     let mut answer = BeatAnswer::default();
     if sharded {
         let told = Told { id: id.to_owned(), holdings: beat.holdings, released: beat.released };
--- a/harbour/harbourmaster/src/custody.rs
+++ b/harbour/harbourmaster/src/custody.rs
@@ -73,9 +73,10 @@
         if !custody.claim.holds(self.now()) {
             return None;
         }
-        let grants = plan.beat(now, told);
+        // As the plan counts it.
+        let (grants, hold) = (plan.beat(now, told), plan.hold().secs());
         // Guards against a freeze between the look and the grant.
-        custody.claim.holds(self.now()).then(|| (grants, self.hold()))
+        custody.claim.holds(self.now()).then_some((grants, hold))
     }
 
     pub fn signed_off(&self, service: &str, id: &str) {
@@ -246,13 +247,12 @@
         let now = port.now();
         let (sharded, evacuated) = {
             let core = lock(&port.core);
-            let sharded: Vec<Service> = core.manifest.services().filter(|s| s.sharded).collect();
-            (sharded, core.manifest.evacuated().map(str::to_owned).collect::<Vec<_>>())
+            (core.sharded.clone(), core.manifest.evacuated().map(str::to_owned).collect::<Vec<_>>())
         };
         if sharded.is_empty() || port.leaving() {
             continue;
         }
-        for service in &sharded {
+        for service in sharded.iter() {
             port.claim(now, service);
         }
         let own = port.in_custody();
--- a/harbour/harbourmaster/src/members.rs
+++ b/harbour/harbourmaster/src/members.rs
@@ -5,7 +5,7 @@
 
 use lynxmill_muster::{Change, majority};
 use lynxmill_strongroom::{Batch, differing, digests};
-use lynxmill_tidings::{Asked, Dump, Heard, Member, Members, Pick, Said, Tasks, ToEdgeBody, Welcome};
+use lynxmill_tidings::{Asked, Dump, Heard, Member, Members, Pick, Said, State, Tasks, ToEdgeBody, Welcome};
 
 use crate::port::{Port, Word, lock};
 
@@ -16,8 +16,10 @@
     /// What this member tells of itself.
     pub fn word(&self) -> Member {
         let custody = self.in_custody();
+        let tasks = lock(&self.yard).digest();
         let core = lock(&self.core);
         Member {
+            tasks,
             ip: self.me.clone(),
             members: core.acceptor.members.clone(),
             merged: core.merged,
@@ -31,7 +33,9 @@
     pub fn heard_word(&self, word: &Member) {
         let now = self.now();
         lock(&self.roll).heard(now, word);
+        self.compare_tasks(word);
         let told = Word {
+            tasks: word.tasks,
             control: word.control.clone(),
             custody: word.custody.clone(),
             merged: word.merged,
@@ -42,6 +46,22 @@
         self.agreed_members(&word.members);
     }
 
+    /// A member that has twice told of other tasks than are known here missed words of them: it gets them all.
+    fn compare_tasks(&self, word: &Member) {
+        let before = lock(&self.words).get(&word.ip).map(|told| told.tasks);
+        let now = self.now();
+        let tasks: Vec<_> = {
+            let yard = lock(&self.yard);
+            if before != Some(word.tasks) || yard.digest() == word.tasks {
+                return;
+            }
+            let lively = yard.all().filter(|k| !k.task.silent && k.task.state != State::Gone as i32);
+            lively.map(|known| known.told(now)).collect()
+        };
+        self.count("tasks-retold");
+        self.peers.tell(&word.ip, Asked::Heard(Heard { tasks, ..Heard::default() }));
+    }
+
     pub fn know(&self, ip: &str) {
         if ip != self.me {
             self.peers.know(ip, self.local.internal_port() + 1);
@@ -56,7 +76,8 @@
             if !core.acceptor.agreed(members) {
                 return;
             }
-            if !was {
+            // Whoever comes to a seat, or lost its place in what was agreed, may not promise at once.
+            if !was || core.acceptor.blank {
                 lock(&self.leases).seated(self.now());
             }
             let counts = Some(!core.acceptor.blank);
@@ -113,7 +134,7 @@
             }
             news
         };
-        for task in news.iter().filter(|t| t.state == lynxmill_tidings::State::Gone as i32) {
+        for task in news.iter().filter(|t| t.state == State::Gone as i32) {
             self.signed_off(&task.service, &task.id);
         }
         if !news.is_empty() {
@@ -182,6 +203,7 @@
             for item in &items {
                 core.manifest.merge(item);
             }
+            core.services();
             core.merged = core.merged.max(merged);
             // Not before it is on disk.
             core.acceptor.blank = true;
--- a/harbour/harbourmaster/src/port.rs
+++ b/harbour/harbourmaster/src/port.rs
@@ -3,11 +3,11 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use lynxmill::{Moment, Pcg, Span};
-use lynxmill_manifest::{Item, Local, Manifest};
+use lynxmill_manifest::{Item, Local, Manifest, Service};
 use lynxmill_muster::{Acceptor, Leases, Roll, Yard};
 use lynxmill_strongroom::{Batch, Store};
 use lynxmill_tidings::{Calls, Goods, Members, ToEdgeBody};
@@ -22,6 +22,8 @@
     pub manifest: Manifest,
     /// The last call whose items are merged.
     pub merged: u64,
+    /// Services divided by key, read of the items once for each change.
+    pub sharded: Arc<Vec<Service>>,
     /// It has compared itself with a majority since its start.
     pub settled: bool,
     /// A write failed: no ballot is answered until all has been written once more.
@@ -29,6 +31,11 @@
 }
 
 impl Core {
+    /// Reads the services anew.
+    pub fn services(&mut self) {
+        self.sharded = Arc::new(self.manifest.services().filter(|s| s.sharded).collect());
+    }
+
     /// All of it, as it has to be on disk.
     pub fn whole(&self) -> Batch {
         Batch {
@@ -48,6 +55,7 @@
     pub control: String,
     pub custody: Vec<String>,
     pub merged: u64,
+    pub tasks: u64,
     pub at: Moment,
 }
 
@@ -147,6 +155,9 @@
         let changed = {
             let mut core = lock(&self.core);
             let changed: Vec<Item> = items.iter().filter(|i| core.manifest.merge(i)).cloned().collect();
+            if changed.iter().any(|item| item.key.starts_with("s/")) {
+                core.services();
+            }
             let further = merged > core.merged;
             core.merged = core.merged.max(merged);
             if !changed.is_empty() || further {
--- a/harbour/harbourmaster/src/serve.rs
+++ b/harbour/harbourmaster/src/serve.rs
@@ -40,8 +40,15 @@
         written.map_err(|e| e.to_string())?;
     }
     let tasks = held.tasks;
-    let core =
-        Core { acceptor, manifest: held.manifest, merged: held.merged, settled: false, unsound: false };
+    let mut core = Core {
+        acceptor,
+        manifest: held.manifest,
+        merged: held.merged,
+        sharded: Arc::default(),
+        settled: false,
+        unsound: false,
+    };
+    core.services();
     Ok((core, store, first, tasks))
 }
 
--- a/harbour/harbourmaster/src/tick.rs
+++ b/harbour/harbourmaster/src/tick.rs
@@ -40,7 +40,7 @@
         let (heard, fallen, forgotten) = {
             let mut yard = lock(&self.yard);
             let forgotten = yard.forgotten(now);
-            let lately = yard.all().filter(|known| known.heard >= last);
+            let lately = yard.all().filter(|known| known.beat.is_some_and(|at| at >= last));
             let (ids, seqs) = lately.map(|k| (k.task.id.clone(), k.task.call_seq)).unzip();
             (Heard { tasks: Vec::new(), ids, seqs }, yard.fallen(now), forgotten)
         };
--- a/harbour/muster/src/tasks.rs
+++ b/harbour/muster/src/tasks.rs
@@ -13,6 +13,8 @@
 pub struct Known {
     pub task: Task,
     pub heard: Moment,
+    /// When its own beat came here last.
+    pub beat: Option<Moment>,
     cold_until: Moment,
 }
 
@@ -40,7 +42,7 @@
     /// soon.
     pub fn restore(&mut self, tasks: Vec<Task>) {
         for task in tasks {
-            let known = Known { heard: self.born, cold_until: self.born, task };
+            let known = Known { heard: self.born, beat: None, cold_until: self.born, task };
             self.tasks.insert(known.task.id.clone(), known);
         }
     }
@@ -62,7 +64,8 @@
     pub fn word(&mut self, now: Moment, word: &Task) -> bool {
         let cold_until = now + Span::from_micros(i64::from(word.cold_left_ms) * 1000);
         let Some(known) = self.tasks.get_mut(&word.id) else {
-            self.tasks.insert(word.id.clone(), Known { task: word.clone(), heard: now, cold_until });
+            self.tasks
+                .insert(word.id.clone(), Known { task: word.clone(), heard: now, beat: None, cold_until });
             return true;
         };
         let newer = word.call_seq > known.task.call_seq;
@@ -76,6 +79,23 @@
         before != (known.task.state, known.task.silent) || colder
     }
 
+    /// A task's own beat came here.
+    pub fn beaten(&mut self, now: Moment, id: &str) {
+        if let Some(known) = self.tasks.get_mut(id) {
+            known.beat = Some(now);
+        }
+    }
+
+    /// Sum over the tasks that are heard of: members that know the same have the same.
+    pub fn digest(&self) -> u64 {
+        let lively = |known: &&Known| !known.task.silent && known.task.state != State::Gone as i32;
+        let mix = |known: &Known| {
+            let bytes = known.task.id.bytes().chain([known.task.state as u8]);
+            bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+        };
+        self.tasks.values().filter(lively).map(mix).fold(0, u64::wrapping_add)
+    }
+
     /// Another member heard it lately.
     pub fn heard(&mut self, now: Moment, id: &str, seq: u64) -> bool {
         let Some(known) = self.tasks.get_mut(id) else { return false };
--- a/harbour/tidings/src/core.rs
+++ b/harbour/tidings/src/core.rs
@@ -176,6 +176,9 @@
     /// Addresses for what it serves.
     #[prost(string, tag = "7")]
     pub control: String,
+    /// Sum over the tasks that it hears of: members that know the same tell the same.
+    #[prost(uint64, tag = "8")]
+    pub tasks: u64,
 }
 
 /// News of tasks, and who was heard lately: by `InstanceId` and `CallSeq`.
