--- a/harbour/strongroom/tests/store.rs
+++ b/harbour/strongroom/tests/store.rs
@@ -6,7 +6,7 @@
 use lynxmill::Pcg;
 use lynxmill_manifest::Item;
 use lynxmill_strongroom::{Batch, Fault, Held, Store, VERSION};
-use lynxmill_tidings::{Ballot, Members, Register};
+use lynxmill_tidings::{Ballot, Members, Register, Task};
 
 fn item(n: u64) -> Item {
     Item {
@@ -28,9 +28,15 @@
         members: Some(members),
         merged: Some(n),
         counts: Some(n.is_multiple_of(2)),
+        tasks: vec![task(n)],
+        forgotten: n.checked_sub(2).map(|old| task(old).id).into_iter().collect(),
     }
 }
 
+fn task(n: u64) -> Task {
+    Task { id: format!("i-{n}"), call_seq: n, ..Task::default() }
+}
+
 /// Holds all batches up to `n`, and at most one that was on its way.
 fn holds(held: &Held, n: u64) {
     let at = held.merged;
@@ -38,6 +44,10 @@
     assert_eq!(held.manifest.items.len() as u64, at + 1);
     assert!((0..=at).all(|k| held.manifest.items.get(&item(k).key) == Some(&item(k))));
     assert_eq!((held.members.epoch, held.counts), (at, at.is_multiple_of(2)));
+    // Tasks come and are forgotten: the last two are there.
+    let mut tasks: Vec<u64> = held.tasks.iter().map(|task| task.call_seq).collect();
+    tasks.sort_unstable();
+    assert_eq!(tasks, (at.saturating_sub(1)..=at).collect::<Vec<_>>());
     assert_eq!(held.registers, batch(at).registers);
 }
 
