Shuts are told to edges with the owner's next beat: a slice is served until it can be let go

Cause: a slice was bare from the decision to its new owner's grant, up to three beats; for the first of them its owner still held it. Change: the shut goes out when the owner's beat is answered without the slice, or at once where the owner holds nothing, leaves no beat or is silent. The generation still waits for every edge's answer.

--- a/harbour/berths/src/place.rs
+++ b/harbour/berths/src/place.rs
@@ -82,6 +82,8 @@
     hold: Hold,
     /// The mark of its shut, while it is shut.
     shut: Option<u64>,
+    /// Edges are told of the shut: not before its owner can be told with its next beat.
+    told: bool,
     /// Decided, but not on disk yet.
     next: Option<u32>,
     /// Owner and fence of a write that may or may not stand in the register.
@@ -105,6 +107,8 @@
     number: u32,
     proxy: usize,
     answered: u64,
+    /// Its last beat.
+    beat: Option<Moment>,
 }
 
 /// A placement in one custodian's hands.
@@ -115,11 +119,15 @@
     places: Vec<Place>,
     holders: BTreeMap<String, Holder>,
     names: BTreeMap<u32, String>,
-    /// Edges by name: their proxy's number, and the mark that each has answered while joined.
+    /// Edges by name: their proxy's number, and the table that each has answered while joined.
     edges: BTreeMap<String, (usize, u64, bool)>,
     proxies: usize,
+    /// The last mark of the assigner, and when each was made.
     mark: u64,
     marked: BTreeMap<u64, Moment>,
+    /// The number of the last table that went out, and, for each mark, of the one with all that was shut by it.
+    table: u64,
+    tables: BTreeMap<u64, u64>,
     listed: BTreeMap<String, (Standing, Option<Moment>)>,
     seen: BTreeMap<String, Seen>,
     reported: Moment,
@@ -186,6 +194,8 @@
             proxies: 0,
             mark: 0,
             marked: BTreeMap::new(),
+            table: 0,
+            tables: BTreeMap::new(),
             listed: BTreeMap::new(),
             seen: BTreeMap::new(),
             reported: now,
@@ -221,7 +231,7 @@
             let proxy = self.proxies;
             self.proxies += 1;
             self.names.insert(number, id.to_owned());
-            self.holders.insert(id.to_owned(), Holder { number, proxy, answered: 0 });
+            self.holders.insert(id.to_owned(), Holder { number, proxy, answered: 0, beat: None });
             self.streams.push((proxy, true));
         }
         self.holders.get_mut(id).expect("was put there")
@@ -230,18 +240,22 @@
     /// A beat of one of the service's tasks: what the task is to hold, from when it sent the beat. None if it may
     /// not be told anything by this custodian.
     pub fn beat(&mut self, now: Moment, told: &Told) -> Vec<Grant> {
-        // Once it has answered a shut it gets nothing that was shut by then, whatever edges have joined.
-        let answered = self.holder(&told.id).answered;
+        self.holder(&told.id).beat = Some(now);
         self.released(&told.id, &told.released);
         let mut grants = Vec::new();
         for i in 0..self.places.len() {
-            let over = |mark: u64| mark <= answered || self.edges_clear(now, mark);
-            let cleared = self.places[i].shut.is_some_and(over);
             let place = &mut self.places[i];
             let owns = place.slice.owner == told.id;
+            if owns && place.shut.is_some() {
+                // Edges shut it while its owner lets it go: until now it was served.
+                if !std::mem::replace(&mut place.told, true) {
+                    self.dirty.insert(i);
+                }
+                continue;
+            }
             let other = place.hold.by(now).is_some_and(|task| task != told.id);
             let leaves = place.next.is_some_and(|n| self.names[&n] != told.id);
-            if !owns || cleared || other || leaves || place.unsure.is_some() {
+            if !owns || other || leaves || place.unsure.is_some() {
                 continue;
             }
             place.hold.grant(now, &told.id, self.terms.hold);
@@ -303,14 +317,26 @@
         if term == self.berth.term
             && let Some(edge) = self.edges.get_mut(name)
         {
-            edge.1 = edge.1.max(mark.min(self.mark));
+            edge.1 = edge.1.max(mark.min(self.table));
         }
     }
 
-    /// Whether the edges that are joined have shut what was shut by a mark, or have had long enough.
-    fn edges_clear(&self, now: Moment, mark: u64) -> bool {
-        let long = self.marked.get(&mark).is_some_and(|at| now - *at > self.terms.lease);
-        long || self.edges.values().all(|(_, answered, joined)| !joined || *answered >= mark)
+    /// The newest mark that an edge has answered by answering a table.
+    fn answered(&self, table: u64) -> u64 {
+        self.tables.iter().rev().find(|(_, number)| **number <= table).map_or(0, |(mark, _)| *mark)
+    }
+
+    /// Tells edges of shuts whose owner need not be waited for: it holds nothing, leaves, or missed a beat.
+    fn tell_shuts(&mut self, now: Moment) {
+        for (i, place) in self.places.iter_mut().enumerate().filter(|(_, p)| p.shut.is_some() && !p.told) {
+            let owner = &place.slice.owner;
+            let holds = place.hold.by(now) == Some(owner.as_str());
+            let beat = self.holders.get(owner).and_then(|holder| holder.beat);
+            if !holds || beat.is_none_or(|at| now - at > self.terms.gather) {
+                place.told = true;
+                self.dirty.insert(i);
+            }
+        }
     }
 
     /// What an edge saw.
@@ -377,17 +403,19 @@
     pub fn turn(&mut self, now: Moment, tasks: &[Task], empty: &dyn Fn(&str) -> bool) -> Put {
         let listed = if self.gathering(now, tasks) { Vec::new() } else { self.listings(now, tasks, empty) };
         let mut answers: Vec<(usize, u64)> = Vec::new();
+        // Nobody answers what edges have not been told: one that joins now would get the slice open.
+        let told = self.tables.last_key_value().map_or(0, |(mark, _)| *mark);
         for holder in self.holders.values_mut() {
             let id = &self.names[&holder.number];
             let owes = self.places.iter().filter(|p| p.hold.by(now) == Some(id.as_str()));
             let first = owes.filter_map(|p| p.shut).min();
-            let cleared = first.map_or(self.mark, |mark| mark.saturating_sub(1));
+            let cleared = first.map_or(self.mark, |mark| mark.saturating_sub(1)).min(told);
             if cleared > holder.answered {
                 holder.answered = cleared;
                 answers.push((holder.proxy, cleared));
             }
         }
-        answers.extend(self.edges.values().filter(|e| e.2).map(|e| (e.0, e.1)));
+        answers.extend(self.edges.values().filter(|e| e.2).map(|e| (e.0, self.answered(e.1))));
         let span = now - self.reported;
         let due = span >= self.terms.interval;
         let seen = if due { std::mem::take(&mut self.seen) } else { BTreeMap::new() };
@@ -448,9 +476,9 @@
         }
         // One that was published before, or in this very turn, stays shut once that is written.
         for i in notes.shut {
-            self.places[i].shut = Some(self.mark);
-            self.dirty.insert(i);
+            (self.places[i].shut, self.places[i].told) = (Some(self.mark), false);
         }
+        self.tell_shuts(now);
         let wanted = std::mem::take(&mut self.writing).then(|| self.wanted());
         // The same owners go on: that is on disk already.
         let (same, write) = match wanted {
@@ -458,7 +486,15 @@
             other => (None, other),
         };
         same.into_iter().for_each(|berth| self.written(berth));
-        let table = (notes.mark.is_some() || !self.dirty.is_empty() || self.whole).then(|| self.table());
+        let table = (!self.dirty.is_empty() || self.whole).then(|| self.next_table());
+        let open = self.places.iter().filter(|p| !p.told).filter_map(|p| p.shut).min();
+        let told = open.map_or(self.mark, |mark| mark - 1);
+        for mark in self.tables.last_key_value().map_or(1, |(mark, _)| mark + 1)..=told {
+            self.tables.insert(mark, self.table);
+        }
+        while self.tables.len() > 256 {
+            self.tables.pop_first();
+        }
         Put { write, table, stays: notes.stays.len(), moves }
     }
 
@@ -510,12 +546,13 @@
 
     fn row(&self, i: usize) -> Row {
         let place = &self.places[i];
-        let shut = place.shut.is_some() || place.next.is_some() || !place.granted;
+        let shut = (place.shut.is_some() && place.told) || place.next.is_some() || !place.granted;
         let Slice { from, to, owner, fence } = place.slice.clone();
         Row { from, to, owner, fence, shut }
     }
 
-    fn table(&mut self) -> Table {
+    fn next_table(&mut self) -> Table {
+        self.table += 1;
         let whole = std::mem::take(&mut self.whole);
         let dirty = std::mem::take(&mut self.dirty);
         if whole {
@@ -523,14 +560,14 @@
         }
         let rows = dirty.into_iter().map(|i| self.row(i)).collect();
         let (service, term) = (self.terms.service.clone(), self.berth.term);
-        Table { service, term, mark: self.mark, whole, rows }
+        Table { service, term, mark: self.table, whole, rows }
     }
 
     /// For an edge that has just joined.
     pub fn whole_table(&self) -> Table {
         let rows = (0..self.places.len()).map(|i| self.row(i)).collect();
         let (service, term) = (self.terms.service.clone(), self.berth.term);
-        Table { service, term, mark: self.mark, whole: true, rows }
+        Table { service, term, mark: self.table, whole: true, rows }
     }
 
     /// Slices on their way, and tasks that own any.
