Busy slices are cut finer: a slice with over 0.3 of an owner's fair part makes four

Cause: busy keys sit close together, one of 64 slices carried a quarter of a service's requests, and its owner could not be relieved: a slice moves only as a whole. Change: while no slice is on its way, those with over 0.3 of a fair part are cut in four, up to 100; parts stay with their owner under its fence, the assigner begins anew with their rates; neighbours alike make one row where a beat's answer would grow long.

--- a/harbour/berths/src/lib.rs
+++ b/harbour/berths/src/lib.rs
@@ -4,6 +4,7 @@
 mod holds;
 mod orders;
 mod place;
+mod split;
 
 pub use holds::{Hold, SLOW_CLOCK};
 pub use place::{Grant, Plan, Put, Terms, Told, fresh};
--- a/harbour/berths/src/place.rs
+++ b/harbour/berths/src/place.rs
@@ -8,6 +8,7 @@
 
 use crate::holds::Hold;
 use crate::orders::Notes;
+use crate::split;
 
 /// Keys go from 0 to this.
 const LAST_KEY: u32 = 65535;
@@ -16,6 +17,10 @@
 const TIPS_AT: f64 = 3.0;
 /// Room in the channel to edges is no concern of placement here: streams push back by themselves.
 const AMPLE: f64 = 1e9;
+/// Rows of a beat's answer before neighbours are put together.
+const ROWS: usize = 48;
+/// Weight of the newest interval in a slice's rate.
+const FRESH: f64 = 0.6;
 
 /// What a placement goes by.
 #[derive(Clone, Debug)]
@@ -34,6 +39,8 @@
     /// How long tasks may take to be heard of after the first, before slices without owner are given out.
     pub gather: Span,
     pub warm_after: Span,
+    /// Slices that it may be cut into where the requests are: rows of a beat's answer are bounded.
+    pub most: usize,
 }
 
 /// Slices of a service that nobody has owned yet.
@@ -92,6 +99,8 @@
     /// The owner was granted it: edges may send.
     granted: bool,
     requests: f64,
+    /// Requests a second, of late.
+    rate: f64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -111,6 +120,51 @@
     beat: Option<Moment>,
 }
 
+fn facts(terms: &Terms, slices: usize) -> Facts {
+    Facts {
+        operations: vec![Operation {
+            name: "all".to_owned(),
+            billed_value: 1.0,
+            latency_objective: terms.aim,
+        }],
+        slices,
+        assigners: 1,
+        position: Some(0),
+        dropped_stay_open: false,
+        held_field: Some(0),
+        interval: terms.interval,
+        zones: 1.0,
+        bare: terms.lease.times(4.0),
+        lease: terms.lease,
+        push_delay: Span::from_micros(20_000),
+        push_delay_max: Span::from_micros(200_000),
+        lines_per_s: AMPLE,
+        drain_grace: terms.drain,
+        most_waiting: AMPLE,
+        pushes_allowed: f64::INFINITY,
+        reload_span: terms.interval,
+        cold_from: COLD_FROM,
+        tip_multiple: TIPS_AT,
+        warm_after: terms.warm_after,
+        ..Facts::default()
+    }
+}
+
+/// Neighbours that are alike make one row: a beat's answer has to stay short.
+fn alike(grants: Vec<Grant>) -> Vec<Grant> {
+    let mut few: Vec<Grant> = Vec::new();
+    for grant in grants {
+        let same = |last: &&mut Grant| {
+            last.to + 1 == grant.from && last.fence == grant.fence && last.handover == grant.handover
+        };
+        match few.last_mut().filter(same) {
+            Some(last) => last.to = grant.to,
+            None => few.push(grant),
+        }
+    }
+    few
+}
+
 /// A placement in one custodian's hands.
 pub struct Plan {
     terms: Terms,
@@ -138,6 +192,10 @@
     stored: Option<Vec<Option<u32>>>,
     /// Streams that began or ended since the last turn.
     streams: Vec<(usize, bool)>,
+    /// Requests a second of each slice, for an assigner that has just begun.
+    rates: Option<Vec<f64>>,
+    /// The mark at which the assigner began.
+    base: u64,
     /// When the first task was listed, while nobody has owned anything yet.
     first_listed: Option<Moment>,
 }
@@ -145,33 +203,6 @@
 impl Plan {
     /// Takes a service over, by what its register holds, in the custodian's own term.
     pub fn new(now: Moment, seed: u64, terms: Terms, berth: Berth) -> Self {
-        let facts = Facts {
-            operations: vec![Operation {
-                name: "all".to_owned(),
-                billed_value: 1.0,
-                latency_objective: terms.aim,
-            }],
-            slices: berth.slices.len(),
-            assigners: 1,
-            position: Some(0),
-            dropped_stay_open: false,
-            held_field: Some(0),
-            interval: terms.interval,
-            zones: 1.0,
-            bare: terms.lease.times(4.0),
-            lease: terms.lease,
-            push_delay: Span::from_micros(20_000),
-            push_delay_max: Span::from_micros(200_000),
-            lines_per_s: AMPLE,
-            drain_grace: terms.drain,
-            most_waiting: AMPLE,
-            pushes_allowed: f64::INFINITY,
-            reload_span: terms.interval,
-            cold_from: COLD_FROM,
-            tip_multiple: TIPS_AT,
-            warm_after: terms.warm_after,
-            ..Facts::default()
-        };
         let until = now + terms.longest_hold.times(crate::holds::SLOW_CLOCK) + terms.lease;
         let place = |slice: &Slice| {
             let task = (!slice.owner.is_empty()).then(|| slice.owner.clone());
@@ -184,7 +215,7 @@
         };
         let places: Vec<Place> = berth.slices.iter().map(place).collect();
         let mut plan = Plan {
-            assigner: Assigner::new(seed, now, facts),
+            assigner: Assigner::new(seed, now, facts(&terms, berth.slices.len())),
             terms,
             places,
             berth,
@@ -204,6 +235,8 @@
             writing: false,
             stored: None,
             streams: Vec::new(),
+            rates: None,
+            base: 0,
             first_listed: None,
         };
         let owners: Vec<String> = plan.places.iter().map(|p| p.slice.owner.clone()).collect();
@@ -259,9 +292,9 @@
                 continue;
             }
             place.hold.grant(now, &told.id, self.terms.hold);
-            let holds = told.holdings.iter().any(|(from, to, fence)| {
-                *fence == place.slice.fence && *from <= place.slice.from && place.slice.to <= *to
-            });
+            let same = told.holdings.iter().filter(|row| row.2 == place.slice.fence);
+            let rows = same.map(|row| (row.0, row.1)).collect();
+            let holds = split::covered(rows, place.slice.from, place.slice.to);
             if !std::mem::replace(&mut place.granted, true) {
                 self.dirty.insert(i);
             }
@@ -269,20 +302,20 @@
             let Slice { from, to, fence, .. } = place.slice;
             grants.push(Grant { from, to, fence, handover });
         }
-        grants
+        if grants.len() > ROWS { alike(grants) } else { grants }
     }
 
     /// Keys that a task has let go, in a beat or with its sign-off.
     fn released(&mut self, id: &str, rows: &[(u32, u32, String)]) {
-        for (from, to, handover) in rows {
-            for place in &mut self.places {
-                let covered = *from <= place.slice.from && place.slice.to <= *to;
-                // What it still is to hold it has not let go for good: such a row is older than its grant.
-                let leaves = place.shut.is_some() || place.next.is_some() || place.slice.owner != id;
-                if covered && leaves && place.hold.task.as_deref() == Some(id) {
-                    place.hold.free();
-                    place.handover = handover.clone();
-                }
+        for place in &mut self.places {
+            let Slice { from, to, .. } = place.slice;
+            let covered = split::covered(rows.iter().map(|row| (row.0, row.1)).collect(), from, to);
+            // What it still is to hold it has not let go for good: such a row is older than its grant.
+            let leaves = place.shut.is_some() || place.next.is_some() || place.slice.owner != id;
+            if covered && leaves && place.hold.task.as_deref() == Some(id) {
+                place.hold.free();
+                let row = rows.iter().find(|row| row.0 <= from && from <= row.1);
+                place.handover = row.map(|row| row.2.clone()).unwrap_or_default();
             }
         }
     }
@@ -422,13 +455,17 @@
         let demand: Vec<f64> = if due {
             self.reported = now;
             let demand: Vec<f64> = self.places.iter_mut().map(|p| std::mem::take(&mut p.requests)).collect();
+            for (place, requests) in self.places.iter_mut().zip(&demand) {
+                place.rate += (requests / span.secs() - place.rate) * FRESH;
+            }
             // No request at all tells nothing of where they will be: without heat all places look alike.
             if demand.iter().sum::<f64>() > 0.0 { demand } else { Vec::new() }
         } else {
             Vec::new()
         };
         let (streams, stored) = (std::mem::take(&mut self.streams), self.stored.take());
-        let (holders, marked) = (&self.holders, &self.marked);
+        let rates = self.rates.take();
+        let (holders, marked, base) = (&self.holders, &self.marked, self.base);
         let feed = |assigner: &mut Assigner| {
             for (i, number) in stored.into_iter().flatten().enumerate() {
                 assigner.custody(i, true);
@@ -442,9 +479,9 @@
             if !listed.is_empty() {
                 assigner.listed(false, false, &listed);
             }
-            for (proxy, mark) in answers.iter().filter(|(_, mark)| *mark > 0) {
+            for (proxy, mark) in answers.iter().filter(|(_, mark)| *mark > base) {
                 let elapsed = marked.get(mark).map_or(Span::default(), |at| now - *at);
-                assigner.answered(*proxy, (*mark & 0xffff) as u16, elapsed);
+                assigner.answered(*proxy, ((*mark - base) & 0xffff) as u16, elapsed);
             }
             for (id, sums) in &seen {
                 let done = (sums.tries - sums.lost).max(1.0);
@@ -452,6 +489,9 @@
                 let held: Vec<f64> = sums.held.into_iter().collect();
                 assigner.heard(holders[id].number, sums.tries, sums.lost, took, span, &held);
             }
+            for (i, rate) in rates.iter().flatten().enumerate() {
+                assigner.demand(i, 0, *rate, Span::from_secs(1.0));
+            }
             for (i, requests) in demand.iter().enumerate() {
                 assigner.demand(i, 0, *requests, span);
             }
@@ -459,7 +499,46 @@
         };
         let mut notes = Notes::default();
         let _ = self.assigner.round(now, feed, &mut notes);
-        self.carry_out(now, notes)
+        let put = self.carry_out(now, notes);
+        if due && put.write.is_none() {
+            self.split(now);
+        }
+        put
+    }
+
+    /// Cuts busy slices, while none is on its way: all parts stay with their owner, under its fence, and the
+    /// assigner begins anew with them. The register learns of the parts with the next write.
+    fn split(&mut self, now: Moment) {
+        let still = |p: &Place| p.shut.is_none() && p.next.is_none() && p.unsure.is_none() && p.granted;
+        let owners: BTreeSet<&str> = self.places.iter().map(|p| p.slice.owner.as_str()).collect();
+        let rates: Vec<f64> = self.places.iter().map(|p| p.rate).collect();
+        let busy = split::busy(&self.berth.slices, &rates, owners.len(), self.terms.most);
+        if busy.is_empty() || !self.places.iter().all(still) {
+            return;
+        }
+        let mut places = Vec::new();
+        for (i, place) in std::mem::take(&mut self.places).into_iter().enumerate() {
+            if !busy.contains(&i) {
+                places.push(place);
+                continue;
+            }
+            let parts = split::parts(&place.slice);
+            let rate = place.rate / parts.len() as f64;
+            places.extend(parts.into_iter().map(|slice| Place { slice, rate, ..place.clone() }));
+        }
+        self.places = places;
+        self.berth.slices = self.places.iter().map(|p| p.slice.clone()).collect();
+        self.dirty = (0..self.places.len()).collect();
+        let numbers =
+            self.places.iter().map(|p| self.holders.get(&p.slice.owner).map(|h| h.number)).collect();
+        self.stored = Some(numbers);
+        self.rates = Some(self.places.iter().map(|p| p.rate).collect());
+        self.listed.clear();
+        self.streams = self.edges.values().map(|edge| (edge.0, edge.2)).collect();
+        self.streams.extend(self.holders.values().map(|holder| (holder.proxy, true)));
+        self.base = self.mark;
+        let seed = self.berth.term ^ now.micros() as u64;
+        self.assigner = Assigner::new(seed, now, facts(&self.terms, self.places.len()));
     }
 
     fn carry_out(&mut self, now: Moment, notes: Notes) -> Put {
--- a/harbour/berths/tests/place.rs
+++ b/harbour/berths/tests/place.rs
@@ -23,6 +23,7 @@
         drain: ms(2000),
         gather: ms(650),
         warm_after: ms(1000),
+        most: 8,
     }
 }
 
--- a/harbour/berths/tests/world/mod.rs
+++ b/harbour/berths/tests/world/mod.rs
@@ -34,6 +34,7 @@
         drain: ms(2000),
         gather: ms(650),
         warm_after: ms(1000),
+        most: SLICES as usize,
     }
 }
 
--- a/harbour/gauge/src/slices.rs
+++ b/harbour/gauge/src/slices.rs
@@ -40,6 +40,7 @@
             drain: Span::from_secs(3.0),
             gather: Span::from_secs(2.0),
             warm_after: Span::from_secs(3.0),
+            most: 64,
         };
         let berth = Berth { term: 1, holder: "10.0.0.1".to_owned(), slices: fresh(SLICES) };
         let mut plan = Plan::new(Moment::default(), 7, terms, berth);
--- a/harbour/harbourmaster/src/custody.rs
+++ b/harbour/harbourmaster/src/custody.rs
@@ -22,6 +22,8 @@
 const HOLD: f64 = 5.0;
 /// Slices that a service is divided into at first.
 const SLICES: u32 = 64;
+/// Slices that it may come to: their rows have to fit into a beat's answer of 4 KiB.
+const MOST: usize = 100;
 const WRITE: Duration = Duration::from_millis(700);
 
 /// A service that this member has custody of, or would like to have.
@@ -62,6 +64,7 @@
             drain: Span::from_secs(bounds.drain_s.max(1.0)),
             gather: Span::from_secs(self.local.beat_interval_s * 1.3),
             warm_after: Span::from_secs(service.cold_start_s.max(0.1)),
+            most: MOST,
         }
     }
 
