lynxmill system: files checked, programs shown, changes planned, the system tried

Change: harbour/wharf, a library with an xflags parser behind `lynxmill system check|show|plan|try`. `check` tells every fault, `plan` goes by the harbourmaster's own validity, `try` starts three harbourmasters, two quays, five stand-in tasks and a client on loopback. The settings file's faults are all told at once by all programs.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -12,6 +12,7 @@
 mod registry;
 mod replay;
 mod settings;
+mod system;
 mod top;
 mod trial;
 
@@ -47,6 +48,8 @@
     Registry(registry::Command),
     /// Settings files: check, show whole, compare, export the schema.
     Settings(settings::Wish),
+    /// The whole system: check files, show programs, plan changes, try all of it on loopback.
+    System(system::Wish),
     /// A live view of servers, moves, orders and events.
     Top(top::Wish),
     /// A whole deployment on loopback, with clients and troubles, and whether the rules hold.
@@ -71,6 +74,7 @@
         Command::Registry(command) => registry::run(command),
         Command::Replay(wish) => replay::run(&wish),
         Command::Settings(wish) => settings::run(&wish),
+        Command::System(wish) => system::run(wish),
         Command::Top(wish) => top::run(&wish),
         Command::Try(wish) => trial::run(&wish),
         Command::Completions { shell } => help::completions(shell, &mut Line::command()),
--- /dev/null
+++ b/cli/src/system.rs
@@ -0,0 +1,20 @@
+//! `lynxmill system`: its words go to a parser of its own.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use clap::Args;
+
+use crate::end::Fail;
+
+#[derive(Args)]
+#[command(disable_help_flag = true)]
+pub struct Wish {
+    /// check, show, plan or try, and their words; `--help` tells of each.
+    #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+    words: Vec<OsString>,
+}
+
+pub fn run(wish: Wish) -> Result<ExitCode, Fail> {
+    Ok(ExitCode::from(lynxmill_wharf::run(wish.words)))
+}
--- a/cli/tests/line.rs
+++ b/cli/tests/line.rs
@@ -386,3 +386,31 @@
     assert_eq!(code(&output), 1);
     assert!(text(&output.stderr).contains("the assigner said nothing"));
 }
+
+#[test]
+fn the_words_of_the_whole_system_end_with_codes_of_their_own() {
+    let folder = Folder::new("system");
+    let (deploy, first, next) =
+        (folder.file("deploy.toml"), folder.file("first.json"), folder.file("next.json"));
+    let write = |path: &str, text: &str| std::fs::write(path, text).expect("a file");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/system.toml");
+    assert_eq!(code(&run(&["system", "check", &root.to_string_lossy()])), 0);
+    write(
+        &deploy,
+        "build = \"\"\n[roles.gate]\nrun = \"sh gate\"\non = \"edge\"\nshare = 2\nserves = [\"edge\"]\n",
+    );
+    let checked = run(&["system", "check", &deploy]);
+    // The build, the helper, the share, and two that nobody serves.
+    assert_eq!((code(&checked), text(&checked.stdout).lines().count()), (4, 5), "{}", text(&checked.stdout));
+    write(&first, r#"{"Services": [{"Name": "mill", "Version": "00000001"}]}"#);
+    write(&next, r#"{"Upsert": {"Services": [{"Name": "mill", "MaxConns": 5, "Version": "00000002"}]}}"#);
+    let planned = run(&["system", "plan", &first, &next]);
+    assert_eq!(code(&planned), 0, "{}", text(&planned.stderr));
+    assert!(text(&planned.stdout).contains("service mill: version 00000001 -> 00000002"));
+    write(&next, r#"{"Upsert": {"Routes": [{"Name": "r", "Version": "1"}]}}"#);
+    assert_eq!(code(&run(&["system", "plan", &first, &next])), 6);
+    assert_eq!(code(&run(&["system", "plan", "nowhere", &next])), 1);
+    assert_eq!(code(&run(&["system", "try", "--programs", &folder.file("none")])), 1);
+    assert_eq!(code(&run(&["system", "no-such-word"])), 2);
+    assert_eq!(code(&run(&["system", "--help"])), 0);
+}
--- /dev/null
+++ b/harbour/harbourmaster/tests/system.rs
@@ -0,0 +1,175 @@
+//! The whole system as real processes on loopback. quay is taken from beside harbourmaster, where a test of the
+//! workspace builds both.
+
+use std::path::Path;
+use std::time::Duration;
+
+use lynxmill_wharf::{Deployment, HOST, Kind, Sent, Task, configuration, get, kinds, patch, send, tasks};
+use serde_json::{Value, json};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn programs() -> &'static Path {
+    let folder = Path::new(env!("CARGO_BIN_EXE_harbourmaster")).parent().expect("a folder");
+    let quay = folder.join("quay");
+    assert!(
+        quay.is_file(),
+        "{}: `cargo build -p lynxmill-quay`, or test the whole workspace",
+        quay.display()
+    );
+    folder
+}
+
+/// What stands as a member reads it back, its lists in order of names.
+fn read_back(control: &str) -> Option<Value> {
+    get(control, "/v1/configuration").ok().filter(|answer| answer.status == 200)?.json().ok()
+}
+
+/// A call's items as they are to be read back.
+fn laid_out(call: &Value) -> Value {
+    let mut whole = call["Upsert"].clone();
+    for list in ["Routes", "Services"] {
+        let rows = whole[list].as_array_mut().expect("a list");
+        rows.sort_by_key(|row| row["Name"].as_str().map(str::to_owned));
+    }
+    whole
+}
+
+/// A route that serves at another path.
+fn route(name: &str, version: &str, service: &str) -> Value {
+    json!({"Upsert": {"Routes": [{
+        "Name": format!("r-{name}"), "Host": HOST, "PathPrefix": format!("/{name}/"), "RouteKind": "idempotent",
+        "TimeoutS": 5.0, "TargetS": 1.0, "Priority": 1, "Service": service, "MaxAttempts": 2, "HomeRegions": [],
+        "Version": version,
+    }]}})
+}
+
+fn read(prefix: &'static str) -> Kind {
+    Kind { prefix, ..kinds()[0] }
+}
+
+struct Running {
+    system: Deployment,
+    tasks: Vec<Task>,
+}
+
+/// A system that has acknowledged its first configuration and whose edges are ready.
+fn started() -> Running {
+    let mut system = Deployment::start(programs()).expect("the system starts");
+    let tasks = tasks(&system).expect("tasks start");
+    let (by, answer) = system.configure(&configuration(), PATIENCE).expect("an answer");
+    assert_eq!(answer.status, 200, "{by}: {}", answer.body);
+    system.wait_ready(PATIENCE).expect("edges are ready");
+    Running { system, tasks }
+}
+
+impl Running {
+    /// Sends until one is served; a request may be refused while tables and slices come.
+    fn served(&mut self, front: &str, kind: &Kind) -> Sent {
+        let mut last = None;
+        let what = format!("{} at {front}", kind.name);
+        let waited = self.system.wait(&what, PATIENCE, || {
+            let sent = send(front, kind).ok();
+            let served = sent.as_ref().is_some_and(Sent::served);
+            last = sent;
+            served
+        });
+        waited.unwrap_or_else(|fault| panic!("{fault}; the last answer: {last:?}"));
+        last.expect("an answer")
+    }
+
+    fn reads_back(&mut self, n: usize, wanted: &Value) {
+        let control = self.system.controls()[n].clone();
+        let mut last = None;
+        let waited = self.system.wait("it reads back all", PATIENCE, || {
+            last = read_back(&control);
+            last.as_ref() == Some(wanted)
+        });
+        waited.unwrap_or_else(|fault| panic!("{fault}; the last: {last:?}, wanted: {wanted}"));
+    }
+}
+
+#[test]
+fn requests_of_each_kind_are_served_and_run_once() {
+    let mut running = started();
+    for front in running.system.fronts() {
+        for kind in &kinds() {
+            for _ in 0..8 {
+                let sent = running.served(&front, kind);
+                let wanted = format!("ran {} {} with {} bytes", kind.method, sent.path, kind.bytes);
+                assert!(sent.answer.body.contains(&wanted), "{sent:?}");
+            }
+        }
+    }
+    let runs = running.tasks.iter().flat_map(Task::runs);
+    let mut by_attempt = std::collections::BTreeMap::<String, u32>::new();
+    runs.for_each(|(attempt, times)| *by_attempt.entry(attempt).or_default() += times);
+    let twice: Vec<_> = by_attempt.iter().filter(|(_, times)| **times > 1).collect();
+    assert!(twice.is_empty(), "no task failed, yet these ran more than once: {twice:?}");
+    // Each key has one owner, once no slice is on its way.
+    let tasks = &running.tasks;
+    let held = || tasks.iter().map(Task::keys).sum::<usize>() == 65_536;
+    running.system.wait("each key has one owner", PATIENCE, held).expect("owners");
+}
+
+#[test]
+fn an_invalid_change_is_refused_by_one_and_in_force_nowhere() {
+    let mut running = started();
+    let controls = running.system.controls();
+    let wanted = laid_out(&configuration());
+    let invalid = route("bad", "00000009", "nobody");
+    let refused = patch(&controls[0], &invalid).expect("an answer");
+    assert_eq!(refused.status, 400, "{}", refused.body);
+    assert!(refused.body.contains("nobody"), "{}", refused.body);
+    // Part of it is valid: it is refused whole.
+    let mut mixed = route("half", "00000009", "mill");
+    mixed["Remove"] = json!({"Services": [{"Name": "sorter", "Version": "00000009"}]});
+    assert_eq!(patch(&controls[1], &mixed).expect("an answer").status, 400);
+    for n in 0..controls.len() {
+        running.reads_back(n, &wanted);
+    }
+    // A later change reaches all edges; by then nothing of those that were refused has.
+    let (_, taken) =
+        running.system.configure(&route("good", "0000000a", "mill"), PATIENCE).expect("an answer");
+    assert_eq!(taken.status, 200, "{}", taken.body);
+    for front in running.system.fronts() {
+        running.served(&front, &read("/good/"));
+        for prefix in ["/bad/", "/half/"] {
+            assert_eq!(send(&front, &read(prefix)).expect("an answer").answer.status, 404, "{prefix}");
+        }
+    }
+}
+
+#[test]
+fn a_configuration_outlives_a_killed_member_and_a_kill_of_all() {
+    let mut running = started();
+    let front = running.system.fronts()[0].clone();
+    running.system.kill_core(0);
+    // Two of three acknowledge.
+    let (_, taken) =
+        running.system.configure(&route("later", "00000002", "mill"), PATIENCE).expect("an answer");
+    assert_eq!(taken.status, 200, "{}", taken.body);
+    running.served(&front, &read("/later/"));
+    let mut whole = configuration();
+    let later = route("later", "00000002", "mill")["Upsert"]["Routes"][0].clone();
+    whole["Upsert"]["Routes"].as_array_mut().expect("a list").push(later);
+    let wanted = laid_out(&whole);
+    running.system.restart_core(0).expect("it starts again");
+    for n in 0..3 {
+        running.reads_back(n, &wanted);
+    }
+    // With nobody left to ask, what is read back is what the disks hold.
+    (0..3).for_each(|n| running.system.kill_core(n));
+    assert!(read_back(&running.system.controls()[1]).is_none());
+    for kind in kinds().iter().filter(|kind| !kind.keyed) {
+        let sent = send(&front, kind).expect("an edge goes on by what it has");
+        assert!(sent.served(), "{sent:?}");
+    }
+    (0..3).for_each(|n| running.system.restart_core(n).expect("it starts again"));
+    for n in 0..3 {
+        running.reads_back(n, &wanted);
+    }
+    for kind in &kinds() {
+        running.served(&front, kind);
+    }
+}
--- a/harbour/manifest/src/settings.rs
+++ b/harbour/manifest/src/settings.rs
@@ -156,34 +156,29 @@
         self.seed_nodes.iter().map(ip).collect()
     }
 
-    fn fault(&self) -> Option<&'static str> {
+    /// All that is wrong with what it was told.
+    pub fn faults(&self) -> Vec<&'static str> {
         let listen = self.listen();
         let serves = |what: &str| self.serves.iter().any(|s| s == what);
-        match () {
-            () if self.node_name.is_empty() => Some("NodeName is empty"),
-            () if self.ip.parse::<std::net::Ipv4Addr>().is_err() => Some("Ip is no IPv4 address"),
-            () if self.zone.is_empty() || !self.zones.contains_key(&self.zone) => {
-                Some("Zone is not among Zones")
-            }
-            () if self.internal_ports.is_empty() => Some("InternalPorts names no port"),
-            () if self.seed_nodes.is_empty() => Some("SeedNodes names nobody"),
-            () if serves("edge") && listen.front.is_empty() => Some("ListenAddrs.Front is missing"),
-            () if serves("edge") && listen.readiness.is_empty() => Some("ListenAddrs.Readiness is missing"),
-            () if serves("control") && listen.control.is_empty() => Some("ListenAddrs.Control is missing"),
-            () if serves("directory") && listen.directory.is_empty() => {
-                Some("ListenAddrs.Directory is missing")
-            }
-            () if self.beat_interval_s <= 0.0 => Some("BeatIntervalS is not above 0"),
-            () => None,
-        }
+        let looks = [
+            (self.node_name.is_empty(), "NodeName is empty"),
+            (self.ip.parse::<std::net::Ipv4Addr>().is_err(), "Ip is no IPv4 address"),
+            (self.zone.is_empty() || !self.zones.contains_key(&self.zone), "Zone is not among Zones"),
+            (self.internal_ports.is_empty(), "InternalPorts names no port"),
+            (self.seed_nodes.is_empty(), "SeedNodes names nobody"),
+            (serves("edge") && listen.front.is_empty(), "ListenAddrs.Front is missing"),
+            (serves("edge") && listen.readiness.is_empty(), "ListenAddrs.Readiness is missing"),
+            (serves("control") && listen.control.is_empty(), "ListenAddrs.Control is missing"),
+            (serves("directory") && listen.directory.is_empty(), "ListenAddrs.Directory is missing"),
+            (self.beat_interval_s <= 0.0, "BeatIntervalS is not above 0"),
+        ];
+        looks.into_iter().filter(|(wrong, _)| *wrong).map(|(_, what)| what).collect()
     }
 }
 
 /// Reads and checks a settings file's text.
 pub fn local(text: &str) -> Result<Local, String> {
     let local: Local = serde_yaml_ng::from_str(text).map_err(|e| e.to_string())?;
-    match local.fault() {
-        Some(fault) => Err(fault.to_owned()),
-        None => Ok(local),
-    }
+    let faults = local.faults();
+    if faults.is_empty() { Ok(local) } else { Err(faults.join("; ")) }
 }
--- /dev/null
+++ b/harbour/wharf/src/client.rs
@@ -0,0 +1,74 @@
+//! Calls by HTTP, each with a bound on its time; no status is an error.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use ureq::http;
+
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// An answer, read whole.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: http::HeaderMap,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Result<Value, String> {
+        serde_json::from_str(&self.body).map_err(|e| format!("the answer is no JSON: {e}"))
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
+    }
+}
+
+pub fn agent(patience: Duration) -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .timeout_global(Some(patience));
+    config.build().into()
+}
+
+pub fn call(agent: &ureq::Agent, request: http::Request<Vec<u8>>) -> Result<Answer, String> {
+    let at = request.uri().to_string();
+    let (head, body) = request.into_parts();
+    // A body of no bytes is none.
+    let came = match body.is_empty() {
+        true => agent.run(http::Request::from_parts(head, ())),
+        false => agent.run(http::Request::from_parts(head, body)),
+    };
+    let mut answer = came.map_err(|e| format!("{at}: {e}"))?;
+    let body = answer.body_mut().read_to_string().map_err(|e| format!("{at}: {e}"))?;
+    Ok(Answer { status: answer.status().as_u16(), headers: answer.headers().clone(), body })
+}
+
+/// A call of JSON to a path at an address.
+pub fn by(
+    agent: &ureq::Agent,
+    method: &str,
+    address: &str,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<Answer, String> {
+    let request = http::Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("Content-Type", "application/json")
+        .body(body)
+        .map_err(|e| format!("{address}{path}: {e}"))?;
+    call(agent, request)
+}
+
+pub fn get(address: &str, path: &str) -> Result<Answer, String> {
+    by(&agent(PATIENCE), "GET", address, path, Vec::new())
+}
+
+/// Sends a configuration to a control address.
+pub fn patch(address: &str, change: &Value) -> Result<Answer, String> {
+    by(&agent(PATIENCE), "PATCH", address, "/v1/configuration", change.to_string().into_bytes())
+}
--- /dev/null
+++ b/harbour/wharf/src/lib.rs
@@ -0,0 +1,17 @@
+//! Operator tooling and a local deployment: files checked, running programs shown, changes planned, and the whole
+//! system tried on loopback. `lynxmill system` hands its words to the parser here.
+
+pub mod check;
+mod client;
+mod deployment;
+mod line;
+pub mod plan;
+mod show;
+mod task;
+mod trial;
+
+pub use client::{Answer, get, patch};
+pub use deployment::{Deployment, Site};
+pub use line::run;
+pub use task::Task;
+pub use trial::{HOST, Kind, Sent, configuration, kinds, resolve, send, tasks};
--- /dev/null
+++ b/harbour/wharf/src/line.rs
@@ -0,0 +1,87 @@
+//! The words of `lynxmill system`.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use crate::{check, plan, show, trial};
+
+xflags::xflags! {
+    /// The whole system: files checked, programs shown, changes planned, all of it tried on loopback.
+    cmd system {
+        /// Tells every fault of deploy files (.toml), settings files (.yaml) and configurations (.json).
+        cmd check {
+            repeated files: PathBuf
+        }
+        /// What a running program has counted and its state, from its control or readiness address.
+        cmd show {
+            required address: String
+        }
+        /// What a configuration would set, drop and leave, and whether it would be refused.
+        cmd plan {
+            /// What is in force: a file, or the control address of a running program.
+            required current: String
+            /// The change: a call's body, or a configuration as it is read back.
+            required next: PathBuf
+        }
+        /// Starts a small system on loopback, sends requests of each kind and keeps serving until Ctrl-C.
+        cmd try {
+            /// Ends after so many seconds; `--for` says the same.
+            optional --seconds seconds: u64
+            /// Where harbourmaster and quay are; without it beside this program.
+            optional --programs folder: PathBuf
+            /// Leaves settings files, disks and logs where they are.
+            optional --keep
+        }
+    }
+}
+
+/// Nothing to complain of.
+const DONE: u8 = 0;
+const FAILED: u8 = 1;
+const WRONG_LINE: u8 = 2;
+/// A file has faults.
+const FAULTS: u8 = 4;
+/// The change would be refused.
+const REFUSED: u8 = 6;
+
+fn checked(files: &[PathBuf]) -> u8 {
+    if files.is_empty() {
+        eprintln!("lynxmill system check: no file is named");
+        return WRONG_LINE;
+    }
+    let mut code = DONE;
+    for file in files {
+        let faults = check::file(file);
+        if faults.is_empty() {
+            println!("{}: right", file.display());
+        }
+        for fault in faults {
+            println!("{}: {fault}", file.display());
+            code = FAULTS;
+        }
+    }
+    code
+}
+
+/// Carries out the words; the exit code.
+pub fn run(words: Vec<OsString>) -> u8 {
+    // The parser makes a field of each flag, and `for` can be none.
+    let words = words.into_iter().map(|word| if word == "--for" { "--seconds".into() } else { word });
+    let system = match System::from_vec(words.collect()) {
+        Ok(system) => system,
+        Err(fault) => fault.exit(),
+    };
+    let done = match system.subcommand {
+        SystemCmd::Check(wish) => Ok(checked(&wish.files)),
+        SystemCmd::Show(wish) => show::run(&wish.address).map(|()| DONE),
+        SystemCmd::Plan(wish) => plan::run(&wish.current, &wish.next).map(|taken| match taken {
+            true => DONE,
+            false => REFUSED,
+        }),
+        SystemCmd::Try(wish) => trial::run(wish.seconds, wish.programs, wish.keep).map(|()| DONE),
+    };
+    done.unwrap_or_else(|fault| {
+        eprintln!("lynxmill system: {fault}");
+        FAILED
+    })
+}
