--- a/harbour/harbourmaster/src/port.rs
+++ b/harbour/harbourmaster/src/port.rs
@@ -37,6 +37,7 @@
             members: Some(self.acceptor.members.clone()),
             merged: Some(self.merged),
             counts: Some(!self.acceptor.blank),
+            ..Batch::default()
         }
     }
 }
@@ -121,7 +122,9 @@
     }
 
     pub fn counters(&self) -> BTreeMap<&'static str, u64> {
-        lock(&self.counters).clone()
+        let mut all = lock(&self.counters).clone();
+        all.extend(lock(&self.edges).sent.iter().map(|(what, bytes)| (*what, *bytes)));
+        all
     }
 
     /// One line with all that was counted.
