--- a/harbour/pilot/src/choice.rs
+++ b/harbour/pilot/src/choice.rs
@@ -12,7 +12,7 @@
 const OTHER_REGION: f64 = 0.5;
 /// What a task whose slots are all but taken costs, as a part of its mean time.
 const CROWDED: f64 = 0.35;
-/// A task that failed of late, or that is mute, is the last resort, as parts of the aim.
+/// A task that failed of late is the last resort, as parts of the aim.
 const FAILED: f64 = 4.0;
 
 /// What is asked for.
@@ -60,7 +60,7 @@
         } else {
             OTHER_ZONE + OTHER_REGION
         };
-        let failed = if seen.out(now) || seen.mute(now) { FAILED } else { 0.0 };
+        let failed = if seen.out(now) { FAILED } else { 0.0 };
         waits + crowd + (far + failed) * aim.secs()
     }
 
--- a/harbour/pilot/src/view.rs
+++ b/harbour/pilot/src/view.rs
@@ -19,10 +19,6 @@
 /// How long a task rests after a failure, doubled with each further one up to the most.
 const REST: Span = Span::from_micros(300_000);
 const MOST_DOUBLED: u32 = 4;
-/// A task that owes answers and has given none for this many of its mean times, and for this long at least, is mute:
-/// a machine without power or behind a cut resets nothing.
-const MUTE_MEANS: f64 = 5.0;
-const MUTE: f64 = 0.4;
 
 /// Where the edge stands.
 #[derive(Clone, Debug, Default)]
@@ -60,8 +56,6 @@
     cold_until: Moment,
     window: Window,
     in_flight: u32,
-    /// Since when it has owed answers without giving one: from its last answer, or from the first request after.
-    owes_since: Moment,
     /// Running and waiting as it last told, when, and what this edge had in flight there then.
     told: Option<(f64, Moment, u32)>,
     mean: Option<f64>,
@@ -88,13 +82,6 @@
         now < self.out_until
     }
 
-    /// Whether it owes answers and has given none, to nobody here, for longer than it takes.
-    pub fn mute(&self, now: Moment) -> bool {
-        let rounds = (f64::from(self.in_flight) / f64::from(self.task.slots.max(1))).max(1.0);
-        let patience = (self.mean() * MUTE_MEANS * rounds).max(MUTE);
-        self.in_flight > 0 && now - self.owes_since > Span::from_secs(patience)
-    }
-
     pub fn cold(&self, now: Moment) -> bool {
         now < self.cold_until
     }
@@ -245,9 +232,6 @@
     /// A request goes to a task.
     pub fn sent(&mut self, now: Moment, id: &str) {
         if let Some(seen) = self.tasks.get_mut(id) {
-            if seen.in_flight == 0 {
-                seen.owes_since = now;
-            }
             seen.in_flight += 1;
             seen.window.send(now);
         }
@@ -262,9 +246,6 @@
             seen.told = Some(((load - 1.0).max(0.0), now, seen.in_flight));
         }
         seen.tries += 1;
-        if how != Ended::Failed {
-            seen.owes_since = now;
-        }
         match how {
             Ended::Answered(took) => {
                 let mean = seen.mean.get_or_insert(took.secs());
--- a/harbour/quay/src/flight.rs
+++ b/harbour/quay/src/flight.rs
@@ -29,8 +29,6 @@
 const COME_BACK: f64 = 0.2;
 /// Part of a client's time after which its answer would come too late to be of use.
 const SPENT: f64 = 0.97;
-/// Between looks at whether the task that has a request answers anyone.
-const LOOK: Span = Span::from_micros(150_000);
 /// Parts of the memory that bodies may take.
 const BODIES: f64 = 0.3;
 
@@ -125,8 +123,6 @@
     headers: HeaderMap,
     body: Bytes,
     tried: Vec<String>,
-    /// Where it goes next, out of the budget already.
-    onward: std::cell::Cell<Option<String>>,
     /// Some task may have run it.
     ran: bool,
 }
@@ -187,24 +183,6 @@
         }
     }
 
-    /// Whether a repeatable request goes on from a task that gives nobody an answer: only to one that may be sent it
-    /// now, which is kept for the next try.
-    fn leaves(&self, id: &str) -> bool {
-        let (now, mut pilot) = (self.app.now(), self.app.pilot.borrow_mut());
-        let last = self.tried.len() + 1 >= self.route.max_attempts as usize;
-        // A key has no other task than its owner.
-        if last || self.service.sharded || !pilot.seen(id).is_some_and(|seen| seen.mute(now)) {
-            return false;
-        }
-        let tried: Vec<String> = self.tried.iter().cloned().chain([id.to_owned()]).collect();
-        let (service, homes, aim) = (&self.service, &self.route.home_regions, self.aim());
-        let choice = Choice { service, homes, key: None, tried: &tried, aim };
-        let Pick::Task(next) = pilot.choose(now, &choice, self.app.drawn()) else { return false };
-        let well = pilot.seen(&next).is_some_and(|seen| !seen.mute(now) && !seen.out(now));
-        let goes = well && pilot.further(&self.service.name);
-        goes.then(|| self.onward.set(Some(next))).is_some()
-    }
-
     fn request(&self, id: &str) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -234,18 +212,7 @@
         let sent = app.now();
         app.pilot.borrow_mut().sent(sent, id);
         let aboard = Aboard { app: &app, id, over: false };
-        let came = {
-            let under_way = exchange(&app.pools, &errand, self.request(id));
-            tokio::pin!(under_way);
-            loop {
-                let look = app.instant(app.now() + LOOK);
-                match timeout_at(look, &mut under_way).await {
-                    Ok(came) => break came,
-                    Err(_) if !once && self.leaves(id) => break Err(Broke::Sent("mute")),
-                    Err(_) => {}
-                }
-            }
-        };
+        let came = exchange(&app.pools, &errand, self.request(id)).await;
         let answer = match came {
             Ok(answer) => answer,
             Err(Broke::Unsent(why)) => {
@@ -301,14 +268,11 @@
             if self.app.now() >= self.until {
                 return own(504, "deadline", None);
             }
-            let onward = self.onward.take();
-            let paid = onward.is_some();
-            let next = if let Some(id) = onward { Next::Send(id) } else { self.next().await };
-            let id = match next {
+            let id = match self.next().await {
                 Next::Send(id) => id,
                 Next::End(reply) => return reply,
             };
-            if !paid && !self.tried.is_empty() && !self.app.pilot.borrow_mut().further(&self.service.name) {
+            if !self.tried.is_empty() && !self.app.pilot.borrow_mut().further(&self.service.name) {
                 return self.refuse("budget");
             }
             if let Some(reply) = self.attempt(&id).await {
@@ -430,7 +394,6 @@
         headers,
         body,
         tried: Vec::new(),
-        onward: std::cell::Cell::default(),
         ran: false,
         route,
     };
