Copies are compared by digest; seeds of a changed file are met; every answer of a quay is counted

Cause: repair looked at call numbers alone, though the design says digests each second; harbourmaster took nothing of a changed settings file, quay looked only at the file of the environment; a reply that can't be read left a member's buffer growing; three answers of quay were not counted.

--- a/harbour/harbourmaster/src/members.rs
+++ b/harbour/harbourmaster/src/members.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use lynxmill_muster::{Change, majority};
-use lynxmill_strongroom::{Batch, differing, digests};
+use lynxmill_strongroom::{Batch, differing, digests, sum};
 use lynxmill_tidings::{Asked, Dump, Heard, Member, Members, Pick, Said, State, Tasks, ToEdgeBody, Welcome};
 
 use crate::port::{Port, Word, lock};
@@ -22,6 +22,7 @@
             tasks,
             ip: self.me.clone(),
             members: core.acceptor.members.clone(),
+            items: sum(&core.manifest),
             merged: core.merged,
             leaving: self.leaving(),
             blank: core.acceptor.blank,
@@ -36,6 +37,7 @@
         self.compare_tasks(word);
         let told = Word {
             tasks: word.tasks,
+            items: word.items,
             control: word.control.clone(),
             custody: word.custody.clone(),
             merged: word.merged,
--- a/harbour/harbourmaster/src/peers.rs
+++ b/harbour/harbourmaster/src/peers.rs
@@ -58,12 +58,25 @@
                 break;
             }
             frames.push(&piece[..got]);
-            while let Ok(Some(reply)) = frames.take::<Reply>() {
+            let mut broken = false;
+            loop {
+                let reply = match frames.take::<Reply>() {
+                    Ok(Some(reply)) => reply,
+                    Ok(None) => break,
+                    Err(fault) => {
+                        log::warn!("member {ip} sends what can't be read: {fault}");
+                        broken = true;
+                        break;
+                    }
+                };
                 let waiting = lock(&self.waiting).remove(&reply.id);
                 if let (Some(waiting), Some(body)) = (waiting, reply.body) {
                     let _ = waiting.send((ip.to_owned(), body));
                 }
             }
+            if broken {
+                break;
+            }
         }
         let _ = stream.shutdown(Shutdown::Both);
     }
--- a/harbour/harbourmaster/src/port.rs
+++ b/harbour/harbourmaster/src/port.rs
@@ -56,6 +56,7 @@
     pub custody: Vec<String>,
     pub merged: u64,
     pub tasks: u64,
+    pub items: u64,
     pub at: Moment,
 }
 
--- a/harbour/harbourmaster/src/serve.rs
+++ b/harbour/harbourmaster/src/serve.rs
@@ -13,7 +13,7 @@
 use rouille::Server;
 
 use crate::port::{Core, Made, Port, lock};
-use crate::{control, custody, directory, edges, peers, tick};
+use crate::{control, custody, directory, edges, peers, start, tick};
 
 const FILE: &str = "control.redb";
 /// Threads that answer calls.
@@ -21,6 +21,9 @@
 const DIRECTORY: usize = 4;
 /// How long others get to hear that this member leaves.
 const LAST_WORDS: Duration = Duration::from_millis(300);
+/// Between looks at signals, and how many of them go by between looks at the settings file.
+const NAP: Duration = Duration::from_millis(100);
+const LOOK: u32 = 20;
 
 fn open(local: &Local, life: u64) -> Result<(Core, Store, bool, Vec<Task>), String> {
     let folder = local.data_path.clone().unwrap_or_default();
@@ -90,6 +93,18 @@
     end(&port)
 }
 
+/// Takes new seeds of the settings file; all else needs a new start.
+fn reload(port: &Port) {
+    match start::local() {
+        Ok(local) => {
+            let seeds = local.seed_ips();
+            log::info!("seeds of the settings file: {}", seeds.join(" "));
+            seeds.iter().for_each(|ip| port.know(ip));
+        }
+        Err(fault) => log::warn!("the settings file is left as it was read before: {fault}"),
+    }
+}
+
 /// Waits for the order to leave; leases are given back and others told first.
 fn end(port: &Port) -> Result<(), String> {
     use signal_hook::consts::{SIGHUP, SIGTERM};
@@ -97,10 +112,15 @@
     let hup = Arc::new(std::sync::atomic::AtomicBool::new(false));
     signal_hook::flag::register(SIGTERM, term.clone()).map_err(|e| e.to_string())?;
     signal_hook::flag::register(SIGHUP, hup.clone()).map_err(|e| e.to_string())?;
+    let modified = || start::path().ok().and_then(|p| std::fs::metadata(p).ok()?.modified().ok());
+    let (mut last, mut naps) = (modified(), 0u32);
     while !term.load(Ordering::Relaxed) {
-        std::thread::sleep(Duration::from_millis(100));
-        if hup.swap(false, Ordering::Relaxed) {
-            log::info!("the settings file takes a new start of this program");
+        std::thread::sleep(NAP);
+        naps += 1;
+        let now = if naps.is_multiple_of(LOOK) { modified() } else { last };
+        if hup.swap(false, Ordering::Relaxed) || now != last {
+            last = now;
+            reload(port);
         }
     }
     log::info!("leaving");
--- a/harbour/harbourmaster/src/start.rs
+++ b/harbour/harbourmaster/src/start.rs
@@ -16,14 +16,25 @@
     }
 }
 
+/// The settings file that the process was told of.
+pub fn path() -> Result<PathBuf, String> {
+    let named = Harbourmaster::from_env().ok().and_then(|flags| flags.settings);
+    let named = named.or_else(|| std::env::var_os(FILE).map(PathBuf::from));
+    named.ok_or_else(|| format!("no settings file: name it by --settings or {FILE}"))
+}
+
+/// What the settings file says now.
+pub fn local() -> Result<Local, String> {
+    let path = path()?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    lynxmill_manifest::local(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
 pub fn read() -> Result<Local, String> {
     let flags = Harbourmaster::from_env_or_exit();
-    let named = flags.settings.or_else(|| std::env::var_os(FILE).map(PathBuf::from));
-    let path = named.ok_or_else(|| format!("no settings file: name it by --settings or {FILE}"))?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-    let local = lynxmill_manifest::local(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let local = local()?;
     if local.data_path.is_none() {
-        return Err(format!("{}: DataPath is missing: the control state needs a disk", path.display()));
+        return Err("DataPath is missing: the control state needs a disk".to_owned());
     }
     if flags.check {
         println!("the settings of {} are in order", local.node_name);
--- a/harbour/harbourmaster/src/tick.rs
+++ b/harbour/harbourmaster/src/tick.rs
@@ -5,7 +5,7 @@
 
 use lynxmill::Span;
 use lynxmill_muster::BLANK_WAIT;
-use lynxmill_strongroom::Batch;
+use lynxmill_strongroom::{Batch, sum};
 use lynxmill_tidings::{Asked, Heard};
 
 use crate::port::{Port, lock};
@@ -61,17 +61,19 @@
 
     /// Merges what others have merged; settles once a majority has been compared with.
     fn repair(&self) {
-        let (merged, settled, blank, held) = {
+        let (items, merged, settled, blank, held) = {
             let core = lock(&self.core);
             let held = core.acceptor.value(crate::control::CALLS).map(<[u8]>::to_vec);
-            (core.merged, core.settled, core.acceptor.blank, held)
+            (sum(&core.manifest), core.merged, core.settled, core.acceptor.blank, held)
         };
         let further = {
             let now = self.now();
             let words = lock(&self.words);
             let lately = |w: &&(&String, &crate::port::Word)| now - w.1.at < Span::from_secs(1.0);
             let best = words.iter().filter(|w| lately(&w)).max_by_key(|(_, w)| w.merged);
-            best.filter(|(_, w)| w.merged > merged).map(|(ip, _)| ip.clone())
+            // Copies that say the same of calls are compared by their digests.
+            let differs = |w: &crate::port::Word| w.merged == merged && w.items != items;
+            best.filter(|(_, w)| w.merged > merged || differs(w)).map(|(ip, _)| ip.clone())
         };
         if let Some(ip) = further {
             self.pull(&ip);
--- a/harbour/quay/src/flight.rs
+++ b/harbour/quay/src/flight.rs
@@ -266,6 +266,7 @@
         let mut unsent = 0;
         loop {
             if self.app.now() >= self.until {
+                self.app.count("deadline");
                 return own(504, "deadline", None);
             }
             let id = match self.next().await {
@@ -345,7 +346,10 @@
     }
     let (head, body) = request.into_parts();
     let host = text(&head.headers, "host").or_else(|| head.uri.host()).unwrap_or_default();
-    let Some(path) = head.uri.path_and_query().cloned() else { return own(400, "no-path", None) };
+    let Some(path) = head.uri.path_and_query().cloned() else {
+        app.count("no-path");
+        return own(400, "no-path", None);
+    };
     let found = app.pilot.borrow().chart().find(host, path.path());
     let Some(route) = found else {
         app.count("no-route");
@@ -372,7 +376,10 @@
         let name = route.draw(app.drawn()).to_owned();
         pilot.chart().service(&name).cloned()
     };
-    let Some(service) = service else { return own(503, "no-service", Some(0.2)) };
+    let Some(service) = service else {
+        app.count("no-service");
+        return own(503, "no-service", Some(0.2));
+    };
     let named = named(&head.headers);
     let mut headers = HeaderMap::with_capacity(head.headers.len() + 1);
     for (name, value) in &head.headers {
--- a/harbour/quay/src/start.rs
+++ b/harbour/quay/src/start.rs
@@ -16,8 +16,10 @@
     }
 }
 
+/// The settings file that the process was told of.
 pub fn path() -> Option<PathBuf> {
-    std::env::var_os(FILE).map(PathBuf::from)
+    let named = Quay::from_env().ok().and_then(|flags| flags.settings);
+    named.or_else(|| std::env::var_os(FILE).map(PathBuf::from))
 }
 
 fn local(path: &PathBuf) -> Result<Local, String> {
@@ -27,16 +29,12 @@
 
 /// Reads what it is told again.
 pub fn again() -> Result<Local, String> {
-    local(&file(Quay::from_env().ok().and_then(|flags| flags.settings))?)
-}
-
-fn file(named: Option<PathBuf>) -> Result<PathBuf, String> {
-    named.or_else(path).ok_or_else(|| format!("no settings file: name it by --settings or {FILE}"))
+    local(&path().ok_or_else(|| format!("no settings file: name it by --settings or {FILE}"))?)
 }
 
 pub fn read() -> Result<Local, String> {
     let flags = Quay::from_env_or_exit();
-    let local = local(&file(flags.settings)?)?;
+    let local = again()?;
     if flags.check {
         println!("the settings of {} are in order", local.node_name);
         std::process::exit(0);
--- a/harbour/strongroom/src/digest.rs
+++ b/harbour/strongroom/src/digest.rs
@@ -43,3 +43,11 @@
     let differs = |item: &&Item| told.get(range(&item.key)) != Some(&own[range(&item.key)]);
     of.items.values().filter(differs).cloned().collect()
 }
+
+/// One number for all items.
+pub fn sum(of: &Manifest) -> u64 {
+    digests(of)
+        .into_iter()
+        .enumerate()
+        .fold(0, |sum: u64, (i, digest)| sum.wrapping_mul(31).wrapping_add(digest ^ i as u64))
+}
--- a/harbour/strongroom/src/lib.rs
+++ b/harbour/strongroom/src/lib.rs
@@ -4,5 +4,5 @@
 mod digest;
 mod store;
 
-pub use digest::{RANGES, differing, digests, range};
+pub use digest::{RANGES, differing, digests, range, sum};
 pub use store::{Batch, Fault, Held, Store, Ticket, VERSION};
--- a/harbour/tidings/src/core.rs
+++ b/harbour/tidings/src/core.rs
@@ -179,6 +179,9 @@
     /// Sum over the tasks that it hears of: members that know the same tell the same.
     #[prost(uint64, tag = "8")]
     pub tasks: u64,
+    /// The same over its items.
+    #[prost(uint64, tag = "9")]
+    pub items: u64,
 }
 
 /// News of tasks, and who was heard lately: by `InstanceId` and `CallSeq`.
