Tries that reach no task cost no budget and no attempt; connections open within a part of the aim

Change: a machine of its own in pilot tells what a request's further try costs; a task has 0.8 of the aim to open a connection.

--- a/harbour/muster/tests/claim.rs
+++ b/harbour/muster/tests/claim.rs
@@ -77,7 +77,7 @@
     for seed in 0..100 {
         let first = contend(seed, &["a", "b", "c"], 3000, |_, _, _| true)[0].1;
         let held = contend(seed, &["a", "b", "c"], 9000, |ms, i, j| {
-            i == j || ms < 3000 || ms > 6000 || (i != first && j != first)
+            i == j || !(3000..=6000).contains(&ms) || (i != first && j != first)
         });
         check(&held);
         let over = 3000 + LEASE.micros() / 1000;
--- a/harbour/pilot/src/lib.rs
+++ b/harbour/pilot/src/lib.rs
@@ -5,9 +5,11 @@
 mod choice;
 mod cold;
 mod slices;
+mod tries;
 mod view;
 
 pub use budget::Budget;
 pub use choice::{Choice, Pick};
 pub use slices::{Found, Slices};
+pub use tries::{Further, Tries};
 pub use view::{Ended, Pilot, Place};
--- a/harbour/quay/src/back.rs
+++ b/harbour/quay/src/back.rs
@@ -15,8 +15,6 @@
 
 /// The longest answer that is held, in bytes.
 const LONGEST: usize = 64 << 20;
-/// How long a task that can be reached takes to open a connection, at most.
-const CONNECT: Duration = Duration::from_millis(450);
 /// An idle connection that its task may be about to close carries nothing that may run only once.
 const OLD: Duration = Duration::from_millis(4_000);
 /// What is idle for longer is closed.
@@ -110,6 +108,8 @@
     pub once: bool,
     /// `Lynxmill-Attempt-Id`.
     pub attempt: &'a str,
+    /// By when a connection has to be open.
+    pub connect: Instant,
     pub until: Instant,
 }
 
@@ -172,7 +172,7 @@
                 if !pools.borrow_mut().opened(errand.id, errand.most) {
                     return Err(Broke::Unsent("conns"));
                 }
-                let until = errand.until.min(Instant::now() + CONNECT);
+                let until = errand.until.min(errand.connect);
                 let held = Held { pools, id: errand.id, open: true };
                 let sender = match timeout_at(until, connect(errand.address)).await {
                     Ok(Ok(sender)) => sender,
--- a/harbour/quay/src/flight.rs
+++ b/harbour/quay/src/flight.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use lynxmill::{Moment, Span};
 use lynxmill_manifest::{Found, Kind, Service};
-use lynxmill_pilot::{Choice, Ended, Pick};
+use lynxmill_pilot::{Choice, Ended, Further, Pick, Tries};
 use tokio::time::{timeout, timeout_at};
 
 use crate::app::App;
@@ -27,6 +27,9 @@
 /// client is asked to wait.
 const WAITS: f64 = 0.22;
 const COME_BACK: f64 = 0.2;
+/// Part of the aim within which a task has to open a connection, and the least there is for it.
+const CONNECT: f64 = 0.8;
+const LEAST_CONNECT: Span = Span::from_micros(300_000);
 /// Part of a client's time after which its answer would come too late to be of use.
 const SPENT: f64 = 0.97;
 /// Parts of the memory that bodies may take.
@@ -122,9 +125,7 @@
     uri: hyper::Uri,
     headers: HeaderMap,
     body: Bytes,
-    tried: Vec<String>,
-    /// Some task may have run it.
-    ran: bool,
+    tries: Tries,
 }
 
 enum Next {
@@ -141,7 +142,7 @@
     /// A refusal is a promise: only where nothing has run.
     fn refuse(&self, why: &'static str) -> Reply {
         self.app.count(why);
-        if self.ran {
+        if self.tries.ran {
             return own(502, why, None);
         }
         let spread = 0.5 + self.app.drawn();
@@ -158,14 +159,16 @@
                 service: &self.service,
                 homes: &self.route.home_regions,
                 key: self.key,
-                tried: &self.tried,
+                tried: self.tries.tried(),
                 aim: self.aim(),
             };
             let drawn = self.app.drawn();
             let pick = self.app.pilot.borrow_mut().choose(self.app.now(), &choice, drawn);
             match pick {
                 Pick::Task(id) => return Next::Send(id),
-                Pick::None if !self.tried.is_empty() => return Next::End(self.refuse("no-other-task")),
+                Pick::None if !self.tries.tried().is_empty() => {
+                    return Next::End(self.refuse("no-other-task"));
+                }
                 Pick::None | Pick::Shut => {
                     let why = if pick == Pick::Shut { "shut" } else { "no-task" };
                     if self.app.now() >= waits {
@@ -199,17 +202,22 @@
     /// Sends it to a task; an answer for the client, or None if it may go on to another.
     async fn attempt(&mut self, id: &str) -> Option<Reply> {
         let app = self.app.clone();
-        let address = app.pilot.borrow().seen(id).map(|seen| seen.task.address.clone())?;
+        let address = app.pilot.borrow().seen(id).map(|seen| seen.task.address.clone());
+        let Some(address) = address else {
+            self.tries.unsent(id);
+            return None;
+        };
         let once = !self.route.repeatable();
+        let sent = app.now();
         let errand = Errand {
             id,
             address: &address,
             most: app.conns(self.service.max_conns),
             once,
             attempt: &self.attempt,
+            connect: app.instant(sent + self.aim().times(CONNECT).max(LEAST_CONNECT)),
             until: app.instant(self.until),
         };
-        let sent = app.now();
         app.pilot.borrow_mut().sent(sent, id);
         let aboard = Aboard { app: &app, id, over: false };
         let came = exchange(&app.pools, &errand, self.request(id)).await;
@@ -222,14 +230,16 @@
                 } else {
                     aboard.ended(Ended::Failed, None)
                 }
+                self.tries.unsent(id);
                 return None;
             }
             Err(broke) => {
                 let why = if let Broke::Sent(why) = broke { why } else { "late" };
                 app.count(why);
                 aboard.ended(Ended::Failed, None);
-                self.ran = true;
+                self.tries.ran = true;
                 let over = once || broke == Broke::Late;
+                self.tries.sent(id);
                 return over.then(|| own(if broke == Broke::Late { 504 } else { 502 }, why, None));
             }
         };
@@ -241,10 +251,11 @@
         if misdirected || answer.headers.contains_key(NOT_EXECUTED) {
             app.count(if misdirected { "misdirected" } else { "shed" });
             aboard.ended(if misdirected { Ended::Misdirected } else { Ended::Shed }, load);
+            self.tries.sent(id);
             return None;
         }
         aboard.ended(Ended::Answered(app.span(sent)), load);
-        self.ran = true;
+        self.tries.ran = true;
         let failed = answer.status.is_server_error();
         let unsealed = answer.status.is_success() && !answer.headers.contains_key(SEAL);
         let encoded = answer.headers.contains_key("content-encoding");
@@ -254,7 +265,8 @@
         }
         if (failed || unsealed || encoded) && !once {
             app.count(if failed { "failed" } else { "spoilt" });
-            let last = self.tried.len() + 1 >= self.route.max_attempts as usize;
+            let last = self.tries.last();
+            self.tries.sent(id);
             return (last && failed).then(|| pass(answer));
         }
         app.count("served");
@@ -263,7 +275,6 @@
 
     async fn fly(&mut self) -> Reply {
         self.app.pilot.borrow_mut().request(&self.service.name);
-        let mut unsent = 0;
         loop {
             if self.app.now() >= self.until {
                 self.app.count("deadline");
@@ -273,17 +284,16 @@
                 Next::Send(id) => id,
                 Next::End(reply) => return reply,
             };
-            if !self.tried.is_empty() && !self.app.pilot.borrow_mut().further(&self.service.name) {
-                return self.refuse("budget");
+            match self.tries.further() {
+                Further::Over => return self.refuse("attempts"),
+                Further::Budget if !self.app.pilot.borrow_mut().further(&self.service.name) => {
+                    return self.refuse("budget");
+                }
+                Further::Budget | Further::Free => {}
             }
             if let Some(reply) = self.attempt(&id).await {
                 return reply;
             }
-            self.tried.push(id);
-            unsent += 1;
-            if unsent >= self.route.max_attempts.max(1) as usize {
-                return self.refuse("attempts");
-            }
         }
     }
 }
@@ -400,8 +410,7 @@
         uri,
         headers,
         body,
-        tried: Vec::new(),
-        ran: false,
+        tries: Tries::new(route.max_attempts),
         route,
     };
     debug_assert!(flight.route.kind() != Kind::Upload || !flight.route.repeatable());
