An overtaken beat that drains is told before it is acknowledged; one FNV-1a for all

Cause: found on reading again: a beat overtaken by a later one was answered 200 before its words were taken, so that a drain could be acknowledged that no edge and no other member had been told. Four places wrote the same hash. Change: words are taken first, an overtaken beat still gets no grant; the hash stands in manifest. Test with real processes: edges leave a task whose overtaken beat drains; with the old order it fails after its 30 s.

--- a/harbour/harbourmaster/src/control.rs
+++ b/harbour/harbourmaster/src/control.rs
@@ -127,11 +127,12 @@
         let yard = lock(&port.yard);
         yard.get(id).is_some_and(|known| known.task.call_seq > task.call_seq)
     };
+    // An overtaken beat may still be the first word here that the task drains: none is acknowledged untold.
+    port.news(std::slice::from_ref(&task), leaving)?;
     if late {
         port.count("beats-late");
         return Ok(Response::json(&BeatAnswer::default()));
     }
-    port.news(std::slice::from_ref(&task), leaving)?;
     lock(&port.yard).beaten(now, id);
     // Cut off from a majority it tells its edges what it hears, but the others have to hear it as well.
     if !port.in_majority() {
--- a/harbour/harbourmaster/src/custody.rs
+++ b/harbour/harbourmaster/src/custody.rs
@@ -6,7 +6,7 @@
 
 use lynxmill::{Moment, Span};
 use lynxmill_berths::{Grant, Plan, Put, Terms, Told, fresh};
-use lynxmill_manifest::Service;
+use lynxmill_manifest::{Service, fnv1a};
 use lynxmill_muster::{Claim, Step};
 use lynxmill_tidings::{Asked, Berth, Lease, Members, Said, Task, ToEdgeBody};
 use prost::Message;
@@ -40,8 +40,7 @@
 
 /// A member's place in a service's order.
 fn rank(service: &str, ip: &str) -> u64 {
-    let bytes = service.bytes().chain([0]).chain(ip.bytes());
-    let mixed = bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    let mixed = fnv1a(service.bytes().chain([0]).chain(ip.bytes()));
     (mixed ^ (mixed >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
 
--- a/harbour/harbourmaster/tests/system.rs
+++ b/harbour/harbourmaster/tests/system.rs
@@ -4,7 +4,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use lynxmill_wharf::{Deployment, HOST, Kind, Sent, Task, configuration, get, kinds, patch, send, tasks};
+use lynxmill_wharf::{
+    Deployment, HOST, Kind, Sent, Task, agent, by, configuration, get, kinds, patch, send, tasks,
+};
 use serde_json::{Value, json};
 
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -173,3 +175,39 @@
         running.served(&front, kind);
     }
 }
+
+/// A beat that was overtaken on its way, but says first of all that its task drains.
+#[test]
+fn an_overtaken_beat_that_drains_is_told_before_it_is_acknowledged() {
+    let mut running = started();
+    let fronts = running.system.fronts();
+    let kind = kinds()[0];
+    let leaver = &running.tasks[0];
+    let (id, service, zone) = (leaver.id().to_owned(), leaver.service().to_owned(), leaver.zone().to_owned());
+    let body = json!({
+        "Address": leaver.address,
+        "Info": {"Service": service, "Version": "v1", "Zone": zone, "Slots": 4},
+        "Status": {"State": "draining", "CallSeq": 0, "ColdLeftS": 0},
+    });
+    // Whoever hears it has heard later beats of the task.
+    let ran = |sent: &Sent| sent.served() && sent.answer.body.contains(&id);
+    let mut met = running.served(&fronts[0], &kind);
+    for _ in 0..40 {
+        if ran(&met) {
+            break;
+        }
+        met = running.served(&fronts[0], &kind);
+    }
+    assert!(ran(&met), "{id} serves before: {met:?}");
+    let (control, path) = (running.system.controls()[0].clone(), format!("/v1/instances/{id}"));
+    let answer =
+        by(&agent(PATIENCE), "PUT", &control, &path, body.to_string().into_bytes()).expect("an answer");
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    let mut left = 0;
+    let waited = running.system.wait("edges leave it", PATIENCE, || {
+        let all: Vec<Sent> = fronts.iter().filter_map(|front| send(front, &kind).ok()).collect();
+        left = if all.iter().any(ran) { 0 } else { left + 1 };
+        left >= 30
+    });
+    waited.unwrap_or_else(|fault| panic!("{fault}"));
+}
--- a/harbour/muster/src/tasks.rs
+++ b/harbour/muster/src/tasks.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use lynxmill::{Moment, Span};
+use lynxmill_manifest::fnv1a;
 use lynxmill_tidings::{State, Task};
 
 /// Beats missed until a task counts as silent, and until it is forgotten.
@@ -89,10 +90,7 @@
     /// Sum over the tasks that are heard of: members that know the same have the same.
     pub fn digest(&self) -> u64 {
         let lively = |known: &&Known| !known.task.silent && known.task.state != State::Gone as i32;
-        let mix = |known: &Known| {
-            let bytes = known.task.id.bytes().chain([known.task.state as u8]);
-            bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
-        };
+        let mix = |known: &Known| fnv1a(known.task.id.bytes().chain([known.task.state as u8]));
         self.tasks.values().filter(lively).map(mix).fold(0, u64::wrapping_add)
     }
 
--- a/harbour/pilot/src/cold.rs
+++ b/harbour/pilot/src/cold.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use lynxmill::{Moment, Span};
+use lynxmill_manifest::fnv1a;
 use lynxmill_tidings::EdgeAt;
 
 /// Part of what a cold task bears that is given out.
@@ -11,8 +12,7 @@
 const PART: f64 = 3.0;
 
 fn lot(task: &str, edge: &str) -> u64 {
-    let bytes = task.bytes().chain([0]).chain(edge.bytes());
-    let mixed = bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    let mixed = fnv1a(task.bytes().chain([0]).chain(edge.bytes()));
     (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
 }
 
--- a/harbour/strongroom/src/digest.rs
+++ b/harbour/strongroom/src/digest.rs
@@ -1,18 +1,11 @@
 //! Digests over ranges of names, to find what two copies do not share.
 
-use lynxmill_manifest::{Item, Manifest};
+use lynxmill_manifest::{Item, Manifest, fnv1a};
 
 pub const RANGES: usize = 64;
 
-/// FNV-1a, the same on every machine.
-fn hash(bytes: &[u8], from: u64) -> u64 {
-    bytes.iter().fold(from, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
-}
-
-const START: u64 = 0xcbf2_9ce4_8422_2325;
-
 pub fn range(key: &str) -> usize {
-    (hash(key.as_bytes(), START) >> 32) as usize % RANGES
+    (fnv1a(key.bytes()) >> 32) as usize % RANGES
 }
 
 /// SplitMix64's last steps: without them the sum of two items that went on by the same version often stays.
@@ -23,8 +16,8 @@
 }
 
 fn digest(item: &Item) -> u64 {
-    let versioned = hash(&item.version.to_be_bytes(), hash(item.key.as_bytes(), START));
-    mixed(hash(&[u8::from(item.dropped)], versioned))
+    let bytes = item.key.bytes().chain(item.version.to_be_bytes()).chain([u8::from(item.dropped)]);
+    mixed(fnv1a(bytes))
 }
 
 /// One number a range; the order of items does not matter.
--- a/harbour/wharf/src/lib.rs
+++ b/harbour/wharf/src/lib.rs
@@ -10,7 +10,7 @@
 mod task;
 mod trial;
 
-pub use client::{Answer, get, patch};
+pub use client::{Answer, agent, by, get, patch};
 pub use deployment::{Deployment, Site};
 pub use line::run;
 pub use task::Task;
