Edges hear of evacuations that are not agreed; the load generator of hollow edges is gone

Cause: tasks of a zone may turn cold once its evacuation was asked for, and say so up to a heartbeat later.

Change: whoever is asked tells all edges at once, in force or not; each task of the zone gets no more than the bound of a cold one, over all edges, for AckS after the last asking. Tests of node and policy. capacity-bench hollow and its members on loopback leave the code, as they are not wanted any more.

--- a/crates/capacity-bench/src/lib.rs
+++ b/crates/capacity-bench/src/lib.rs
@@ -1,5 +1,5 @@
-//! Micro-benchmarks of the control plane's libraries at several sizes, and a load generator: hollow edges and
-//! tasks for a set of real members of the core on loopback. What they found stands in `docs/CAPACITY.md`.
+//! Micro-benchmarks of the control plane's libraries at several sizes. What they found stands in
+//! `docs/CAPACITY.md`.
 
 // Not yet documented and split as the workspace lints ask: see docs/ROADMAP.md.
 #![allow(
@@ -12,9 +12,7 @@
 pub mod ballots;
 pub mod fit;
 pub mod heap;
-pub mod hollow;
 pub mod made;
-pub mod members;
 pub mod routes;
 pub mod slices;
 pub mod tasks;
--- a/crates/control-node/src/edges.rs
+++ b/crates/control-node/src/edges.rs
@@ -145,6 +145,7 @@
             has_configuration: false,
         };
         self.edges.streams.insert(stream, edge);
+        self.send_evacuation_notices(now, vec![stream]);
         self.log(Event::EdgeJoined(name));
         // Who the edges are is told by the tick: where all join at once, once.
         self.edges.last_sent_list = None;
--- a/crates/control-node/src/lib.rs
+++ b/crates/control-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod contact;
 mod departure;
 mod edges;
+mod evacuation_notices;
 mod event;
 mod instances;
 mod membership;
--- a/crates/control-node/src/node.rs
+++ b/crates/control-node/src/node.rs
@@ -17,6 +17,7 @@
 use crate::contact::{Contact, PeerStatus};
 use crate::departure::Departure;
 use crate::edges::Edges;
+use crate::evacuation_notices::EvacuationNotices;
 use crate::event::Event;
 use crate::instances::Instances;
 use crate::membership::MembershipControl;
@@ -65,6 +66,7 @@
     pub(crate) catch_up: CatchUp,
     pub(crate) instances: Instances,
     pub(crate) edges: Edges,
+    pub(crate) evacuation_notices: EvacuationNotices,
     pub(crate) leases: LeaseGrants,
     pub(crate) ownership: Ownership,
     pub(crate) departure: Option<Departure>,
@@ -128,6 +130,7 @@
             catch_up: CatchUp::default(),
             instances: Instances::new(registry),
             edges: Edges::default(),
+            evacuation_notices: EvacuationNotices::default(),
             ownership: Ownership::default(),
             departure: None,
             storage: StorageQueue::default(),
--- a/crates/control-node/src/orders.rs
+++ b/crates/control-node/src/orders.rs
@@ -110,6 +110,7 @@
         zone: String,
         on: bool,
     ) {
+        self.notice_evacuation(now, &zone);
         self.enqueue_order(now, call, OrderKind::Evacuation { zone, on }, ORDER_TIMEOUT);
     }
 
--- a/crates/control-node/tests/harness/mod.rs
+++ b/crates/control-node/tests/harness/mod.rs
@@ -146,6 +146,7 @@
             heartbeat_interval_s: 1.0,
             bounds: Bounds {
                 grace_s: 6.0,
+                ack_s: 5.0,
                 max_hold_s: 10.0,
                 ..Bounds::default()
             },
@@ -364,6 +365,16 @@
         })
     }
 
+    /// Zones that an edge was noticed of on a stream.
+    pub(crate) fn evacuation_notices(&self, number: usize, stream: StreamId) -> Vec<String> {
+        let messages = self.machines[&number].edge_messages.get(&stream);
+        let zone = |message: &ToEdgeBody| match message {
+            ToEdgeBody::EvacuationNotice(notice) => Some(notice.zone.clone()),
+            _ => None,
+        };
+        messages.into_iter().flatten().filter_map(zone).collect()
+    }
+
     pub(crate) fn members(&self, number: usize) -> Vec<usize> {
         let report = self.machines[&number].node.report(self.now);
         let mut members: Vec<usize> = report
--- a/crates/control-node/tests/node.rs
+++ b/crates/control-node/tests/node.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use harness::{Cluster, change, heartbeat, route};
-use lynxmill_control_node::{Answer, Input, Unavailable};
+use lynxmill_control_node::{Answer, ControlRequest, Input, Unavailable};
 use lynxmill_protocol::TaskState;
 use lynxmill_storage::DiskContents;
 
@@ -62,6 +62,38 @@
     }
 }
 
+/// An evacuation that is not agreed is told to edges all the same, also to those that come later: its tasks may
+/// turn cold. It is in force nowhere.
+#[test]
+fn an_evacuation_that_is_only_asked_for_is_noticed_and_not_in_force() {
+    let mut cluster = Cluster::founded(3);
+    let before = cluster.join(1, "edge-0");
+    cluster.run(1.0);
+    cluster.kill(2);
+    cluster.kill(3);
+    cluster.run(2.0);
+    let asked = ControlRequest::Evacuate {
+        zone: "z".to_owned(),
+        on: true,
+    };
+    let answer = cluster.call(1, asked);
+    assert!(matches!(answer, Some(Answer::Unavailable(_))), "{answer:?}");
+    let later = cluster.join(1, "edge-1");
+    for stream in [before, later] {
+        let notices = cluster.evacuation_notices(1, stream);
+        assert!(notices.contains(&"z".to_owned()), "{notices:?}");
+    }
+    cluster.run(6.0);
+    let after = cluster.join(1, "edge-2");
+    assert!(cluster.evacuation_notices(1, after).is_empty());
+    let evacuated = cluster.machines[&1]
+        .node
+        .configuration()
+        .evacuated()
+        .count();
+    assert_eq!(evacuated, 0);
+}
+
 #[test]
 fn a_cut_off_node_sends_callers_elsewhere_at_once() {
     let mut cluster = Cluster::founded(3);
--- a/crates/control-plane/src/edge_streams.rs
+++ b/crates/control-plane/src/edge_streams.rs
@@ -35,6 +35,7 @@
         ToEdgeBody::ShardTableUpdate(_) => "bytes-shard-table",
         ToEdgeBody::EdgeList(_) => "bytes-edge-list",
         ToEdgeBody::ReportAcknowledgement(_) => "bytes-report-acknowledgement",
+        ToEdgeBody::EvacuationNotice(_) => "bytes-evacuation-notice",
     }
 }
 
--- a/crates/edge-proxy/src/streams.rs
+++ b/crates/edge-proxy/src/streams.rs
@@ -97,6 +97,10 @@
         }
         ToEdgeBody::EdgeList(fleet) => app.load_balancer.borrow_mut().set_edges(fleet),
         ToEdgeBody::ReportAcknowledgement(_) => {}
+        ToEdgeBody::EvacuationNotice(notice) => {
+            let mut load_balancer = app.load_balancer.borrow_mut();
+            load_balancer.evacuation_requested(app.now(), &notice);
+        }
     }
     (None, Vec::new())
 }
--- a/crates/load-balancing/src/load_balancer.rs
+++ b/crates/load-balancing/src/load_balancer.rs
@@ -4,8 +4,8 @@
 
 use lynxmill_configuration::{Bounds, RoutingTable, Service};
 use lynxmill_protocol::{
-    EdgeInfo, EdgeList, LoadReport, ShardTableUpdate, SliceObservation, Task, TaskObservation,
-    TaskState,
+    EdgeInfo, EdgeList, EvacuationNotice, LoadReport, ShardTableUpdate, SliceObservation, Task,
+    TaskObservation, TaskState,
 };
 use lynxmill_time::{TimeDelta, Timestamp};
 
@@ -163,6 +163,8 @@
     services: BTreeMap<String, Vec<String>>,
     shards: BTreeMap<String, ShardMap>,
     edges: Vec<EdgeInfo>,
+    /// Zones whose evacuation was asked for and is not in force here, and until when that counts.
+    requested_evacuations: BTreeMap<String, Timestamp>,
     budgets: BTreeMap<String, RetryBudget>,
     demand: BTreeMap<(String, u32), u32>,
     last_report: Timestamp,
@@ -180,6 +182,7 @@
             services: BTreeMap::new(),
             shards: BTreeMap::new(),
             edges: Vec::new(),
+            requested_evacuations: BTreeMap::new(),
             budgets: BTreeMap::new(),
             demand: BTreeMap::new(),
             last_report: now,
@@ -193,9 +196,26 @@
 
     /// Replaces the routing table.
     pub fn set_routes(&mut self, routes: RoutingTable) {
+        // An evacuation that is in force was agreed: its tasks get nothing.
+        self.requested_evacuations
+            .retain(|zone, _| !routes.evacuated(zone));
         self.routes = routes;
     }
 
+    /// An evacuation was asked for: until the notice ends, each task of the zone gets no more than a cold one
+    /// bears, since it may have turned cold and say so only with its next heartbeat.
+    pub fn evacuation_requested(&mut self, now: Timestamp, notice: &EvacuationNotice) {
+        if self.routes.evacuated(&notice.zone) {
+            return;
+        }
+        let until = now + TimeDelta::from_micros(i64::from(notice.valid_ms) * 1000);
+        let known = self
+            .requested_evacuations
+            .entry(notice.zone.clone())
+            .or_insert(until);
+        *known = until.max(*known);
+    }
+
     /// Replaces the routing table by that of a member whose stream has just begun. Tasks of a zone that is
     /// evacuated no longer are assumed to warm up: an edge that was cut off learns that the zone is taken back
     /// before it hears of its tasks again.
@@ -207,7 +227,7 @@
                 endpoint.taken_back_until = until;
             }
         }
-        self.routes = routes;
+        self.set_routes(routes);
     }
 
     /// Replaces the figures of the rules.
@@ -332,27 +352,43 @@
         *self.demand.entry((service.to_owned(), from)).or_default() += 1;
     }
 
-    /// Whether this edge may send one more request to the task: always, unless it warms up.
+    /// Requests a second that all edges together may send to a task; none if that is not limited.
+    fn rate_limit(&self, now: Timestamp, endpoint: &Endpoint, service: &Service) -> Option<f64> {
+        if service.cold_per_s <= 0.0 {
+            return None;
+        }
+        if endpoint.is_warming_up(now) {
+            return Some(service.cold_per_s);
+        }
+        let until = self.requested_evacuations.get(&endpoint.task.zone)?;
+        let most = service.cold_per_s * self.bounds.cold_overshoot + self.bounds.cold_slack;
+        (now < *until).then_some(most.max(service.cold_per_s))
+    }
+
+    /// Whether this edge may send one more request to the task: always, unless it warms up or may have turned
+    /// cold.
     pub(crate) fn has_warm_up_capacity(
         &mut self,
         now: Timestamp,
         id: &str,
         service: &Service,
     ) -> bool {
-        let Some(endpoint) = self.endpoints.get_mut(id) else {
+        let Some(endpoint) = self.endpoints.get(id) else {
             return false;
         };
-        if !endpoint.is_warming_up(now) || service.cold_per_s <= 0.0 {
+        let Some(per_s) = self.rate_limit(now, endpoint, service) else {
             return true;
-        }
+        };
         let part = rate_share(
             id,
             &endpoint.task.zone,
             &self.locality.name,
             &self.edges,
-            service.cold_per_s,
+            per_s,
         );
-        endpoint.rate.has_capacity(now, part)
+        self.endpoints
+            .get_mut(id)
+            .is_some_and(|endpoint| endpoint.rate.has_capacity(now, part))
     }
 
     /// A client's request for a service has arrived: it adds to the retry budget.
--- a/crates/load-balancing/tests/policy.rs
+++ b/crates/load-balancing/tests/policy.rs
@@ -6,7 +6,9 @@
 use lynxmill_load_balancing::{
     AttemptResult, Candidates, LoadBalancer, Locality, Selection, ShardMap, ShardOwner,
 };
-use lynxmill_protocol::{EdgeInfo, EdgeList, ShardEntry, ShardTableUpdate, Task, TaskState};
+use lynxmill_protocol::{
+    EdgeInfo, EdgeList, EvacuationNotice, ShardEntry, ShardTableUpdate, Task, TaskState,
+};
 use lynxmill_time::{TimeDelta, Timestamp};
 
 fn at(ms: u64) -> Timestamp {
@@ -390,6 +392,18 @@
     }
 }
 
+/// Requests that the task `t` is sent in a second, one asked for each millisecond.
+fn sent_in_second_from(edge: &mut LoadBalancer, ask: &Ask, from: u64) -> usize {
+    let sends = (from..from + 1000).filter(|ms| {
+        let selected = ask.at(edge, at(*ms), 0.5) == Selection::Task("t".to_owned());
+        if selected {
+            edge.attempt_started(at(*ms), "t");
+        }
+        selected
+    });
+    sends.count()
+}
+
 #[test]
 fn tasks_of_a_zone_taken_back_while_cut_off_get_no_more_than_warming_ones_bear() {
     let mut edge = with(&[("t", "za")]);
@@ -409,24 +423,57 @@
         service: service(20.0),
         ..ask()
     };
-    let sent_in_second_from = |edge: &mut LoadBalancer, from: u64| {
-        let sends = (from..from + 1000).filter(|ms| {
-            let selected = ask.at(edge, at(*ms), 0.5) == Selection::Task("t".to_owned());
-            if selected {
-                edge.attempt_started(at(*ms), "t");
-            }
-            selected
-        });
-        sends.count()
-    };
     let (first, later) = (
-        sent_in_second_from(&mut edge, 1000),
-        sent_in_second_from(&mut edge, 4100),
+        sent_in_second_from(&mut edge, &ask, 1000),
+        sent_in_second_from(&mut edge, &ask, 4100),
     );
     assert!((1..=35).contains(&first), "{first} in the first second");
     assert_eq!(later, 1000, "its heartbeats have said that it is warm");
 }
 
+/// An evacuation that no majority has agreed on: the zone stays in use, and its tasks turn cold up to a heartbeat
+/// before they say so (43 requests in a second where 35 are allowed, mfgw-kitchen with two of three members lost).
+#[test]
+fn tasks_of_a_zone_whose_evacuation_was_only_asked_for_get_no_more_than_cold_ones_bear() {
+    let mut edge = with(&[("t", "za")]);
+    edge.set_edges(EdgeList {
+        edges: vec![EdgeInfo {
+            name: "e".to_owned(),
+            zone: "za".to_owned(),
+        }],
+    });
+    let asked = |zone: &str| EvacuationNotice {
+        zone: zone.to_owned(),
+        valid_ms: 5000,
+    };
+    let ask = Ask {
+        service: service(20.0),
+        ..ask()
+    };
+    edge.evacuation_requested(at(0), &asked("zb"));
+    assert_eq!(
+        sent_in_second_from(&mut edge, &ask, 0),
+        1000,
+        "its own zone is none of it"
+    );
+    edge.evacuation_requested(at(1000), &asked("za"));
+    sent_in_second_from(&mut edge, &ask, 1000);
+    let capped = sent_in_second_from(&mut edge, &ask, 2100);
+    assert!((20..=35).contains(&capped), "{capped} in a second");
+    assert_eq!(sent_in_second_from(&mut edge, &ask, 7200), 1000);
+    // Where it is in force nothing is sent; what was noticed before does not outlast it.
+    edge.evacuation_requested(at(9000), &asked("za"));
+    let mut configuration = Configuration::default();
+    for (on, version, sent) in [(true, 0, 0), (false, 1, 1000)] {
+        configuration.merge(&evacuation("za", on, version));
+        edge.set_routes(RoutingTable::new(&configuration));
+        assert_eq!(
+            sent_in_second_from(&mut edge, &ask, 9000 + 1100 * version),
+            sent
+        );
+    }
+}
+
 #[test]
 fn near_comes_before_far_unless_it_is_crowded() {
     let mut pilot = with(&[("far", "zc"), ("near", "za"), ("next", "zb")]);
--- a/crates/protocol/src/edge.rs
+++ b/crates/protocol/src/edge.rs
@@ -287,11 +287,23 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ReportAcknowledgement {}
 
+/// An operator has asked that a zone be emptied or taken back, which need not have been agreed: its tasks may
+/// turn cold before their heartbeats say so.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EvacuationNotice {
+    /// The zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// For how long this holds from now on, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub valid_ms: u32,
+}
+
 /// A message to an edge.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ToEdge {
     /// The message; none if its kind is not known to this build.
-    #[prost(oneof = "ToEdgeBody", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "ToEdgeBody", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<ToEdgeBody>,
 }
 
@@ -316,4 +328,7 @@
     /// A report was received.
     #[prost(message, tag = "6")]
     ReportAcknowledgement(ReportAcknowledgement),
+    /// An evacuation was asked for.
+    #[prost(message, tag = "7")]
+    EvacuationNotice(EvacuationNotice),
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,9 +6,10 @@
 mod peer;
 
 pub use edge::{
-    ConfigurationUpdate, EdgeInfo, EdgeList, EdgeReadiness, EdgeWelcome, FromEdge, FromEdgeBody,
-    Hello, LoadReport, ReportAcknowledgement, ShardEntry, ShardTableUpdate, SliceObservation,
-    TableAcknowledgement, Task, TaskObservation, TaskState, TaskUpdate, ToEdge, ToEdgeBody,
+    ConfigurationUpdate, EdgeInfo, EdgeList, EdgeReadiness, EdgeWelcome, EvacuationNotice,
+    FromEdge, FromEdgeBody, Hello, LoadReport, ReportAcknowledgement, ShardEntry, ShardTableUpdate,
+    SliceObservation, TableAcknowledgement, Task, TaskObservation, TaskState, TaskUpdate, ToEdge,
+    ToEdgeBody,
 };
 pub use frame::{FrameDecoder, FrameError, MAX_FRAME_BYTES, encode_frame};
 pub use peer::{
--- a/crates/simulator/src/edge.rs
+++ b/crates/simulator/src/edge.rs
@@ -241,6 +241,9 @@
             }
             ToEdgeBody::EdgeList(fleet) => self.load_balancer.set_edges(fleet),
             ToEdgeBody::ReportAcknowledgement(_) => {}
+            ToEdgeBody::EvacuationNotice(notice) => {
+                self.load_balancer.evacuation_requested(now, &notice);
+            }
         }
         news
     }
