A notice of an evacuation outlasts its being agreed late and taken back

Change: a notice of an evacuation holds for AckS after the last asking, one of its end for two heartbeat intervals, whatever is in force meanwhile.

--- a/crates/control-node/src/evacuation_notices.rs
+++ b/crates/control-node/src/evacuation_notices.rs
@@ -13,6 +13,9 @@
 use crate::messages::StreamId;
 use crate::node::ControlNode;
 
+/// Heartbeat intervals after which the tasks of a zone that is taken back have said that they are cold.
+const TAKEN_BACK_HEARTBEATS: f64 = 2.0;
+
 /// The notices that hold: until when, by zone.
 #[derive(Debug, Default)]
 pub(crate) struct EvacuationNotices {
@@ -32,12 +35,20 @@
 }
 
 impl ControlNode {
-    /// An operator asks that a zone be emptied or taken back: all edges are told at once.
-    pub(crate) fn notice_evacuation(&mut self, now: Timestamp, zone: &str) {
-        // An operator repeats an order that is not acknowledged, for as long as an acknowledgement may take.
-        let until = now + TimeDelta::from_secs(self.options.bounds.ack_s);
-        self.evacuation_notices.until.retain(|_, end| now < *end);
-        self.evacuation_notices.until.insert(zone.to_owned(), until);
+    /// An operator asks that a zone be emptied, or taken back: all edges are told at once.
+    pub(crate) fn notice_evacuation(&mut self, now: Timestamp, zone: &str, empties: bool) {
+        let valid_s = if empties {
+            // The operator repeats an order that is not acknowledged, for as long as that may take.
+            self.options.bounds.ack_s
+        } else {
+            // Tasks of a zone that is taken back turned cold before, and say so with their next heartbeat.
+            self.options.heartbeat_interval_s * TAKEN_BACK_HEARTBEATS
+        };
+        let until = now + TimeDelta::from_secs(valid_s);
+        let notices = &mut self.evacuation_notices.until;
+        notices.retain(|_, end| now < *end);
+        let known = notices.entry(zone.to_owned()).or_insert(until);
+        *known = until.max(*known);
         self.send_evacuation_notices(now, self.edges.all());
     }
 
--- a/crates/control-node/src/orders.rs
+++ b/crates/control-node/src/orders.rs
@@ -110,7 +110,7 @@
         zone: String,
         on: bool,
     ) {
-        self.notice_evacuation(now, &zone);
+        self.notice_evacuation(now, &zone, on);
         self.enqueue_order(now, call, OrderKind::Evacuation { zone, on }, ORDER_TIMEOUT);
     }
 
--- a/crates/load-balancing/src/load_balancer.rs
+++ b/crates/load-balancing/src/load_balancer.rs
@@ -163,7 +163,7 @@
     services: BTreeMap<String, Vec<String>>,
     shards: BTreeMap<String, ShardMap>,
     edges: Vec<EdgeInfo>,
-    /// Zones whose evacuation was asked for and is not in force here, and until when that counts.
+    /// Zones whose evacuation or its end was asked for lately, and until when that counts.
     requested_evacuations: BTreeMap<String, Timestamp>,
     budgets: BTreeMap<String, RetryBudget>,
     demand: BTreeMap<(String, u32), u32>,
@@ -196,18 +196,14 @@
 
     /// Replaces the routing table.
     pub fn set_routes(&mut self, routes: RoutingTable) {
-        // An evacuation that is in force was agreed: its tasks get nothing.
-        self.requested_evacuations
-            .retain(|zone, _| !routes.evacuated(zone));
         self.routes = routes;
     }
 
     /// An evacuation was asked for: until the notice ends, each task of the zone gets no more than a cold one
-    /// bears, since it may have turned cold and say so only with its next heartbeat.
+    /// bears, since it may have turned cold and say so only with its next heartbeat. An evacuation that is
+    /// agreed late may be taken back at once, so its being in force does not end the notice.
     pub fn evacuation_requested(&mut self, now: Timestamp, notice: &EvacuationNotice) {
-        if self.routes.evacuated(&notice.zone) {
-            return;
-        }
+        self.requested_evacuations.retain(|_, until| now < *until);
         let until = now + TimeDelta::from_micros(i64::from(notice.valid_ms) * 1000);
         let known = self
             .requested_evacuations
