Simulator: steady clocks that creep, and the invariant that a lease has one holder at a time

Each machine has a clock of its own; plans of explore have up to three that run 2% slow or fast for a while (--steady-clocks plays plans as before; their draws do not change). All that nodes promise for a time is counted by these clocks. At no look do two running nodes hold the lease on one service's shards; GET /v1/status tells HeldLeases.

--- a/crates/control-node/src/node.rs
+++ b/crates/control-node/src/node.rs
@@ -99,6 +99,8 @@
     pub pending_changes: (usize, usize),
     /// The snapshot that it reads.
     pub catching_up: Option<SnapshotProgress>,
+    /// Sharded services whose lease it holds.
+    pub held_leases: Vec<String>,
 }
 
 impl ControlNode {
@@ -430,6 +432,7 @@
             merged: self.merged,
             pending_changes: self.pending_changes_size(),
             catching_up: self.catch_up.progress(),
+            held_leases: self.held_leases(now),
         }
     }
 
--- a/crates/control-node/src/ownership.rs
+++ b/crates/control-node/src/ownership.rs
@@ -110,6 +110,13 @@
         owned.map(|(service, _)| service.clone()).collect()
     }
 
+    /// Services whose lease this node holds, whether or not its ownership has been written.
+    pub(crate) fn held_leases(&self, now: Timestamp) -> Vec<String> {
+        let services = self.ownership.services.iter();
+        let held = services.filter(|(_, ownership)| ownership.election.is_held(now));
+        held.map(|(service, _)| service.clone()).collect()
+    }
+
     pub(crate) fn instance_ended(&mut self, task: &Task) {
         if let Some(planner) = self.ownership.planner_mut(&task.service) {
             planner.sign_off(&task.id);
--- a/crates/control-plane/src/control/status.rs
+++ b/crates/control-plane/src/control/status.rs
@@ -38,6 +38,7 @@
     pending_changes: usize,
     pending_bytes: usize,
     catching_up: Option<SnapshotStatus>,
+    held_leases: Vec<String>,
 }
 
 impl From<NodeReport> for NodeStatus {
@@ -59,6 +60,7 @@
             pending_changes: report.pending_changes.0,
             pending_bytes: report.pending_changes.1,
             catching_up: progress,
+            held_leases: report.held_leases,
         }
     }
 }
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -47,6 +47,8 @@
             optional --bug name: String
             /// Prints every step of the shortened plan, or of the one seed.
             optional --replay
+            /// No clock creeps: with it a seed is as it was before the simulator had creeping clocks.
+            optional --steady-clocks
             /// Prints a digest of all that nodes did: two builds with one digest behave alike.
             optional --digest
         }
@@ -123,6 +125,7 @@
                 jobs: options.jobs,
                 bug: options.bug,
                 replay: options.replay,
+                steady_clocks: options.steady_clocks,
                 digest: options.digest,
             };
             explore::run(&options).map(|held| if held { DONE } else { FAILED })
--- a/crates/operator/src/explore.rs
+++ b/crates/operator/src/explore.rs
@@ -18,6 +18,8 @@
     pub jobs: Option<usize>,
     pub bug: Option<String>,
     pub replay: bool,
+    /// No clock creeps: plans are as they were before clocks did.
+    pub steady_clocks: bool,
     /// Prints a digest of all that nodes did.
     pub digest: bool,
 }
@@ -50,6 +52,7 @@
             sabotage,
             digest: options.digest,
         },
+        clock_faults: !options.steady_clocks,
         most_found: MOST_FOUND,
     })
 }
--- a/crates/simulator/src/checks.rs
+++ b/crates/simulator/src/checks.rs
@@ -1,5 +1,7 @@
 //! What is looked at all the time, and what has to come about in calm time.
 
+use std::collections::BTreeMap;
+
 use lynxmill_time::{TimeDelta, Timestamp};
 
 use crate::invariants::Violation;
@@ -34,6 +36,7 @@
         if self.is_within_tolerance() {
             self.check_orders(self.last_event, BORNE_PATIENCE);
         }
+        self.check_leases();
         let broken = self.network.timed_out_connections(self.now);
         self.break_connections(broken);
         let Some(calm) = self.calm_since.filter(|calm| self.now >= *calm) else {
@@ -63,6 +66,25 @@
         }
     }
 
+    /// At no moment do two nodes that run take the same lease for theirs, however their clocks creep. A frozen
+    /// one does nothing until it has looked at its clock again.
+    fn check_leases(&mut self) {
+        let mut holders: BTreeMap<String, usize> = BTreeMap::new();
+        for (machine, host) in self.machines.iter().enumerate() {
+            let report = host.report(self.now).filter(|_| host.frozen == 0);
+            for service in report.into_iter().flat_map(|report| report.held_leases) {
+                if let Some(first) = holders.insert(service.clone(), machine) {
+                    let violation = Violation::TwoLeaseHolders {
+                        service,
+                        first,
+                        second: machine,
+                    };
+                    self.ledger.record_violation(self.now, violation);
+                }
+            }
+        }
+    }
+
     fn check_members(&mut self, calm: Timestamp) {
         let members: Vec<usize> = self
             .membership
@@ -75,7 +97,9 @@
             let Some(process) = host.process.as_ref() else {
                 continue;
             };
-            let report = process.node.report(self.now);
+            let Some(report) = host.report(self.now) else {
+                continue;
+            };
             let late = self.now - process.started.max(calm) > VOTES;
             if late && !report.is_voter && !report.leaving {
                 self.ledger
--- a/crates/simulator/src/explore.rs
+++ b/crates/simulator/src/explore.rs
@@ -20,6 +20,8 @@
     /// The faults that plans may have; all if there are none.
     pub kinds: Vec<FaultKind>,
     pub options: RunOptions,
+    /// Plans have clocks that creep, beside what is drawn of `kinds`.
+    pub clock_faults: bool,
     /// Goes on after a seed that breaks an invariant, up to so many.
     pub most_found: usize,
 }
@@ -96,7 +98,12 @@
             if place >= exploration.seeds {
                 return;
             }
-            let plan = Plan::drawn(exploration.first + place, &exploration.kinds);
+            let drawn = Plan::drawn(exploration.first + place, &exploration.kinds);
+            let plan = if exploration.clock_faults {
+                drawn.with_clock_faults()
+            } else {
+                drawn
+            };
             let report = run(&plan, &exploration.options);
             self.seeds.fetch_add(1, Ordering::Relaxed);
             self.simulated_micros
--- a/crates/simulator/src/fault_injection.rs
+++ b/crates/simulator/src/fault_injection.rs
@@ -3,6 +3,7 @@
 use lynxmill_control_node::Input;
 use lynxmill_time::{TimeDelta, Timestamp};
 
+use crate::clock::Pace;
 use crate::disk::Unsynced;
 use crate::edge::EdgeActor;
 use crate::faults::{Closing, Fault, FaultKind};
@@ -37,6 +38,7 @@
     DiskTakesWrites(usize),
     DiskSpeedsUp(usize),
     DiskGoesOn(usize),
+    ClockRunsTrue(usize),
     GoodNetwork,
 }
 
@@ -103,6 +105,8 @@
                 self.machines[who].disk.stalled_until = self.end_of(&fault);
                 self.schedule_end(&fault, Undo::DiskGoesOn(who));
             }
+            FaultKind::ClockSlow => self.clock_creeps(&fault, who, Pace::Slow),
+            FaultKind::ClockFast => self.clock_creeps(&fault, who, Pace::Fast),
             FaultKind::Kill
             | FaultKind::PowerLoss
             | FaultKind::KillAll
@@ -116,6 +120,13 @@
         }
     }
 
+    /// Not a trouble as users count: a node with a creeping clock keeps every promise, and counts as well.
+    fn clock_creeps(&mut self, fault: &Fault, who: usize, pace: Pace) {
+        self.machines[who].clock.set_pace(self.now, pace);
+        let end = Event::FaultEnds(Undo::ClockRunsTrue(who));
+        self.queue.add(self.end_of(fault), end);
+    }
+
     /// No fault outlasts the beginning of calm time.
     fn end_of(&self, fault: &Fault) -> Timestamp {
         (self.now + fault.duration).min(World::plan_time(self.plan.calm_at))
@@ -129,7 +140,8 @@
             | Undo::SpeedUp(machine)
             | Undo::DiskTakesWrites(machine)
             | Undo::DiskSpeedsUp(machine)
-            | Undo::DiskGoesOn(machine) => vec![*machine],
+            | Undo::DiskGoesOn(machine)
+            | Undo::ClockRunsTrue(machine) => vec![*machine],
             Undo::GoodNetwork => (0..self.machines.len()).collect(),
         }
     }
@@ -143,6 +155,9 @@
 
     pub(crate) fn end_fault(&mut self, undo: Undo) {
         self.trace_line(|| format!("fault ends: {undo:?}"));
+        if let Undo::ClockRunsTrue(machine) = undo {
+            return self.machines[machine].clock.set_pace(self.now, Pace::True);
+        }
         self.last_event = self.now;
         for machine in self.touched(&undo) {
             let host = &mut self.machines[machine];
@@ -167,7 +182,7 @@
             }
             Undo::DiskTakesWrites(machine) => self.machines[machine].disk.full -= 1,
             Undo::DiskSpeedsUp(machine) => self.machines[machine].disk.slow -= 1,
-            Undo::DiskGoesOn(_) => {}
+            Undo::DiskGoesOn(_) | Undo::ClockRunsTrue(_) => {}
             Undo::GoodNetwork => self.network.set_quality(0.0, 0.0),
         }
     }
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -71,6 +71,10 @@
     EdgeRestart = "edge-restart",
     TaskCrash = "task-crash",
     TaskDrain = "task-drain",
+    /// A node's steady clock runs 2% slow.
+    ClockSlow = "clock-slow",
+    /// A node's steady clock runs 2% fast.
+    ClockFast = "clock-fast",
 }
 
 impl fmt::Display for FaultKind {
@@ -183,7 +187,40 @@
     TimeDelta::from_secs(0.05 * (300f64).powf(random.unit()))
 }
 
+/// Plans have up to so many clocks that creep, each for up to this time.
+const MAX_CLOCK_FAULTS: usize = 3;
+const LONGEST_CREEP_S: f64 = 20.0;
+
+impl FaultKind {
+    /// A clock that creeps; such faults have a stream of random numbers of their own.
+    pub fn is_of_clock(self) -> bool {
+        matches!(self, FaultKind::ClockSlow | FaultKind::ClockFast)
+    }
+}
+
 impl Plan {
+    /// Adds clocks that creep. What else the seed draws stays as it is without them.
+    #[must_use]
+    pub fn with_clock_faults(mut self) -> Plan {
+        let mut random = Random::new(self.seed, "clocks");
+        for _ in 0..random.below(MAX_CLOCK_FAULTS + 1) {
+            let kind = if random.chance(0.5) {
+                FaultKind::ClockSlow
+            } else {
+                FaultKind::ClockFast
+            };
+            self.faults.push(Fault {
+                at: Timestamp::from_secs(random.seconds(0.0, self.calm_at.secs())),
+                kind,
+                machine: random.below(16),
+                other: 0,
+                duration: TimeDelta::from_secs(random.seconds(1.0, LONGEST_CREEP_S)),
+            });
+        }
+        self.faults.sort_by_key(|fault| fault.at);
+        self
+    }
+
     /// A plan without faults.
     pub fn calm(seed: u64, core_size: usize) -> Plan {
         Plan {
@@ -200,14 +237,15 @@
         }
     }
 
-    /// The plan of a seed; `kinds` are the faults that it may have, all if there are none.
+    /// The plan of a seed; `kinds` are the faults that it may have, all but those of clocks if there are none.
     pub fn drawn(seed: u64, kinds: &[FaultKind]) -> Plan {
         let mut random = Random::new(seed, "plan");
-        let kinds = if kinds.is_empty() {
-            FaultKind::ALL
-        } else {
-            kinds
-        };
+        let steady: Vec<FaultKind> = FaultKind::ALL
+            .iter()
+            .copied()
+            .filter(|kind| !kind.is_of_clock())
+            .collect();
+        let kinds = if kinds.is_empty() { &steady } else { kinds };
         let core_size = if random.chance(0.75) { 3 } else { 5 };
         let last = random.seconds(LAST_S.0, LAST_S.1);
         let count = 1 + random.below(MAX_FAULTS);
--- a/crates/simulator/src/invariants.rs
+++ b/crates/simulator/src/invariants.rs
@@ -73,6 +73,12 @@
         first: String,
         second: String,
     },
+    /// Two nodes take the lease on a service's shards for theirs.
+    TwoLeaseHolders {
+        service: String,
+        first: usize,
+        second: usize,
+    },
     TwoValuesOfOneBallot {
         register: String,
         ballot: Ballot,
@@ -209,6 +215,16 @@
                     "{first} and {second} hold the keys from {from} at once"
                 )
             }
+            Violation::TwoLeaseHolders {
+                service,
+                first,
+                second,
+            } => {
+                write!(
+                    out,
+                    "nodes {first} and {second} hold the lease on the shards of {service} at once"
+                )
+            }
             Violation::TwoValuesOfOneBallot { register, ballot } => {
                 write!(
                     out,
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod backlog;
 mod checks;
+mod clock;
 mod connections;
 mod digest;
 mod disk;
--- a/crates/simulator/src/machine.rs
+++ b/crates/simulator/src/machine.rs
@@ -3,9 +3,10 @@
 use std::collections::VecDeque;
 
 use lynxmill_configuration::Bounds;
-use lynxmill_control_node::{ControlNode, Input, NodeOptions, StoredState};
+use lynxmill_control_node::{ControlNode, Input, NodeOptions, NodeReport, StoredState};
 use lynxmill_time::Timestamp;
 
+use crate::clock::Clock;
 use crate::disk::Disk;
 
 /// The figures of a small site, in seconds.
@@ -23,6 +24,7 @@
 #[derive(Default)]
 pub(crate) struct Machine {
     pub disk: Disk,
+    pub clock: Clock,
     pub process: Option<Process>,
     /// Without power it says nothing; with power but without a process it refuses connections.
     pub powered: bool,
@@ -52,6 +54,12 @@
         }
     }
 
+    /// How its node stands; none without a process.
+    pub(crate) fn report(&self, now: Timestamp) -> Option<NodeReport> {
+        let process = self.process.as_ref()?;
+        Some(process.node.report(self.clock.read(now)))
+    }
+
     pub(crate) fn is_running(&self) -> bool {
         self.process.is_some()
     }
@@ -60,7 +68,7 @@
     pub(crate) fn start(&mut self, now: Timestamp, options: NodeOptions) {
         let incarnation = options.incarnation;
         let stored = StoredState::new(self.disk.read(), &options);
-        let node = ControlNode::new(now, options, stored);
+        let node = ControlNode::new(self.clock.read(now), options, stored);
         self.powered = true;
         self.undisturbed_since = now;
         self.stopped_since = (self.frozen > 0).then_some(now);
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -306,12 +306,10 @@
 
     /// How each node stands; none for machines without a process.
     pub fn reports(&self) -> Vec<Option<NodeReport>> {
-        let report = |host: &Machine| {
-            host.process
-                .as_ref()
-                .map(|process| process.node.report(self.now))
-        };
-        self.machines.iter().map(report).collect()
+        self.machines
+            .iter()
+            .map(|host| host.report(self.now))
+            .collect()
     }
 
     // --- machines ---
@@ -398,7 +396,7 @@
                 continue;
             }
             self.steps += 1;
-            let effects = process.node.step(self.now, input);
+            let effects = process.node.step(host.clock.read(self.now), input);
             if host.slow > 0 {
                 host.busy_until = self.now + self.random.time_delta(SLOW_STEP_S.0, SLOW_STEP_S.1);
                 self.queue
--- a/crates/simulator/tests/points.rs
+++ b/crates/simulator/tests/points.rs
@@ -10,6 +10,10 @@
 
 /// Plays seeds from `first` and wants every invariant to hold.
 fn hold(first: u64, seeds: u64, kinds: &[FaultKind]) {
+    hold_with_clocks(first, seeds, kinds, false);
+}
+
+fn hold_with_clocks(first: u64, seeds: u64, kinds: &[FaultKind], clock_faults: bool) {
     let options = RunOptions::default();
     let exploration = Exploration {
         first,
@@ -17,6 +21,7 @@
         jobs: JOBS,
         kinds: kinds.to_vec(),
         options,
+        clock_faults,
         most_found: 3,
     };
     let (found, end) = explore(&exploration, |_| {});
@@ -44,6 +49,15 @@
     hold(1_000, 80, kinds);
 }
 
+/// Leases, contact and holds are counted by clocks that creep, while their holders are cut off, frozen or killed.
+#[rstest]
+#[case::of_any_fault(&[])]
+#[case::of_lease_holders(&[FaultKind::ClockSlow, FaultKind::ClockFast, FaultKind::CutOff, FaultKind::Freeze,
+    FaultKind::Kill])]
+fn clocks_that_creep(#[case] kinds: &[FaultKind]) {
+    hold_with_clocks(11_000, 80, kinds, true);
+}
+
 #[test]
 fn two_operators_at_once() {
     hold(
--- a/crates/simulator/tests/sabotage.rs
+++ b/crates/simulator/tests/sabotage.rs
@@ -27,6 +27,7 @@
         jobs: JOBS,
         kinds: kinds.to_vec(),
         options,
+        clock_faults: false,
         most_found: 1,
     };
     let (found, _) = explore(&exploration, |_| {});
