A request is not sent to a task that began to drain while a connection to it opened

Change: whether the task may still be sent anything is asked again once the connection is open; if not, nothing was sent, the task is not blamed, and the request goes elsewhere. Test: a listener that accepts and is sent no byte.

--- a/crates/edge-proxy/src/attempts.rs
+++ b/crates/edge-proxy/src/attempts.rs
@@ -15,7 +15,7 @@
 use crate::app::App;
 use crate::headers::{DEADLINE, EXPECT_INSTANCE, INSTANCE_LOAD, NOT_EXECUTED, SERVER_SEAL, text};
 use crate::response::{ClientResponse, forward_response, local_response};
-use crate::upstream::{UpstreamError, UpstreamRequest, UpstreamResponse, exchange};
+use crate::upstream::{UpstreamError, UpstreamRequest, UpstreamResponse, WITHDRAWN, exchange};
 
 /// Statuses by which a client is told that its request has not run and never will.
 const RETRY_STATUSES: [StatusCode; 4] = [
@@ -180,6 +180,7 @@
             return None;
         };
         let sent = app.now();
+        let is_allowed = || app.load_balancer.borrow().may_send(app.now(), id);
         let call = UpstreamRequest {
             id,
             address: &address,
@@ -193,6 +194,7 @@
                     .max(MIN_CONNECT_TIMEOUT),
             ),
             deadline: app.instant(self.deadline),
+            is_allowed: &is_allowed,
         };
         app.load_balancer.borrow_mut().attempt_started(sent, id);
         let in_flight = InFlightAttempt {
@@ -217,8 +219,8 @@
         };
         let id = in_flight.id;
         self.app.count(reason);
-        // A task is not to blame for our own bound of connections.
-        if reason != "conns" {
+        // A task is not to blame for our own bound of connections, nor for draining.
+        if reason != "conns" && reason != WITHDRAWN {
             in_flight.ended(AttemptResult::Failed, None);
         }
         if matches!(error, UpstreamError::NotSent(_)) {
--- a/crates/edge-proxy/src/upstream.rs
+++ b/crates/edge-proxy/src/upstream.rs
@@ -21,6 +21,9 @@
 /// How long bytes may stay unacknowledged by a task.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Why nothing was sent: the task may get no requests any more.
+pub(crate) const WITHDRAWN: &str = "withdrawn";
+
 /// A task's whole answer.
 pub struct UpstreamResponse {
     /// From 200 to 599.
@@ -58,6 +61,9 @@
     pub connect_deadline: Instant,
     /// By when the answer has to be whole.
     pub deadline: Instant,
+    /// Whether the request may still go to this task. It is asked once a connection is open: meanwhile the task
+    /// may have begun to drain, or its zone may have been evacuated.
+    pub is_allowed: &'a dyn Fn() -> bool,
 }
 
 async fn connect(address: &str) -> Result<Connection, &'static str> {
@@ -94,7 +100,8 @@
     )
     .await
     {
-        Ok(Ok(connection)) => place.opened(connection),
+        Ok(Ok(connection)) if (call.is_allowed)() => place.opened(connection),
+        Ok(Ok(_)) => return Err(UpstreamError::NotSent(WITHDRAWN)),
         Ok(Err(reason)) => return Err(UpstreamError::NotSent(reason)),
         Err(_) => return Err(UpstreamError::NotSent("connect")),
     }
--- a/crates/edge-proxy/tests/upstream/main.rs
+++ b/crates/edge-proxy/tests/upstream/main.rs
@@ -35,6 +35,8 @@
 struct Edge {
     pools: RefCell<Pools>,
     address: String,
+    /// The task has begun to drain.
+    withdrawn: Cell<bool>,
 }
 
 impl Edge {
@@ -43,6 +45,7 @@
         Rc::new(Edge {
             pools: RefCell::default(),
             address,
+            withdrawn: Cell::new(false),
         })
     }
 
@@ -61,6 +64,7 @@
             attempt_id,
             connect_deadline: began + TIME,
             deadline: began + TIME,
+            is_allowed: &|| !self.withdrawn.get(),
         };
         let request = Request::post("/p")
             .header("host", "h")
@@ -242,6 +246,23 @@
     length
 }
 
+/// A connection may take long to open: a task that drains by then gets nothing, and the request goes elsewhere.
+#[test]
+fn a_task_that_drains_while_a_connection_opens_is_sent_nothing() {
+    play(async |listener| {
+        let edge = Edge::new(&listener);
+        edge.withdrawn.set(true);
+        let (came, accepted) = tokio::join!(edge.ask("1", b"hi".to_vec()), listener.accept());
+        assert_eq!(came.err(), Some(UpstreamError::NotSent("withdrawn")));
+        let mut stream = accepted.unwrap().0;
+        let mut bytes = Vec::new();
+        tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut bytes)
+            .await
+            .unwrap();
+        assert!(bytes.is_empty(), "{bytes:?}");
+    });
+}
+
 #[test]
 fn a_request_cut_at_any_byte_is_never_sent_again_and_unsent_means_unsent() {
     play(|listener| async move {
--- a/crates/load-balancing/src/load_balancer.rs
+++ b/crates/load-balancing/src/load_balancer.rs
@@ -241,6 +241,13 @@
         self.endpoints.get(id)
     }
 
+    /// Whether a task may be sent a request now, as far as its state and its zone go.
+    pub fn may_send(&self, now: Timestamp, id: &str) -> bool {
+        self.endpoint(id).is_some_and(|endpoint| {
+            endpoint.is_usable(now) && !self.routes.evacuated(&endpoint.task.zone)
+        })
+    }
+
     pub(crate) fn endpoints_of(&self, service: &str) -> &[String] {
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
