Members send edges compressed messages, where an edge says that it reads them

Change: an edge's first message tells that it reads compressed messages (field 6 of Hello); those of 512 bytes and more go out as zstd in fields 8 and 9 of ToEdge, made once for all streams. Old edges get plain ones.

--- a/crates/capacity-bench/src/routes.rs
+++ b/crates/capacity-bench/src/routes.rs
@@ -24,12 +24,10 @@
 
 fn goods(configuration: &Configuration) -> ToEdge {
     let items: Vec<Item> = configuration.items.values().cloned().collect();
-    ToEdge {
-        body: Some(ToEdgeBody::ConfigurationUpdate(ConfigurationUpdate {
-            items,
-            is_complete: true,
-        })),
-    }
+    ToEdge::plain(ToEdgeBody::ConfigurationUpdate(ConfigurationUpdate {
+        items,
+        is_complete: true,
+    }))
 }
 
 /// The first call of the operator, as it comes in.
@@ -154,11 +152,11 @@
         Point::exact(n, encode_frame(&goods(&of(n))).len())
     });
     over("routes: bytes of one changed", "B", "route", &[1], &|n| {
-        let body = Some(ToEdgeBody::ConfigurationUpdate(ConfigurationUpdate {
+        let body = ToEdgeBody::ConfigurationUpdate(ConfigurationUpdate {
             items: vec![made::route(n, 8)],
             is_complete: false,
-        }));
-        Point::exact(n, encode_frame(&ToEdge { body }).len())
+        });
+        Point::exact(n, encode_frame(&ToEdge::plain(body)).len())
     });
     over(
         "routes: memory of a Configuration",
--- a/crates/capacity-bench/src/tasks.rs
+++ b/crates/capacity-bench/src/tasks.rs
@@ -136,12 +136,10 @@
 
 fn whole(size: usize) -> ToEdge {
     let tasks = made::tasks(size, 1_000, SERVICES);
-    ToEdge {
-        body: Some(ToEdgeBody::TaskUpdate(TaskUpdate {
-            tasks,
-            is_complete: true,
-        })),
-    }
+    ToEdge::plain(ToEdgeBody::TaskUpdate(TaskUpdate {
+        tasks,
+        is_complete: true,
+    }))
 }
 
 fn whole_made(runs: usize, size: usize) -> Point {
@@ -159,6 +157,7 @@
         frames.push(&bytes);
         let Ok(Some(ToEdge {
             body: Some(ToEdgeBody::TaskUpdate(tasks)),
+            ..
         })) = frames.next_message()
         else {
             return;
--- a/crates/control-plane/src/edge_streams.rs
+++ b/crates/control-plane/src/edge_streams.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use lynxmill_control_node::{Input, StreamId};
-use lynxmill_protocol::{FrameDecoder, FromEdge, ToEdge, ToEdgeBody, encode_frame};
+use lynxmill_protocol::{FrameDecoder, FromEdge, FromEdgeBody, ToEdge, ToEdgeBody, encode_frame};
 
 use crate::host::{Host, lock};
 use crate::outbox::Outbox;
@@ -20,9 +20,16 @@
 const BACKLOG: usize = 8 << 20;
 const STACK: usize = 192 << 10;
 
+/// An edge's stream.
+struct EdgeOutbox {
+    outbox: Outbox,
+    /// Its first message said so.
+    reads_compressed: bool,
+}
+
 #[derive(Default)]
 pub(crate) struct EdgeStreams {
-    open: Mutex<BTreeMap<StreamId, Outbox>>,
+    open: Mutex<BTreeMap<StreamId, EdgeOutbox>>,
     /// Bytes that went out, by purpose.
     sent: Mutex<BTreeMap<&'static str, u64>>,
 }
@@ -39,20 +46,44 @@
     }
 }
 
+/// The frame of a message in its compressed form, or as it is where that saves nothing.
+fn compress(message: &ToEdge, plain: &Arc<Vec<u8>>) -> Arc<Vec<u8>> {
+    message
+        .compressed()
+        .map_or_else(|| plain.clone(), |short| Arc::new(encode_frame(&short)))
+}
+
 impl EdgeStreams {
     pub(crate) fn send(&self, streams: &[StreamId], body: ToEdgeBody) {
         let purpose = purpose(&body);
-        let bytes = Arc::new(encode_frame(&ToEdge { body: Some(body) }));
-        *lock(&self.sent).entry(purpose).or_default() += (bytes.len() * streams.len()) as u64;
+        let message = ToEdge::plain(body);
+        let plain = Arc::new(encode_frame(&message));
+        let mut sent = 0;
+        let mut compressed = None;
         let open = lock(&self.open);
-        for outbox in streams.iter().filter_map(|stream| open.get(stream)) {
-            outbox.send(bytes.clone());
+        for edge in streams.iter().filter_map(|stream| open.get(stream)) {
+            let bytes = if edge.reads_compressed {
+                compressed.get_or_insert_with(|| compress(&message, &plain))
+            } else {
+                &plain
+            };
+            sent += bytes.len() as u64;
+            edge.outbox.send(bytes.clone());
+        }
+        drop(open);
+        *lock(&self.sent).entry(purpose).or_default() += sent;
+    }
+
+    /// An edge's first message has come.
+    fn greeted(&self, stream: StreamId, reads_compressed: bool) {
+        if let Some(edge) = lock(&self.open).get_mut(&stream) {
+            edge.reads_compressed = reads_compressed;
         }
     }
 
     pub(crate) fn close(&self, stream: StreamId) {
-        if let Some(outbox) = lock(&self.open).get(&stream) {
-            outbox.close();
+        if let Some(edge) = lock(&self.open).get(&stream) {
+            edge.outbox.close();
         }
     }
 
@@ -79,7 +110,11 @@
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(WRITE));
     let id = StreamId(host.next_number());
     let outbox = Outbox::new(&stream, "to-edge", BACKLOG)?;
-    lock(&host.edges.open).insert(id, outbox);
+    let edge = EdgeOutbox {
+        outbox,
+        reads_compressed: false,
+    };
+    lock(&host.edges.open).insert(id, edge);
     let ended = read_messages(host, id, &stream);
     let _ = stream.shutdown(Shutdown::Both);
     lock(&host.edges.open).remove(&id);
@@ -100,6 +135,9 @@
             .map_err(std::io::Error::other)?
         {
             if let Some(message) = says.body {
+                if let FromEdgeBody::Hello(hello) = &message {
+                    host.edges.greeted(id, hello.reads_compressed);
+                }
                 host.step(Input::Edge {
                     stream: id,
                     message,
--- a/crates/edge-proxy/src/streams.rs
+++ b/crates/edge-proxy/src/streams.rs
@@ -134,6 +134,7 @@
             region: settings.region.clone(),
             front: settings.listen().front,
             incarnation: app.incarnation,
+            reads_compressed: true,
         }
     };
     app.welcomed_by.borrow_mut().insert(member.to_owned());
@@ -168,7 +169,14 @@
                                 return Err(std::io::Error::other(error));
                             }
                         };
-                        let Some(body) = message.body else { continue };
+                        let body = match message.into_body() {
+                            Ok(Some(body)) => body,
+                            Ok(None) => continue,
+                            Err(error) => {
+                                writer.abort();
+                                return Err(std::io::Error::other(error));
+                            }
+                        };
                         let (answer, news) = apply(app, member, body);
                         members.borrow_mut().extend(news);
                         answer.into_iter().for_each(|edge| drop(out.send(encode(edge))));
--- a/crates/edge-proxy/tests/exchange.rs
+++ b/crates/edge-proxy/tests/exchange.rs
@@ -188,9 +188,8 @@
                         is_complete: true,
                     }),
                 ];
-                told.into_iter().for_each(|body| {
-                    drop(stream.write_all(&encode_frame(&ToEdge { body: Some(body) })))
-                });
+                told.into_iter()
+                    .for_each(|body| drop(stream.write_all(&encode_frame(&ToEdge::plain(body)))));
                 std::thread::spawn(move || std::io::copy(&mut stream, &mut std::io::sink()));
             }
         });
--- a/crates/protocol/src/edge.rs
+++ b/crates/protocol/src/edge.rs
@@ -89,6 +89,9 @@
     /// The incarnation of its process.
     #[prost(uint64, tag = "5")]
     pub incarnation: u64,
+    /// It reads compressed messages.
+    #[prost(bool, tag = "6")]
+    pub reads_compressed: bool,
 }
 
 /// Tells whether an edge is ready for clients.
@@ -305,6 +308,12 @@
     /// The message; none if its kind is not known to this build.
     #[prost(oneof = "ToEdgeBody", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<ToEdgeBody>,
+    /// A whole message in place of the body, compressed by `zstd`; only for edges that read it.
+    #[prost(bytes = "vec", tag = "8")]
+    pub compressed: Vec<u8>,
+    /// How long the compressed message is by itself, in bytes.
+    #[prost(uint32, tag = "9")]
+    pub plain_bytes: u32,
 }
 
 /// The kinds of messages to an edge.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,6 +1,7 @@
 //! The wire protocol between assigners: messages in frames, without I/O. Field numbers and kinds of
 //! messages are part of the protocol and never change; names are free.
 
+mod compression;
 mod edge;
 mod frame;
 mod peer;
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -226,6 +226,7 @@
         region: text("west"),
         front: text("10.2.0.1:80"),
         incarnation: 9,
+        reads_compressed: false,
     };
     let seen = TaskObservation {
         id: text("i-1"),
@@ -363,7 +364,7 @@
         check(&mut left, name, &FromEdge { body: Some(body) });
     }
     for (name, body) in to_edges() {
-        check(&mut left, name, &ToEdge { body: Some(body) });
+        check(&mut left, name, &ToEdge::plain(body));
     }
     let slices = vec![Slice {
         from: 0,
--- a/crates/simulator/src/digest.rs
+++ b/crates/simulator/src/digest.rs
@@ -70,9 +70,7 @@
                 self.number(6);
                 self.number(streams.len() as u64);
                 streams.iter().for_each(|stream| self.number(stream.0));
-                self.message(&ToEdge {
-                    body: Some(body.clone()),
-                });
+                self.message(&ToEdge::plain(body.clone()));
             }
             Effect::CloseEdge(stream) => {
                 self.number(7);
--- a/crates/simulator/src/edge.rs
+++ b/crates/simulator/src/edge.rs
@@ -167,6 +167,7 @@
             region: "east".to_owned(),
             front: "10.1.0.35:8144".to_owned(),
             incarnation: self.incarnation,
+            reads_compressed: false,
         };
         let say = |message| EdgeAction::Say {
             machine,
