A sharded service has more slices than tasks, however many tasks it has

Change: a table that nobody has owned a slice of is divided by the tasks that have come by the end of the gathering: 1.5 slices a task, a power of two from 64 to 512, and half as many more by splits. An answer to a heartbeat names 95 rows at most; what does not fit is not granted, so that edges send nothing there. Services of up to 42 tasks stay as they were. Acknowledgements of tasks look at closed slices only once a step.

Result: tests of the planner (132 tasks, each with one or two slices; 95 rows within 4 KiB); the simulated worlds re-divide only while nothing is owned, which they check.

--- a/crates/placement/src/planner/grants.rs
+++ b/crates/placement/src/planner/grants.rs
@@ -8,21 +8,12 @@
 /// Above this many grants neighbours are merged: an answer to a heartbeat has to stay short.
 const MAX_GRANTS: usize = 48;
 
-/// Merges neighbouring grants that differ by their keys alone.
-fn merge_neighbours(grants: Vec<Grant>) -> Vec<Grant> {
-    let mut merged: Vec<Grant> = Vec::new();
-    for grant in grants {
-        let continues = |last: &&mut Grant| {
-            last.to + 1 == grant.from
-                && last.generation == grant.generation
-                && last.handover == grant.handover
-        };
-        match merged.last_mut().filter(continues) {
-            Some(last) => last.to = grant.to,
-            None => merged.push(grant),
-        }
-    }
-    merged
+/// Rows of an answer at most: with a handover each they still fit into its 4 KiB.
+const MAX_ROWS: usize = 95;
+
+/// Whether a grant goes on where the last one ends, and differs from it by its keys alone.
+fn continues(last: &Grant, next: &Grant) -> bool {
+    last.to + 1 == next.from && last.generation == next.generation && last.handover == next.handover
 }
 
 impl SliceState {
@@ -43,21 +34,41 @@
     pub fn heartbeat(&mut self, now: Timestamp, holdings: &TaskHoldings) -> Vec<Grant> {
         self.lease_holder(&holdings.id).last_heartbeat = Some(now);
         self.released(&holdings.id, &holdings.released);
-        let mut grants = Vec::new();
+        let mut granted = Vec::new();
         for index in 0..self.slices.len() {
             let slice = &self.slices[index];
             let owns = slice.slice.owner == holdings.id;
             if owns && slice.closed_at.is_some() {
                 self.announce(index);
             } else if owns && self.may_grant(now, index, &holdings.id) {
-                grants.push(self.grant(now, index, holdings));
+                granted.push(index);
             }
         }
-        if grants.len() > MAX_GRANTS {
-            merge_neighbours(grants)
-        } else {
-            grants
+        self.grant_all(now, &granted, holdings)
+    }
+
+    /// Grants slices to their owner, in as many rows as an answer has room for. What does not fit waits
+    /// ungranted, so that edges send nothing there: a task owns so many slices only while almost all others are
+    /// gone.
+    fn grant_all(
+        &mut self,
+        now: Timestamp,
+        owned: &[usize],
+        holdings: &TaskHoldings,
+    ) -> Vec<Grant> {
+        let merges = owned.len() > MAX_GRANTS;
+        let mut rows: Vec<Grant> = Vec::new();
+        for &index in owned {
+            let grant = self.grant_of(index, holdings);
+            let has_room = rows.len() < MAX_ROWS;
+            match rows.last_mut() {
+                Some(last) if merges && continues(last, &grant) => last.to = grant.to,
+                _ if has_room => rows.push(grant),
+                _ => continue,
+            }
+            self.record_grant(now, index, &holdings.id);
         }
+        rows
     }
 
     /// Edges close the slice while its owner lets it go: until now it was served.
@@ -77,14 +88,9 @@
         !other_holds && !moves_away && slice.uncertain.is_none()
     }
 
-    /// Grants the slice, or renews the grant; a task that holds it already needs no handover.
-    fn grant(&mut self, now: Timestamp, index: usize, holdings: &TaskHoldings) -> Grant {
-        let slice = &mut self.slices[index];
-        let duration = self.parameters.lease_duration;
-        slice.lease.grant(now, &holdings.id, duration);
-        if !std::mem::replace(&mut slice.granted, true) {
-            self.dirty.insert(index);
-        }
+    /// The grant of a slice to its owner; a task that holds it already needs no handover.
+    fn grant_of(&self, index: usize, holdings: &TaskHoldings) -> Grant {
+        let slice = &self.slices[index];
         let handover = if slice.is_held_by(holdings) {
             String::new()
         } else {
@@ -98,6 +104,15 @@
         }
     }
 
+    /// The slice is granted, or the grant renewed: edges may send there.
+    fn record_grant(&mut self, now: Timestamp, index: usize, id: &str) {
+        let slice = &mut self.slices[index];
+        slice.lease.grant(now, id, self.parameters.lease_duration);
+        if !std::mem::replace(&mut slice.granted, true) {
+            self.dirty.insert(index);
+        }
+    }
+
     /// Keys that a task has let go, in a heartbeat or with its sign-off.
     fn released(&mut self, id: &str, released: &[ReleasedShard]) {
         for state in &mut self.slices {
--- a/crates/placement/src/planner/splitting.rs
+++ b/crates/placement/src/planner/splitting.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeSet;
 
 use lynxmill_assigner::Assigner;
+use lynxmill_protocol::Slice;
 use lynxmill_time::Timestamp;
 
-use super::parameters::assigner_facts;
+use super::parameters::{assigner_facts, initial_slices};
 use super::{PlacementPlanner, SliceState};
 use crate::split;
 
@@ -22,7 +23,7 @@
             &self.stored.slices,
             &rates,
             owners.len(),
-            self.parameters.max_slices,
+            split::max_count(self.listed.len(), self.parameters.max_slices),
         );
         if busy.is_empty() || !self.slices.iter().all(still) {
             return;
@@ -51,6 +52,34 @@
             .collect();
         self.owners_to_restore = Some(numbers);
         self.initial_rates = Some(self.slices.iter().map(|p| p.request_rate).collect());
+        self.begin_assigner_anew(now);
+    }
+
+    /// Divides a table that nobody has owned a slice of as finely as so many tasks need.
+    pub(super) fn divide_for(&mut self, now: Timestamp, tasks: usize) {
+        if !split::are_too_few(self.slices.len(), tasks) {
+            return;
+        }
+        let count = split::initial_count(tasks);
+        let unowned = |p: &SliceState| {
+            p.slice.owner.is_empty() && p.next_owner.is_none() && p.uncertain.is_none()
+        };
+        if count <= self.slices.len() || !self.slices.iter().all(unowned) {
+            return;
+        }
+        self.stored.slices = initial_slices(count as u32);
+        let state = |slice: &Slice| SliceState {
+            slice: slice.clone(),
+            ..SliceState::default()
+        };
+        self.slices = self.stored.slices.iter().map(state).collect();
+        self.send_all = true;
+        self.owners_to_restore = Some(vec![None; count]);
+        self.begin_assigner_anew(now);
+    }
+
+    /// The slices are others than before: the assigner is told of everything once more.
+    fn begin_assigner_anew(&mut self, now: Timestamp) {
         self.listed.clear();
         self.streams = self
             .edges
--- a/crates/placement/src/planner/step.rs
+++ b/crates/placement/src/planner/step.rs
@@ -56,6 +56,7 @@
         let listed = if self.is_gathering(now, tasks) {
             Vec::new()
         } else {
+            self.divide_for(now, self.ready_count(tasks));
             self.listings(now, tasks, is_evacuated)
         };
         let acknowledgements = self.acknowledgements(now);
@@ -94,15 +95,11 @@
             .last_key_value()
             .map_or(0, |(barrier, _)| *barrier);
         let mut acknowledgements = Vec::new();
+        let first_closed = self.first_closed_by_holder(now);
         for holder in self.holders.values_mut() {
             let id = &self.names[&holder.number];
-            let first_held = self
-                .slices
-                .iter()
-                .filter(|slice| slice.lease.holder_at(now) == Some(id.as_str()))
-                .filter_map(|slice| slice.closed_at)
-                .min();
-            let barrier = first_held
+            let barrier = first_closed
+                .get(id)
                 .map_or(self.barrier, |closed_at| closed_at.saturating_sub(1))
                 .min(announced);
             if barrier > holder.acknowledged {
@@ -121,6 +118,19 @@
         acknowledgements
     }
 
+    /// For each task that holds a closed slice, the first barrier at which one was closed.
+    fn first_closed_by_holder(&self, now: Timestamp) -> BTreeMap<String, u64> {
+        let mut first: BTreeMap<String, u64> = BTreeMap::new();
+        for slice in &self.slices {
+            let holder = slice.lease.holder_at(now);
+            if let (Some(barrier), Some(id)) = (slice.closed_at, holder) {
+                let known = first.entry(id.to_owned()).or_insert(barrier);
+                *known = barrier.min(*known);
+            }
+        }
+        first
+    }
+
     /// What edges have reported since the last time, over `elapsed`.
     fn take_observations(&mut self, elapsed: TimeDelta) -> Observations {
         let mut demand = Vec::with_capacity(self.slices.len());
--- a/crates/placement/src/planner/task_listing.rs
+++ b/crates/placement/src/planner/task_listing.rs
@@ -51,6 +51,16 @@
         listed
     }
 
+    /// How many of these tasks can be given keys.
+    pub(super) fn ready_count(&self, tasks: &[Task]) -> usize {
+        let ready = |task: &&Task| {
+            task.service == self.parameters.service
+                && task.state == TaskState::Ready as i32
+                && !task.timed_out
+        };
+        tasks.iter().filter(ready).count()
+    }
+
     /// Whether tasks may still be missing after the first one: else all that nobody has owned yet
     /// would go to the first task that sends a heartbeat.
     pub(super) fn is_gathering(&mut self, now: Timestamp, tasks: &[Task]) -> bool {
--- a/crates/placement/src/split.rs
+++ b/crates/placement/src/split.rs
@@ -10,6 +10,35 @@
 /// No slice with fewer requests a second is split.
 const MIN_SPLIT_RATE: f64 = 1.0;
 
+/// Slices of a service with few tasks, and of one with as many as it may have.
+const FEWEST_SLICES: usize = 64;
+const MOST_SLICES: usize = 512;
+/// Slices for each task: with fewer slices than tasks some tasks would hold no key.
+const SLICES_PER_TASK: f64 = 1.5;
+/// How many slices there may be for each one at first, once busy ones have been split.
+const SPLIT_GROWTH: f64 = 100.0 / 64.0;
+
+/// How many slices a service with so many tasks is divided into at first: a power of two, so that finer slices
+/// begin where coarser ones do.
+pub(crate) fn initial_count(tasks: usize) -> usize {
+    let wanted = (tasks as f64 * SLICES_PER_TASK).ceil() as usize;
+    wanted.next_power_of_two().clamp(FEWEST_SLICES, MOST_SLICES)
+}
+
+/// Whether so many slices are too few for so many tasks.
+pub(crate) fn are_too_few(slices: usize, tasks: usize) -> bool {
+    (slices as f64) < tasks as f64 * SLICES_PER_TASK
+}
+
+/// How many slices a service with so many tasks may come to, `configured` if it has few.
+pub(crate) fn max_count(tasks: usize, configured: usize) -> usize {
+    let initial = initial_count(tasks);
+    if initial <= FEWEST_SLICES {
+        return configured;
+    }
+    configured.max((initial as f64 * SPLIT_GROWTH) as usize)
+}
+
 /// Keys from `first` to `last`, both included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct KeyRange {
--- a/crates/placement/tests/place.rs
+++ b/crates/placement/tests/place.rs
@@ -6,7 +6,7 @@
     Grant, HeldShard, Parameters, PlacementPlanner, PlacementStep, ReleasedShard, TaskHoldings,
     initial_slices,
 };
-use lynxmill_protocol::{ShardEntry, ShardTable, ShardTableUpdate, Task, TaskState};
+use lynxmill_protocol::{ShardEntry, ShardTable, ShardTableUpdate, Slice, Task, TaskState};
 use lynxmill_time::{TimeDelta, Timestamp};
 
 fn ms(ms: i64) -> TimeDelta {
@@ -254,6 +254,55 @@
     assert_eq!(rig.fences(), [1; 8]);
 }
 
+/// With 64 slices, 68 of 132 tasks held no key and stood idle (mfgw-kitchen-large).
+#[test]
+fn every_one_of_many_tasks_gets_keys_at_first() {
+    let mut rig = Rig::over(ShardTable {
+        term: 1,
+        slices: initial_slices(64),
+        ..ShardTable::default()
+    });
+    rig.join("e");
+    let ids: Vec<String> = (0..132).map(|number| format!("t{number}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    ids.iter().for_each(|id| rig.task(id));
+    rig.run(2500, &ids);
+    assert_eq!(rig.register.slices.len(), 256);
+    assert!(ids.iter().all(|id| (1..=2).contains(&rig.owned(id))));
+    assert!(ids.iter().all(|id| rig.held[*id].len() == rig.owned(id)));
+    let rows = rig.plan.complete_update().entries;
+    assert_eq!(rows.len(), 256);
+    assert!(rows.iter().all(|row| !row.closed));
+}
+
+/// One task that is left with all of 256 slices is granted what an answer of 4 KiB can name; edges send nothing to
+/// the rest.
+#[test]
+fn grants_fit_into_an_answer_however_many_slices_a_task_owns() {
+    let slices = initial_slices(256).into_iter().enumerate();
+    let owned = slices.map(|(index, slice)| Slice {
+        owner: "a".to_owned(),
+        generation: index as u64,
+        ..slice
+    });
+    let mut rig = Rig::over(ShardTable {
+        term: 2,
+        slices: owned.collect(),
+        ..ShardTable::default()
+    });
+    rig.join("e");
+    rig.task("a");
+    let grants = rig.beat("a");
+    assert_eq!(grants.len(), 95);
+    let row = |g: &Grant| {
+        format!(
+            "[{},{},{},\"0123456789abcdef\"],",
+            g.from, g.to, g.generation
+        )
+    };
+    assert!(grants.iter().map(|g| row(g).len()).sum::<usize>() < 3900);
+}
+
 #[test]
 fn nothing_is_granted_before_it_is_written() {
     let mut rig = Rig::over(ShardTable {
--- a/crates/placement/tests/world/mod.rs
+++ b/crates/placement/tests/world/mod.rs
@@ -112,6 +112,22 @@
     leaves: Option<Timestamp>,
 }
 
+/// The rows of a grant one by one for each of so many slices: neighbours may come as one row.
+fn by_slice(rows: &[Grant], slices: u32) -> Vec<Grant> {
+    let width = 65_536 / slices;
+    let parts = |row: &Grant| {
+        let row = row.clone();
+        (row.from..=row.to)
+            .step_by(width as usize)
+            .map(move |from| Grant {
+                from,
+                to: from + width - 1,
+                ..row.clone()
+            })
+    };
+    rows.iter().flat_map(parts).collect()
+}
+
 #[derive(Default)]
 struct Actor {
     id: String,
@@ -718,6 +734,7 @@
         // What it let go since the beat is still to be told.
         let before: Vec<_> = task.released.iter().map(|r| r.from).collect();
         let Some(rows) = answer.rows else { return };
+        let rows = by_slice(&rows, self.register.slices.len() as u32);
         task.released.clear();
         for row in &rows {
             if task
@@ -784,6 +801,15 @@
 
     /// Owners change only after the former one's hold, and with all edges' answers.
     fn check_write(&mut self, berth: &ShardTable) {
+        if berth.slices.len() != self.register.slices.len() {
+            // Many tasks need finer slices: only while nobody has owned or holds any.
+            let owned = self.register.slices.iter().any(|s| !s.owner.is_empty());
+            let held = self.tasks.iter().any(|t| t.up && !t.holds.is_empty());
+            if owned || held {
+                self.fail("divided anew while slices are owned".to_owned());
+            }
+            return;
+        }
         for i in 0..berth.slices.len() {
             let (old, new) = (self.register.slices[i].clone(), &berth.slices[i]);
             if new.generation < old.generation {
