A newcomer that is back takes its seat; a leaver is no majority to add a blank one to

Change: a newcomer is added without its response only where a majority without it votes and stays; one that is heard of again has 6 s in all; the value is sent again to members that have not accepted it, so that a newcomer can read of them too.

Result: tests of each; the one of the leaver fails with the majority as it was counted before.

--- a/crates/consensus/src/ballot_round.rs
+++ b/crates/consensus/src/ballot_round.rs
@@ -63,6 +63,13 @@
             .collect()
     }
 
+    /// Members that have not accepted the value.
+    pub fn without_acceptance(&self) -> BTreeSet<String> {
+        let mut members = self.recipients();
+        members.retain(|ip| !self.accepted.contains(ip));
+        members
+    }
+
     /// Whether so many have refused that the rest is no majority.
     fn cannot_succeed(&self) -> bool {
         self.quorums.iter().any(|m| {
--- a/crates/control-node/src/contact.rs
+++ b/crates/control-node/src/contact.rs
@@ -65,6 +65,23 @@
         members.ips.iter().filter(lately).count() >= majority(members)
     }
 
+    /// Whether a majority of these members votes, has answered lately and stays: one that leaves is gone within
+    /// its grace.
+    pub(crate) fn majority_stays(&self, now: Timestamp, members: &Membership) -> bool {
+        let stays = |ip: &&String| {
+            if self.is_self(ip) {
+                return self.departure.is_none();
+            }
+            let votes = self
+                .statuses
+                .get(*ip)
+                .is_none_or(|peer| !peer.status.catching_up && !peer.status.leaving);
+            let trip = self.contact.round_trips.get(*ip);
+            votes && trip.is_some_and(|sent_at| now - *sent_at < CONTACT_LEASE)
+        };
+        members.ips.iter().filter(stays).count() >= majority(members)
+    }
+
     /// Whether a majority of the members has lately answered this node, which need not be one of them:
     /// without that a newcomer could not copy what its seat needs.
     pub(crate) fn reaches_majority(&self, now: Timestamp) -> bool {
--- a/crates/control-node/src/instances.rs
+++ b/crates/control-node/src/instances.rs
@@ -18,6 +18,9 @@
 const REPLICATION_TIMEOUT: TimeDelta = TimeDelta::from_micros(700_000);
 /// After so long without enough acknowledgements the request is sent again.
 const RETRY_INTERVAL: TimeDelta = TimeDelta::from_micros(250_000);
+/// News of tasks that nobody is urgently waiting for goes out together, at most this late: where thousands of tasks
+/// start at once, each edge gets a few long messages in place of one a task.
+const TASK_UPDATE_DELAY: TimeDelta = TimeDelta::from_micros(100_000);
 /// Between two reports of heartbeats to the other members.
 const REPORT_INTERVAL: TimeDelta = TimeDelta::from_micros(300_000);
 
@@ -47,6 +50,9 @@
     replications: BTreeMap<u64, Replication>,
     last_number: u64,
     last_report: Timestamp,
+    /// Tasks that edges are to be told of, and since when the first of them waits.
+    unsent_updates: Vec<Task>,
+    unsent_since: Timestamp,
 }
 
 impl Instances {
@@ -56,6 +62,8 @@
             replications: BTreeMap::new(),
             last_number: 0,
             last_report: Timestamp::default(),
+            unsent_updates: Vec::new(),
+            unsent_since: Timestamp::default(),
         }
     }
 }
@@ -73,7 +81,7 @@
         let late = known.is_some_and(|known| known.task.call_seq > task.call_seq);
         let is_news = self.instances.registry.update(now, &task);
         if is_news {
-            self.send_task_update(vec![task.clone()]);
+            self.send_task_update(now, vec![task.clone()]);
             self.store_tasks(std::slice::from_ref(&task));
         }
         if !late {
@@ -153,7 +161,7 @@
             .mark_gone(id)
             .unwrap_or_else(unknown);
         self.instance_ended(&task);
-        self.send_task_update(vec![task.clone()]);
+        self.send_task_update(now, vec![task.clone()]);
         self.store_tasks(std::slice::from_ref(&task));
         self.replicate(now, call, task, Continuation::SignOff);
     }
@@ -310,7 +318,7 @@
         }
         if !changed.is_empty() {
             self.store_tasks(&changed);
-            self.send_task_update(changed);
+            self.send_task_update(now, changed);
         }
         self.departure.is_none() && !self.acceptor.catching_up && self.is_member()
     }
@@ -350,6 +358,9 @@
 
     pub(crate) fn advance_instances(&mut self, now: Timestamp) {
         self.advance_replications(now);
+        if now - self.instances.unsent_since >= TASK_UPDATE_DELAY {
+            self.flush_task_updates();
+        }
         let last = self.instances.last_report;
         if now - last < REPORT_INTERVAL {
             return;
@@ -371,7 +382,7 @@
             });
         }
         if !fallen.is_empty() {
-            self.send_task_update(fallen);
+            self.send_task_update(now, fallen);
         }
         self.send_edge_list();
     }
@@ -396,7 +407,26 @@
         }
     }
 
-    fn send_task_update(&mut self, tasks: Vec<Task>) {
+    /// Tells edges of tasks: at once of those that take no requests any more or warm up, of the others soon.
+    fn send_task_update(&mut self, now: Timestamp, tasks: Vec<Task>) {
+        let is_urgent = |task: &Task| {
+            task.state != TaskState::Ready as i32 || task.timed_out || task.warm_up_left_ms > 0
+        };
+        let urgent = tasks.iter().any(is_urgent);
+        if self.instances.unsent_updates.is_empty() {
+            self.instances.unsent_since = now;
+        }
+        self.instances.unsent_updates.extend(tasks);
+        if urgent {
+            self.flush_task_updates();
+        }
+    }
+
+    fn flush_task_updates(&mut self) {
+        let tasks = std::mem::take(&mut self.instances.unsent_updates);
+        if tasks.is_empty() {
+            return;
+        }
         self.send_edges(
             self.edges.all(),
             ToEdgeBody::TaskUpdate(TaskUpdate {
--- a/crates/control-node/src/membership.rs
+++ b/crates/control-node/src/membership.rs
@@ -28,6 +28,9 @@
 /// disk could stop the core, so this is longer than a restarted machine needs; it is shorter than
 /// an operator waits for an acknowledgement, since no other register is written meanwhile.
 const PROMOTION_PATIENCE: TimeDelta = TimeDelta::from_micros(4_000_000);
+/// A learner that is heard of again has so long in all: once it answers it holds what a voter holds, and adding it
+/// blank beside a member that leaves could leave one voter of three.
+const LIVE_PROMOTION_PATIENCE: TimeDelta = TimeDelta::from_micros(6_000_000);
 /// A member waits this much for each member before it, so that one proposes at a time.
 const RANK_DELAY: TimeDelta = TimeDelta::from_micros(300_000);
 
@@ -119,7 +122,8 @@
     /// Asks the learner of the change that was accepted to take its seat.
     fn send_promotion(&mut self, now: Timestamp) {
         let attempt = self.proposals.next_attempt();
-        let patience_ends = self.promotion_patience_ends(now);
+        let since = self.promotion_asked_since(now);
+        let ends = [since + PROMOTION_PATIENCE, since + LIVE_PROMOTION_PATIENCE];
         let Some(proposal) = self.proposals.get_mut(MEMBERSHIP_REGISTER) else {
             return;
         };
@@ -137,12 +141,8 @@
             .cloned()
             .collect();
         (proposal.phase, proposal.attempt) = (Phase::Promote, attempt);
-        let retry_at = now + PROMOTION_TIMEOUT;
-        proposal.deadline = if patience_ends > now {
-            retry_at.min(patience_ends)
-        } else {
-            retry_at
-        };
+        let later = ends.into_iter().filter(|end| *end > now);
+        proposal.deadline = later.fold(now + PROMOTION_TIMEOUT, Timestamp::min);
         let seat = PromoteRequest {
             ballot: proposal.round.ballot,
             previous,
@@ -187,10 +187,17 @@
             return;
         }
         self.count("promotions-unanswered");
-        // Without the newcomer a majority has to stand, or those that lost their disks could never recover:
-        // until then it is asked again.
-        let overdue = now >= self.promotion_patience_ends(now);
-        if !overdue || !self.reaches_majority_of(now, &next) {
+        // Without the newcomer a majority has to stand, or those that lost their disks could never recover, and
+        // it has to stay, or a blank newcomer would be left with too few: until then it is asked again.
+        let mut newcomers = next.ips.iter().filter(|ip| !previous.ips.contains(ip));
+        let patience = if newcomers.any(|ip| self.monitor.is_alive(now, ip)) {
+            LIVE_PROMOTION_PATIENCE
+        } else {
+            PROMOTION_PATIENCE
+        };
+        let overdue = now - self.promotion_asked_since(now) >= patience;
+        if !overdue || !self.majority_stays(now, &next) {
+            self.resend_accepts(now, MEMBERSHIP_REGISTER);
             return self.send_promotion(now);
         }
         let newcomer = next
@@ -202,14 +209,12 @@
         self.membership_chosen(now);
     }
 
-    /// When the learner that is asked to take its seat is waited for no longer.
-    fn promotion_patience_ends(&self, now: Timestamp) -> Timestamp {
-        let since = self
-            .membership
+    /// When the learner of the change that was accepted was first asked to take its seat.
+    fn promotion_asked_since(&self, now: Timestamp) -> Timestamp {
+        self.membership
             .promotion
             .as_ref()
-            .map_or(now, |(_, since)| *since);
-        since + PROMOTION_PATIENCE
+            .map_or(now, |(_, since)| *since)
     }
 
     fn membership_chosen(&mut self, now: Timestamp) {
--- a/crates/control-node/src/proposals.rs
+++ b/crates/control-node/src/proposals.rs
@@ -283,6 +283,31 @@
         }
     }
 
+    /// Sends a value that a majority has accepted to those that have not: they were not heard then.
+    pub(crate) fn resend_accepts(&mut self, now: Timestamp, register: &str) {
+        let Some(proposal) = self.proposals.get_mut(register) else {
+            return;
+        };
+        let request = Accept {
+            register: register.to_owned(),
+            ballot: proposal.round.ballot,
+            members: proposal.members.clone(),
+            value: proposal.value.clone(),
+            // Whoever accepts now has not promised this ballot, and needs not: the value is chosen.
+            incarnation: 0,
+        };
+        let attempt = proposal.attempt;
+        for ip in proposal.round.without_acceptance() {
+            if !self.is_self(&ip) {
+                let awaited = Awaited::Ballot {
+                    register: register.to_owned(),
+                    attempt,
+                };
+                self.send_request(now, &ip, PeerRequest::Accept(request.clone()), awaited);
+            }
+        }
+    }
+
     fn accept_own_proposal(
         &mut self,
         now: Timestamp,
--- a/crates/control-node/tests/node.rs
+++ b/crates/control-node/tests/node.rs
@@ -241,10 +241,8 @@
     assert!(cluster.machines[&1].left, "within its grace");
 }
 
-/// Seed 5005455: a newcomer is lost once its seat has been accepted. Nothing is agreed until it is given up, so
-/// that has to come when it is due, not after further rounds that compete with each other.
-#[test]
-fn a_newcomer_that_never_answers_holds_orders_up_for_four_seconds() {
+/// A newcomer whose seat has just been accepted, and which hears nothing, so that it never answers.
+fn with_a_deaf_newcomer() -> Cluster {
     let mut cluster = Cluster::founded(3);
     cluster.start(4, DiskContents::default(), false);
     cluster.run(2.0);
@@ -253,7 +251,10 @@
     cluster.run(0.1);
     let order = cluster.call(1, change(&[route("a", 2, 2.0)]));
     assert_ne!(order, Some(Answer::Done), "the members are being changed");
-    cluster.run(4.3 - 1.0);
+    cluster
+}
+
+fn takes_orders_without_the_newcomers_answer(cluster: &mut Cluster) {
     assert_eq!(cluster.members(1), [1, 2, 4]);
     assert_eq!(
         cluster.call(1, change(&[route("a", 2, 2.0)])),
@@ -261,6 +262,68 @@
     );
 }
 
+/// Seed 5005455: a newcomer is lost once its seat has been accepted. Nothing is agreed until it is given up, so
+/// that has to come when it is due, not after further rounds that compete with each other.
+#[test]
+fn a_newcomer_that_is_gone_holds_orders_up_for_four_seconds() {
+    let mut cluster = with_a_deaf_newcomer();
+    cluster.kill(4);
+    cluster.run(4.3 - 1.0);
+    takes_orders_without_the_newcomers_answer(&mut cluster);
+}
+
+/// One that is heard of and never answers is waited for a little longer.
+#[test]
+fn a_newcomer_that_is_deaf_holds_orders_up_for_six_seconds() {
+    let mut cluster = with_a_deaf_newcomer();
+    cluster.run(6.3 - 1.0);
+    takes_orders_without_the_newcomers_answer(&mut cluster);
+}
+
+/// Seed 8027503: a newcomer was down while its seat was accepted and is back just before it is given up. It takes
+/// the seat with all that a voter holds, not blank.
+#[test]
+fn a_newcomer_that_is_back_takes_its_seat_as_a_voter() {
+    let mut cluster = Cluster::founded(3);
+    cluster.start(4, DiskContents::default(), false);
+    cluster.run(2.0);
+    cluster.kill(4);
+    cluster.step(3, Input::Leave);
+    cluster.run(3.7);
+    cluster.restart(4);
+    cluster.run(0.6);
+    assert_eq!(cluster.members(1), [1, 2, 4]);
+    assert!(cluster.is_voter(4));
+}
+
+/// Seed 8027503, too: a member was cut off and lost its seat to a newcomer that went down, while another member
+/// leaves. The leaver counts for nothing, so the newcomer is not added blank; back, it reads what it needs of the
+/// member that was cut off.
+#[test]
+fn a_blank_newcomer_is_not_left_alone_by_a_leaver() {
+    let mut cluster = Cluster::founded(3);
+    cluster.start(4, DiskContents::default(), false);
+    cluster.run(2.0);
+    cluster.cut(1, true, true);
+    cluster.run(2.4);
+    cluster.cut(4, false, true);
+    cluster.run(0.8);
+    cluster.kill(4);
+    cluster.step(2, Input::Leave);
+    cluster.cuts.clear();
+    cluster.run(4.9);
+    assert_eq!(cluster.members(3), [1, 2, 3], "the newcomer was added blank");
+    cluster.kill(2);
+    cluster.restart(4);
+    cluster.run(6.0);
+    assert!(cluster.is_voter(3));
+    assert!(cluster.is_voter(4), "{:?}", cluster.members(3));
+    assert_eq!(
+        cluster.call(3, change(&[route("a", 2, 2.0)])),
+        Some(Answer::Done)
+    );
+}
+
 /// Nobody else can have it: the drain is not acknowledged, and the task asks another.
 #[test]
 fn a_drain_is_acknowledged_only_where_a_second_member_has_it() {
--- a/crates/simulator/tests/found.rs
+++ b/crates/simulator/tests/found.rs
@@ -31,6 +31,8 @@
 #[case::full_disk_beside_a_lost_one(&[7_005_272])]
 // A newcomer was lost after its seat had been accepted: it was given up after 5.3 s in place of 4 s.
 #[case::newcomer_that_never_answers(&[5_005_455])]
+// A newcomer came back just before its seat was given up, was added blank, and the member beside it left.
+#[case::newcomer_that_is_back(&[8_027_503])]
 fn holds(#[case] seeds: &[u64]) {
     for seed in seeds {
         let violation = run(&Plan::drawn(*seed, &[]), &RunOptions::default()).violation;
