--- a/crates/control-node/tests/node.rs
+++ b/crates/control-node/tests/node.rs
@@ -312,7 +312,11 @@
     cluster.step(2, Input::Leave);
     cluster.cuts.clear();
     cluster.run(4.9);
-    assert_eq!(cluster.members(3), [1, 2, 3], "the newcomer was added blank");
+    assert_eq!(
+        cluster.members(3),
+        [1, 2, 3],
+        "the newcomer was added blank"
+    );
     cluster.kill(2);
     cluster.restart(4);
     cluster.run(6.0);
--- a/crates/protocol/src/compression.rs
+++ b/crates/protocol/src/compression.rs
@@ -27,7 +27,10 @@
             return None;
         }
         let compressed = zstd::bulk::compress(&plain, LEVEL).ok()?;
-        (compressed.len() < plain.len()).then(|| ToEdge {
+        if compressed.len() >= plain.len() {
+            return None;
+        }
+        Some(ToEdge {
             body: None,
             compressed,
             plain_bytes: plain.len() as u32,
