Edges log what clients still wait for at each step of a shutdown

The log said 'leaving' and 'gone', and the counters ended with answers that were handed to the HTTP library: a request that no task finished, an answer cut by its client and one cut by the end of the process could not be told apart.

--- a/crates/edge-proxy/src/app.rs
+++ b/crates/edge-proxy/src/app.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::connections::{ClientConnections, PendingWork};
 use crate::pool::Pools;
 use crate::ready::Health;
 use crate::reports::LoadReports;
@@ -49,6 +50,8 @@
     pub tasks_by_member: RefCell<BTreeMap<String, BTreeSet<String>>>,
     /// Reports to the members of the core.
     pub reports: RefCell<LoadReports>,
+    /// Connections of clients.
+    pub connections: ClientConnections,
     /// Requests under way.
     pub active_requests: Cell<usize>,
     /// Bytes of requests' bodies that are held.
@@ -85,6 +88,7 @@
             welcomed_by: RefCell::new(BTreeSet::new()),
             tasks_by_member: RefCell::new(BTreeMap::new()),
             reports: RefCell::new(LoadReports::default()),
+            connections: ClientConnections::default(),
             active_requests: Cell::new(0),
             buffered_bytes: Cell::new(0),
             random: RefCell::new(Pcg::new(incarnation)),
@@ -97,6 +101,15 @@
         Timestamp::from_micros(self.started.elapsed().as_micros() as i64)
     }
 
+    /// What clients still wait for.
+    pub fn pending_work(&self) -> PendingWork {
+        PendingWork {
+            connections: self.connections.open(),
+            requests: self.active_requests.get(),
+            answers: self.connections.unwritten_answers(),
+        }
+    }
+
     /// A moment as tokio's clock has it.
     pub fn instant(&self, at: Timestamp) -> Instant {
         self.started + std::time::Duration::from_micros(at.micros().max(0) as u64)
--- a/crates/edge-proxy/src/downstream.rs
+++ b/crates/edge-proxy/src/downstream.rs
@@ -14,6 +14,8 @@
 use tokio::time::sleep;
 
 use crate::app::App;
+use crate::client_stream::ClientStream;
+use crate::connections::OpenConnection;
 use crate::request;
 
 /// One client's connection.
@@ -34,8 +36,9 @@
     } else {
         15.0
     };
+    let open = OpenConnection::new(&app);
     let service = service_fn(|request| {
-        let app = app.clone();
+        let (app, open) = (app.clone(), open.clone());
         async move {
             let mut reply = request::serve(app.clone(), request).await;
             if app.leaving.get() {
@@ -43,6 +46,7 @@
                     .headers_mut()
                     .insert(CONNECTION, HeaderValue::from_static("close"));
             }
+            open.answer_begun();
             Ok::<_, Infallible>(reply)
         }
     });
@@ -52,6 +56,7 @@
         .timer(TokioTimer::new())
         .max_buf_size(longest)
         .header_read_timeout(Duration::from_secs_f64(header_s.max(idle_s)));
+    let stream = ClientStream::new(stream, open.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut told = false;
--- a/crates/edge-proxy/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod app;
 mod attempts;
 mod body;
+mod client_stream;
+pub mod connections;
 pub mod downstream;
 mod headers;
 pub mod pool;
--- a/crates/edge-proxy/src/server.rs
+++ b/crates/edge-proxy/src/server.rs
@@ -97,11 +97,12 @@
 /// Leaves in order: first it is no longer ready, then idle connections are closed and no new ones taken, then
 /// it waits for the requests under way.
 async fn leave(app: &App, grace: f64, end: &watch::Sender<bool>, accepting: &JoinHandle<()>) {
-    log::info!("leaving");
     let started = Instant::now();
+    log::info!("leaving: {}", app.pending_work());
     app.leaving.set(true);
     app.update_readiness();
     sleep_until(started + Duration::from_secs_f64(grace * CLOSE_SHARE)).await;
+    log::info!("closing idle connections: {}", app.pending_work());
     let _ = end.send(true);
     accepting.abort();
     let deadline = started + Duration::from_secs_f64(grace * EXIT_SHARE);
@@ -111,5 +112,9 @@
     // The last answers have still to be written.
     let _ = timeout(LAST_ANSWERS, std::future::pending::<()>()).await;
     app.log_counters();
-    log::info!("gone");
+    log::info!(
+        "gone {:.2} s after SIGTERM: {}",
+        started.elapsed().as_secs_f64(),
+        app.pending_work()
+    );
 }
