Tests of the edge proxy share the deployment that they run it in

Cause: a second file of tests needs the scripted core, tasks and process of tests/exchange.rs. Change: they stand in tests/world, the time between SIGTERM and SIGKILL is an argument.

--- a/crates/edge-proxy/tests/exchange.rs
+++ b/crates/edge-proxy/tests/exchange.rs
@@ -1,233 +1,25 @@
-//! An edge proxy between a scripted member of the core, scripted tasks and a scripted client, on loopback:
-//! what may have run goes nowhere else, what is not whole is no answer, a promise is made only where it
-//! holds.
+//! What an edge proxy makes of its tasks' answers: what may have run goes nowhere else, what is not whole is no
+//! answer, a promise is made only where it holds.
 
-use std::collections::BTreeMap;
-use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+mod world;
 
-use lynxmill_configuration::{Configuration, ConfigurationChange};
-use lynxmill_protocol::{
-    ConfigurationUpdate, EdgeInfo, EdgeList, Task, TaskUpdate, ToEdge, ToEdgeBody, encode_frame,
-};
+use world::{World, raw};
 
-/// Arrivals at tasks: by attempt, which tasks.
-type Arrivals = Arc<Mutex<BTreeMap<String, Vec<String>>>>;
+/// Seconds between SIGTERM and SIGKILL.
+const GRACE_S: f64 = 2.0;
 
-const CONFIG: &str = r#"{"Upsert":{
- "Routes":[
-  {"Name":"get","Host":"h","PathPrefix":"/get/","RouteKind":"idempotent","TimeoutS":2,"TargetS":0.5,
-   "Service":"s","MaxAttempts":2,"Version":"1"},
-  {"Name":"once","Host":"h","PathPrefix":"/once/","RouteKind":"non_idempotent","TimeoutS":2,"TargetS":0.5,
-   "Service":"s","MaxAttempts":2,"Version":"1"}],
- "Services":[{"Name":"s","HealthPath":"/health","MaxConns":100,"Version":"1"}],
- "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutS":3,"IdleTimeoutS":15,"Version":"1"}}}"#;
-
-fn free() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").unwrap()
-}
-
-fn read_request(stream: &mut TcpStream) -> Option<(String, BTreeMap<String, String>)> {
-    let (mut bytes, mut piece) = (Vec::new(), [0u8; 4096]);
-    loop {
-        if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-            let mut lines = head.lines();
-            let first = lines.next()?.to_owned();
-            let pair = |line: &str| {
-                let (name, value) = line.split_once(':')?;
-                Some((name.to_ascii_lowercase(), value.trim().to_owned()))
-            };
-            let headers: BTreeMap<String, String> = lines.filter_map(pair).collect();
-            let length = headers
-                .get("content-length")
-                .map_or(0, |v| v.parse().unwrap_or(0));
-            if bytes.len() >= end + 4 + length {
-                return Some((first, headers));
-            }
-        }
-        match stream.read(&mut piece) {
-            Ok(got) if got > 0 => bytes.extend_from_slice(&piece[..got]),
-            _ => return None,
-        }
-    }
-}
-
-fn answer(status: &str, headers: &str, id: &str, length: usize, body: &str) -> Vec<u8> {
-    let echo =
-        format!("Lynxmill-Attempt-Id: {id}\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
-    format!("HTTP/1.1 {status}\r\n{echo}").into_bytes()
-}
-
-const SEAL: &str = "Lynxmill-Server-Seal: 1.2\r\n";
-
-/// The path's last part says what becomes of the first arrival; every later one is served.
-fn play(what: &str, first: bool, id: &str, expects: bool) -> (Vec<u8>, bool) {
-    let good = answer("200 OK", SEAL, id, 5, "whole");
-    if !expects {
-        return (
-            answer(
-                "421 Misdirected Request",
-                "Lynxmill-Not-Executed: 1\r\n",
-                id,
-                0,
-                "",
-            ),
-            false,
-        );
-    }
-    match what {
-        "shed-all" => (
-            answer("503 Full", "Lynxmill-Not-Executed: 1\r\n", id, 0, ""),
-            false,
-        ),
-        _ if !first => (good, false),
-        "hang-up" => (Vec::new(), true),
-        "cut" => (answer("200 OK", SEAL, id, 500, "part"), true),
-        "other-id" => (answer("200 OK", SEAL, "another", 5, "stray"), true),
-        "no-seal" => (answer("200 OK", "", id, 5, "bare!"), false),
-        "error" => (answer("500 Error", SEAL, id, 4, "oops"), false),
-        "shed" => (
-            answer("503 Full", "Lynxmill-Not-Executed: 1\r\n", id, 0, ""),
-            false,
-        ),
-        "extra" => (
-            [good, answer("200 OK", SEAL, "another", 5, "extra")].concat(),
-            false,
-        ),
-        _ => (good, false),
-    }
-}
-
-fn task(name: &'static str, listener: TcpListener, arrivals: Arrivals) {
-    for mut stream in listener.incoming().flatten() {
-        let arrivals = arrivals.clone();
-        std::thread::spawn(move || {
-            while let Some((line, headers)) = read_request(&mut stream) {
-                let id = headers
-                    .get("lynxmill-attempt-id")
-                    .cloned()
-                    .unwrap_or_default();
-                let first = {
-                    let mut all = arrivals.lock().unwrap();
-                    let at = all.entry(id.clone()).or_default();
-                    at.push(name.to_owned());
-                    at.len() == 1
-                };
-                let path = line.split(' ').nth(1).unwrap_or_default().to_owned();
-                let what = path.rsplit('/').next().unwrap_or_default();
-                let expects =
-                    headers.get("lynxmill-expect-instance").map(String::as_str) == Some(name);
-                let (bytes, close) = play(what, first, &id, expects);
-                if stream.write_all(&bytes).is_err() || close {
-                    return;
-                }
-            }
-        });
-    }
-}
-
-struct World {
-    process: Child,
-    front: String,
-    arrivals: Arrivals,
-    folder: std::path::PathBuf,
+/// A client that sends one request after the other, each on a connection of its own.
+struct Client {
+    world: World,
     next: u32,
 }
 
-impl Drop for World {
-    fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-impl World {
-    fn new(name: &str) -> World {
-        let arrivals = Arrivals::default();
-        let mut tasks = Vec::new();
-        for id in ["i-a", "i-b"] {
-            let listener = free();
-            let (address, service) = (listener.local_addr().unwrap().to_string(), "s".to_owned());
-            tasks.push(Task {
-                id: id.to_owned(),
-                service,
-                address,
-                zone: "z".to_owned(),
-                slots: 4,
-                ..Task::default()
-            });
-            let arrivals = arrivals.clone();
-            std::thread::spawn(move || task(id, listener, arrivals));
-        }
-        let core = free();
-        let port = core.local_addr().unwrap().port();
-        std::thread::spawn(move || {
-            let mut configuration = Configuration::default();
-            for item in ConfigurationChange::read(CONFIG.as_bytes()).unwrap().items {
-                configuration.merge(&item);
-            }
-            let items: Vec<_> = configuration.items.values().cloned().collect();
-            for mut stream in core.incoming().flatten() {
-                let edges = vec![EdgeInfo {
-                    name: "edge-1".to_owned(),
-                    zone: "z".to_owned(),
-                }];
-                let told = [
-                    ToEdgeBody::TaskUpdate(TaskUpdate {
-                        tasks: tasks.clone(),
-                        is_complete: true,
-                    }),
-                    ToEdgeBody::EdgeList(EdgeList { edges }),
-                    ToEdgeBody::ConfigurationUpdate(ConfigurationUpdate {
-                        items: items.clone(),
-                        is_complete: true,
-                    }),
-                ];
-                told.into_iter()
-                    .for_each(|body| drop(stream.write_all(&encode_frame(&ToEdge::plain(body)))));
-                std::thread::spawn(move || std::io::copy(&mut stream, &mut std::io::sink()));
-            }
-        });
-        let [front, ready] = [free(), free()].map(|l| l.local_addr().unwrap().to_string());
-        let folder = std::env::temp_dir().join(format!("edge-proxy-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let file = folder.join("local.yaml");
-        let settings = format!(
-            "NodeName: edge-1\nRole: edge\nMachineClass: edge\nServes: [edge]\nIp: 127.0.0.1\nZone: z\nRegion: r\n\
-             Zones: {{z: r}}\nListenAddrs: {{Front: \"{front}\", Readiness: \"{ready}\"}}\nInternalPorts: [{port}]\n\
-             SeedNodes: [\"127.0.0.1:1\"]\nBeatIntervalS: 1.5\nLimits: {{MemoryMb: 200}}\n\
-             Bounds: {{RetryRatio: 0.2, RetrySlack: 64, GraceS: 2}}\n"
-        );
-        std::fs::write(&file, settings).unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_lynxmill-edge-proxy"))
-            .arg("--settings")
-            .arg(&file)
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        let world = World {
-            process,
-            front,
-            arrivals,
-            folder,
+impl Client {
+    fn new(name: &str) -> Client {
+        Client {
+            world: World::new(name, GRACE_S),
             next: 0,
-        };
-        let until = Instant::now() + Duration::from_secs(20);
-        while !raw(
-            &ready,
-            b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
-        )
-        .contains(" 200 ")
-        {
-            assert!(Instant::now() < until, "never ready");
-            std::thread::yield_now();
         }
-        world
     }
 
     /// What a client gets for a path, and how many tasks its request came to.
@@ -244,54 +36,48 @@
             "{method} {path} HTTP/1.1\r\nHost: h\r\nLynxmill-Attempt-Id: {id}\r\nLynxmill-Deadline-Ms: 1500\r\n\
              {length}Connection: close\r\n\r\n{body}"
         );
-        let got = raw(&self.front, request.as_bytes());
-        let came = self.arrivals.lock().unwrap().get(&id).map_or(0, Vec::len);
+        let got = raw(&self.world.front, request.as_bytes());
+        let came = self
+            .world
+            .arrivals
+            .lock()
+            .unwrap()
+            .get(&id)
+            .map_or(0, Vec::len);
         (got, came)
     }
 }
 
-/// Sends bytes and takes all that comes until the end.
-fn raw(address: &str, bytes: &[u8]) -> String {
-    let Ok(mut stream) = TcpStream::connect(address) else {
-        return String::new();
-    };
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
-    let _ = stream.write_all(bytes);
-    let mut got = Vec::new();
-    let _ = stream.read_to_end(&mut got);
-    String::from_utf8_lossy(&got).into_owned()
-}
-
 fn status(got: &str) -> &str {
     got.split(' ').nth(1).unwrap_or_default()
 }
 
 #[test]
 fn what_may_have_run_goes_to_no_other_task_and_gets_no_promise() {
-    let mut world = World::new("once");
+    let mut client = Client::new("once");
     for what in ["hang-up", "cut", "other-id"] {
-        let (got, came) = world.ask("POST", &format!("/once/{what}"));
+        let (got, came) = client.ask("POST", &format!("/once/{what}"));
         assert_eq!((status(&got), came), ("502", 1), "{what}: {got}");
         assert!(!got.to_ascii_lowercase().contains("retry-after"), "{what}");
     }
     // The task's own word is passed on, and a 2xx without its seal is none.
-    let (got, came) = world.ask("POST", "/once/error");
+    let (got, came) = client.ask("POST", "/once/error");
     assert_eq!(
         (status(&got), came, got.ends_with("oops")),
         ("500", 1, true),
         "{got}"
     );
-    let (got, came) = world.ask("POST", "/once/no-seal");
+    let (got, came) = client.ask("POST", "/once/no-seal");
     assert_eq!((status(&got), came), ("502", 1), "{got}");
     // Not run, says the task: another one may have it.
-    let (got, came) = world.ask("POST", "/once/shed");
+    let (got, came) = client.ask("POST", "/once/shed");
     assert_eq!(
         (status(&got), came, got.ends_with("whole")),
         ("200", 2, true),
         "{got}"
     );
     // Nobody ran it: that is a promise, with when to come back.
-    let (got, came) = world.ask("POST", "/once/shed-all");
+    let (got, came) = client.ask("POST", "/once/shed-all");
     assert_eq!((status(&got), came), ("503", 2), "{got}");
     assert!(
         got.to_ascii_lowercase().contains("retry-after: 0."),
@@ -301,9 +87,9 @@
 
 #[test]
 fn what_may_be_repeated_comes_whole_from_another_task() {
-    let mut world = World::new("get");
+    let mut client = Client::new("get");
     for what in ["hang-up", "cut", "other-id", "no-seal", "error", "shed"] {
-        let (got, came) = world.ask("GET", &format!("/get/{what}"));
+        let (got, came) = client.ask("GET", &format!("/get/{what}"));
         assert_eq!((status(&got), came), ("200", 2), "{what}: {got}");
         assert!(
             got.ends_with("whole") && got.contains("1.2"),
@@ -312,7 +98,7 @@
     }
     // An answer that nobody asked for is nobody's, whoever has the connection next.
     for _ in 0..8 {
-        let (got, _) = world.ask("GET", "/get/extra");
+        let (got, _) = client.ask("GET", "/get/extra");
         assert_eq!(
             (status(&got), got.ends_with("whole")),
             ("200", true),
@@ -323,7 +109,7 @@
 
 #[test]
 fn clients_that_send_what_is_no_request_get_400_and_a_close() {
-    let world = World::new("bad");
+    let world = World::new("bad", GRACE_S);
     let id = "Host: h\r\nLynxmill-Attempt-Id: x\r\n";
     let both = format!(
         "POST /once/ok HTTP/1.1\r\n{id}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /get/ok"
