--- a/crates/edge-proxy/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod request;
 mod response;
 pub mod server;
+pub mod shutdown;
 pub mod start;
 mod streams;
 pub mod upstream;
--- a/crates/edge-proxy/tests/world/mod.rs
+++ b/crates/edge-proxy/tests/world/mod.rs
@@ -60,6 +60,9 @@
     format!("HTTP/1.1 {status}\r\n{echo}").into_bytes()
 }
 
+/// More bytes than the sockets between a proxy and its client hold.
+pub(crate) const LONG_ANSWER: usize = 16 << 20;
+
 const SEAL: &str = "Lynxmill-Server-Seal: 1.2\r\n";
 
 /// The path's last part says what becomes of the first arrival; every later one is served.
@@ -92,6 +95,10 @@
             answer("503 Full", "Lynxmill-Not-Executed: 1\r\n", id, 0, ""),
             false,
         ),
+        "long" => (
+            answer("200 OK", SEAL, id, LONG_ANSWER, &"x".repeat(LONG_ANSWER)),
+            false,
+        ),
         "extra" => (
             [good, answer("200 OK", SEAL, "another", 5, "extra")].concat(),
             false,
