An edge that closes serves connections that have come up and were not taken yet

Callers saw: connections that came up while an edge was busy or stood still, their request sent, were reset when the edge stopped taking connections at half of its grace.

Cause: the listener was dropped with what waited in its queue, and a connection taken after that moment would have been shut before its first request was read. Change: the queue is emptied before the listener is dropped; what is taken from it is served once. A connection counts as open from the moment that it is taken, not from its task's first turn.

connections_that_wait_to_be_taken_are_served_when_the_edge_closes failed before (no answer), passes now. A second test, of kept, unused and new connections after SIGTERM, passed before and stays as a guard.

--- a/crates/edge-proxy/src/downstream.rs
+++ b/crates/edge-proxy/src/downstream.rs
@@ -11,15 +11,23 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::app::App;
 use crate::client_stream::ClientStream;
 use crate::connections::OpenConnection;
 use crate::request;
 
+/// After a failure to take a connection: descriptors may be free again.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
 /// One client's connection.
-async fn client(app: Rc<App>, stream: TcpStream, mut ends: watch::Receiver<bool>) {
+async fn client(
+    app: Rc<App>,
+    open: Rc<OpenConnection>,
+    stream: TcpStream,
+    mut ends: watch::Receiver<bool>,
+) {
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(Duration::from_secs(5)));
     let limits = app.load_balancer.borrow().routes().limits.clone();
@@ -36,7 +44,6 @@
     } else {
         15.0
     };
-    let open = OpenConnection::new(&app);
     let service = service_fn(|request| {
         let (app, open) = (app.clone(), open.clone());
         async move {
@@ -57,36 +64,52 @@
         .max_buf_size(longest)
         .header_read_timeout(Duration::from_secs_f64(header_s.max(idle_s)));
     let stream = ClientStream::new(stream, open.clone());
+    let taken_last = *ends.borrow();
+    builder.keep_alive(!taken_last);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let mut told = false;
-    loop {
-        tokio::select! {
-            ended = connection.as_mut() => {
-                if ended.is_err() {
-                    app.count("client-broke");
-                }
-                return;
-            }
-            changed = ends.changed(), if !told => {
-                told = true;
-                if changed.is_ok() {
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing(&mut ends), if !taken_last => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
         }
+    };
+    if ended.is_err() {
+        app.count("client-broke");
     }
 }
 
-/// Takes clients' connections; idle ones are closed once `ends` says true.
-pub async fn accept(app: Rc<App>, listener: TcpListener, ends: watch::Receiver<bool>) {
+/// Counts the connection as open at once: its task may run later.
+fn serve_client(app: &Rc<App>, stream: TcpStream, ends: &watch::Receiver<bool>) {
+    let open = OpenConnection::new(app);
+    spawn_local(client(app.clone(), open, stream, ends.clone()));
+}
+
+/// Waits until `ends` says true; never returns if that can't come any more.
+async fn closing(ends: &mut watch::Receiver<bool>) {
+    if ends.wait_for(|closes| *closes).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Takes clients' connections until `ends` says true. Those that have come up by then are served once more, idle
+/// ones are closed.
+pub async fn accept(app: Rc<App>, listener: TcpListener, mut ends: watch::Receiver<bool>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => drop(spawn_local(client(app.clone(), stream, ends.clone()))),
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing(&mut ends) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve_client(&app, stream, &ends),
             Err(error) => {
                 log::warn!("a client can't be taken: {error}");
-                sleep(Duration::from_millis(50)).await;
+                sleep(ACCEPT_RETRY).await;
             }
         }
     }
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        serve_client(&app, stream, &ends);
+    }
 }
--- a/crates/edge-proxy/src/server.rs
+++ b/crates/edge-proxy/src/server.rs
@@ -83,6 +83,6 @@
         }
     }
     let grace = GracePeriod::new(app.settings.borrow().bounds().grace_s);
-    shutdown::leave(&app, grace, &end, &accepting).await;
+    shutdown::leave(&app, grace, &end, accepting).await;
     Ok(())
 }
--- a/crates/edge-proxy/src/shutdown.rs
+++ b/crates/edge-proxy/src/shutdown.rs
@@ -42,7 +42,7 @@
     app: &App,
     grace: GracePeriod,
     end: &watch::Sender<bool>,
-    accepting: &JoinHandle<()>,
+    accepting: JoinHandle<()>,
 ) {
     log::info!("leaving: {}", app.pending_work());
     app.leaving.set(true);
@@ -50,9 +50,12 @@
     sleep_until(grace.close_at).await;
     log::info!("closing idle connections: {}", app.pending_work());
     let _ = end.send(true);
-    accepting.abort();
-    // Requests end with their answers, connections only once those are written.
-    let finished = timeout_at(grace.exit_at, app.connections.wait_until_none()).await;
+    let finished = timeout_at(grace.exit_at, async {
+        let _ = accepting.await;
+        // Requests end with their answers, connections only once those are written.
+        app.connections.wait_until_none().await;
+    })
+    .await;
     app.log_counters();
     let took = grace.started.elapsed().as_secs_f64();
     match finished {
--- a/crates/edge-proxy/tests/shutdown.rs
+++ b/crates/edge-proxy/tests/shutdown.rs
@@ -9,7 +9,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use socket2::{Domain, Socket, Type};
 
-use world::{LONG_ANSWER, World};
+use world::{LONG_ANSWER, SHORT_ANSWER, World};
 
 /// Seconds between SIGTERM and SIGKILL.
 const GRACE_S: f64 = 4.0;
@@ -19,6 +19,8 @@
 const TIME_TO_END: Duration = Duration::from_millis(500);
 /// A client that gets nothing for so long gives up.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Connections that wait to be taken.
+const WAITING_CLIENTS: usize = 8;
 const POLL: Duration = Duration::from_millis(2);
 
 /// A client's connection with a small window, as over a slow link.
@@ -69,9 +71,21 @@
     got
 }
 
+fn signal(world: &World, signal: Signal) {
+    kill_process(Pid::from_child(&world.process), signal).unwrap();
+}
+
 fn terminate(world: &World) {
-    let id = Pid::from_child(&world.process);
-    kill_process(id, Signal::TERM).unwrap();
+    signal(world, Signal::TERM);
+}
+
+/// Waits until the process has seen SIGTERM.
+fn wait_for_not_ready(world: &World) {
+    let until = Instant::now() + Duration::from_secs_f64(GRACE_S);
+    while world.is_ready() {
+        assert!(Instant::now() < until, "it stays ready");
+        std::thread::sleep(POLL);
+    }
 }
 
 /// Waits until the process takes no more connections.
@@ -125,3 +139,58 @@
     drop(clients);
     assert!(ends_within(&mut world, TIME_TO_END), "it waited for nobody");
 }
+
+/// Guards against first and next requests after SIGTERM that get no answer, or leave their connection open.
+#[test]
+fn connections_are_served_once_more_after_sigterm_and_closed() {
+    let mut world = World::new("once-more", GRACE_S);
+    let mut kept = connect(&world);
+    let send = |client: &mut TcpStream, id: &str| {
+        let bytes = request("GET", "/get/ok", id, 0);
+        client.write_all(bytes.as_bytes()).unwrap();
+        let head = read_head(client);
+        assert!(head.starts_with("HTTP/1.1 200 "), "{id}: {head}");
+        head.to_ascii_lowercase().contains("connection: close")
+    };
+    assert!(!send(&mut kept, "before"), "closed too early");
+    assert_eq!(read_body(&mut kept, SHORT_ANSWER), SHORT_ANSWER);
+    let mut unused = connect(&world);
+    terminate(&world);
+    wait_for_not_ready(&world);
+    let mut late = connect(&world);
+    for (client, id) in [
+        (&mut kept, "kept"),
+        (&mut unused, "unused"),
+        (&mut late, "late"),
+    ] {
+        assert!(send(client, id), "{id}: stays open");
+        assert_eq!(read_body(client, usize::MAX), SHORT_ANSWER, "{id}");
+    }
+    wait_for_closing(&world);
+    assert!(ends_within(&mut world, TIME_TO_END), "it waits for nobody");
+}
+
+/// Guards against connections that came up while the process stood still, and are reset when it takes no new ones.
+#[test]
+fn connections_that_wait_to_be_taken_are_served_when_the_edge_closes() {
+    let mut world = World::new("backlog", GRACE_S);
+    terminate(&world);
+    wait_for_not_ready(&world);
+    signal(&world, Signal::STOP);
+    let mut clients: Vec<TcpStream> = (0..WAITING_CLIENTS)
+        .map(|n| {
+            let mut client = connect(&world);
+            let bytes = request("GET", "/get/ok", &format!("waiting-{n}"), 0);
+            client.write_all(bytes.as_bytes()).unwrap();
+            client
+        })
+        .collect();
+    // The time at which it takes no new connections passes meanwhile.
+    std::thread::sleep(Duration::from_secs_f64(GRACE_S * 0.6));
+    signal(&world, Signal::CONT);
+    for client in &mut clients {
+        assert!(read_head(client).starts_with("HTTP/1.1 200 "));
+        assert_eq!(read_body(client, usize::MAX), SHORT_ANSWER);
+    }
+    assert!(ends_within(&mut world, TIME_TO_END), "it waits for nobody");
+}
--- a/crates/edge-proxy/tests/world/mod.rs
+++ b/crates/edge-proxy/tests/world/mod.rs
@@ -60,6 +60,8 @@
     format!("HTTP/1.1 {status}\r\n{echo}").into_bytes()
 }
 
+/// Bytes of an answer's body unless a path asks for another.
+pub(crate) const SHORT_ANSWER: usize = 5;
 /// More bytes than the sockets between a proxy and its client hold.
 pub(crate) const LONG_ANSWER: usize = 16 << 20;
 
@@ -67,7 +69,7 @@
 
 /// The path's last part says what becomes of the first arrival; every later one is served.
 fn play(what: &str, first: bool, id: &str, expects: bool) -> (Vec<u8>, bool) {
-    let good = answer("200 OK", SEAL, id, 5, "whole");
+    let good = answer("200 OK", SEAL, id, SHORT_ANSWER, "whole");
     if !expects {
         return (
             answer(
@@ -141,6 +143,7 @@
     /// Where clients connect.
     pub front: String,
     pub arrivals: Arrivals,
+    readiness: String,
     folder: std::path::PathBuf,
 }
 
@@ -221,20 +224,22 @@
             process,
             front,
             arrivals,
+            readiness: ready,
             folder,
         };
         let until = Instant::now() + Duration::from_secs(20);
-        while !raw(
-            &ready,
-            b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
-        )
-        .contains(" 200 ")
-        {
+        while !world.is_ready() {
             assert!(Instant::now() < until, "never ready");
             std::thread::yield_now();
         }
         world
     }
+
+    /// Whether clients may be sent to the proxy.
+    pub(crate) fn is_ready(&self) -> bool {
+        let question = b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        raw(&self.readiness, question).contains(" 200 ")
+    }
 }
 
 /// Sends bytes and takes all that comes until the end.
