An edge refuses requests that come whole too late in its shutdown for an answer

Callers saw: a request that was begun before an edge closed and was whole only just before its end went to a task, and the end of the process cut its answer. One that may run once had run, and could not be sent again.

Cause: nothing compared the time that a request needs with the time until the process ends. Requests that come earlier are served as before. The target of a route is reckoned in one place.

--- a/crates/edge-proxy/src/app.rs
+++ b/crates/edge-proxy/src/app.rs
@@ -18,6 +18,7 @@
 use crate::pool::Pools;
 use crate::ready::Health;
 use crate::reports::LoadReports;
+use crate::shutdown::GracePeriod;
 
 /// The state of one edge.
 pub struct App {
@@ -36,8 +37,8 @@
     pub is_synchronized: Cell<bool>,
     /// A whole configuration is in hand.
     pub is_configured: Cell<bool>,
-    /// SIGTERM has come.
-    pub leaving: Cell<bool>,
+    /// The time until SIGKILL, once SIGTERM has come.
+    pub grace: Cell<Option<GracePeriod>>,
     /// Tables have changed.
     pub table_changed: Notify,
     /// Readiness has changed.
@@ -81,7 +82,7 @@
             configuration: RefCell::new(Configuration::default()),
             is_synchronized: Cell::new(false),
             is_configured: Cell::new(false),
-            leaving: Cell::new(false),
+            grace: Cell::new(None),
             table_changed: Notify::new(),
             readiness_changed: Notify::new(),
             health: Arc::new(Health::default()),
@@ -161,7 +162,20 @@
 
     /// Whether clients may be sent here.
     pub fn is_ready(&self) -> bool {
-        self.is_configured.get() && !self.leaving.get()
+        self.is_configured.get() && !self.is_leaving()
+    }
+
+    /// Whether SIGTERM has come.
+    pub fn is_leaving(&self) -> bool {
+        self.grace.get().is_some()
+    }
+
+    /// Whether an answer that takes `time` from now on would be cut by the end of the process.
+    pub fn ends_within(&self, time: TimeDelta) -> bool {
+        let finished = self.instant(self.now() + time);
+        self.grace
+            .get()
+            .is_some_and(|grace| grace.is_too_late(finished))
     }
 
     /// Tells whoever asks whether it is ready.
--- a/crates/edge-proxy/src/attempts.rs
+++ b/crates/edge-proxy/src/attempts.rs
@@ -14,6 +14,7 @@
 
 use crate::app::App;
 use crate::headers::{DEADLINE, EXPECT_INSTANCE, INSTANCE_LOAD, NOT_EXECUTED, SERVER_SEAL, text};
+use crate::request::latency_target;
 use crate::response::{ClientResponse, forward_response, local_response};
 use crate::upstream::{UpstreamError, UpstreamRequest, UpstreamResponse, WITHDRAWN, exchange};
 
@@ -84,12 +85,7 @@
 
 impl RequestAttempts {
     fn latency_target(&self) -> TimeDelta {
-        let aim = if self.route.target_s > 0.0 {
-            self.route.target_s
-        } else {
-            self.route.timeout_s
-        };
-        TimeDelta::from_secs(aim)
+        latency_target(&self.route)
     }
 
     /// A refusal is a promise: only where nothing has run.
--- a/crates/edge-proxy/src/downstream.rs
+++ b/crates/edge-proxy/src/downstream.rs
@@ -48,7 +48,7 @@
         let (app, open) = (app.clone(), open.clone());
         async move {
             let mut reply = request::serve(app.clone(), request).await;
-            if app.leaving.get() {
+            if app.is_leaving() {
                 reply
                     .headers_mut()
                     .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/edge-proxy/src/request.rs
+++ b/crates/edge-proxy/src/request.rs
@@ -4,6 +4,7 @@
 
 use hyper::Request;
 use hyper::body::Incoming;
+use lynxmill_configuration::MatchedRoute;
 use lynxmill_load_balancing::Attempts;
 use lynxmill_time::TimeDelta;
 
@@ -18,6 +19,16 @@
 /// The longest body where the configuration names no bound, in bytes.
 const MAX_BODY_BYTES: u64 = 64 << 20;
 
+/// The time in which an answer earns its full value.
+pub(crate) fn latency_target(route: &MatchedRoute) -> TimeDelta {
+    let seconds = if route.target_s > 0.0 {
+        route.target_s
+    } else {
+        route.timeout_s
+    };
+    TimeDelta::from_secs(seconds)
+}
+
 /// An answer of the edge's own, counted.
 fn counted(app: &App, status: u16, reason: &'static str, again: Option<f64>) -> ClientResponse {
     app.count(reason);
@@ -75,6 +86,11 @@
     let name = route.select_service(app.random_fraction()).to_owned();
     let service = app.load_balancer.borrow().routes().service(&name).cloned();
     let service = service.ok_or_else(|| counted(app, 503, "no-service", Some(0.2)))?;
+    // No task may begin what the end of the process would cut: refused, it is safe to send again.
+    let left = deadline - app.now();
+    if app.ends_within(latency_target(&route).min(left)) {
+        return Err(counted(app, 503, "leaving", Some(0.0)));
+    }
     let headers = end_to_end(&head.headers);
     Ok(RequestAttempts {
         app: app.clone(),
--- a/crates/edge-proxy/src/shutdown.rs
+++ b/crates/edge-proxy/src/shutdown.rs
@@ -35,6 +35,12 @@
             exit_at: started + grace.saturating_sub(EXIT_RESERVE),
         }
     }
+
+    /// Whether a request that came just now is one of the last, and would be answered at `finished` only after the
+    /// process has ended.
+    pub fn is_too_late(&self, finished: Instant) -> bool {
+        Instant::now() >= self.close_at && finished > self.exit_at
+    }
 }
 
 /// Ends the service within the grace: `end` tells all connections, `accepting` takes new ones.
@@ -45,7 +51,7 @@
     accepting: JoinHandle<()>,
 ) {
     log::info!("leaving: {}", app.pending_work());
-    app.leaving.set(true);
+    app.grace.set(Some(grace));
     app.update_readiness();
     sleep_until(grace.close_at).await;
     log::info!("closing idle connections: {}", app.pending_work());
--- a/crates/edge-proxy/tests/shutdown.rs
+++ b/crates/edge-proxy/tests/shutdown.rs
@@ -21,6 +21,8 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Connections that wait to be taken.
 const WAITING_CLIENTS: usize = 8;
+/// What a request with a body of two bytes ends with.
+const END_OF_REQUEST: &[u8] = b"\r\n\r\nhi";
 const POLL: Duration = Duration::from_millis(2);
 
 /// A client's connection with a small window, as over a slow link.
@@ -194,3 +196,32 @@
     }
     assert!(ends_within(&mut world, TIME_TO_END), "it waits for nobody");
 }
+
+/// Guards against requests that reach a task so late that the end of the process cuts their answers.
+#[test]
+fn a_request_that_is_whole_just_before_the_end_is_refused_and_reaches_no_task() {
+    let mut world = World::new("late-request", GRACE_S);
+    let begun = Instant::now();
+    terminate(&world);
+    wait_for_not_ready(&world);
+    let send_all_but_the_end = |id: &str| {
+        let mut client = connect(&world);
+        let whole = request("POST", "/once/ok", id, 2);
+        client.write_all(whole.trim_end().as_bytes()).unwrap();
+        client
+    };
+    let (mut in_time, mut too_late) = (send_all_but_the_end("soon"), send_all_but_the_end("late"));
+    wait_for_closing(&world);
+    in_time.write_all(END_OF_REQUEST).unwrap();
+    assert!(read_head(&mut in_time).starts_with("HTTP/1.1 200 "));
+    // Less than the route's `TargetS` is left.
+    let left = Duration::from_secs_f64(GRACE_S - 0.5) - begun.elapsed();
+    std::thread::sleep(left);
+    too_late.write_all(END_OF_REQUEST).unwrap();
+    let head = read_head(&mut too_late).to_ascii_lowercase();
+    assert!(head.starts_with("http/1.1 503 "), "{head}");
+    assert!(head.contains("retry-after: "), "{head}");
+    assert!(!world.arrivals.lock().unwrap().contains_key("late"));
+    drop((in_time, too_late));
+    assert!(ends_within(&mut world, TIME_TO_END), "it waits for nobody");
+}
