--- a/crates/edge-proxy/tests/shutdown.rs
+++ b/crates/edge-proxy/tests/shutdown.rs
@@ -17,10 +17,14 @@
 const SMALL_WINDOW: usize = 16 << 10;
 /// Far more than a process without work takes to end.
 const TIME_TO_END: Duration = Duration::from_millis(500);
+/// Far more than bytes on loopback take.
+const TIME_TO_WRITE: Duration = Duration::from_millis(50);
 /// A client that gets nothing for so long gives up.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Connections that wait to be taken.
 const WAITING_CLIENTS: usize = 8;
+/// Bytes of an answer that are in the sockets' buffers when the proxy has written all of it.
+const LAST_PART: usize = 64 << 10;
 /// What a request with a body of two bytes ends with.
 const END_OF_REQUEST: &[u8] = b"\r\n\r\nhi";
 const POLL: Duration = Duration::from_millis(2);
@@ -194,6 +198,7 @@
         assert!(read_head(client).starts_with("HTTP/1.1 200 "));
         assert_eq!(read_body(client, usize::MAX), SHORT_ANSWER);
     }
+    drop(clients);
     assert!(ends_within(&mut world, TIME_TO_END), "it waits for nobody");
 }
 
@@ -225,3 +230,35 @@
     drop((in_time, too_late));
     assert!(ends_within(&mut world, TIME_TO_END), "it waits for nobody");
 }
+
+/// Guards against answers that are lost as the edge closes a connection on which its client sends once more.
+#[test]
+fn clients_that_send_across_a_close_get_their_answers_whole() {
+    let mut world = World::new("senders", GRACE_S);
+    let mut clients: Vec<TcpStream> = (0..2)
+        .map(|n| {
+            let mut client = connect(&world);
+            let bytes = request("GET", "/get/long", &format!("sender-{n}"), 0);
+            let closing = bytes.replace("Host: h", "Host: h\r\nConnection: close");
+            client.write_all(closing.as_bytes()).unwrap();
+            assert!(read_head(&mut client).starts_with("HTTP/1.1 200 "));
+            client
+        })
+        .collect();
+    assert_eq!(read_across_a_close(&mut clients[0]), LONG_ANSWER);
+    terminate(&world);
+    wait_for_closing(&world);
+    assert_eq!(read_across_a_close(&mut clients[1]), LONG_ANSWER);
+    drop(clients);
+    assert!(ends_within(&mut world, TIME_TO_END), "it waits for nobody");
+}
+
+/// Reads a long answer and sends a further request while its last part is under way.
+fn read_across_a_close(client: &mut TcpStream) -> usize {
+    let first = read_body(client, LONG_ANSWER - LAST_PART);
+    std::thread::sleep(TIME_TO_WRITE);
+    let next = request("GET", "/get/ok", "crossing", 0);
+    client.write_all(next.as_bytes()).unwrap();
+    std::thread::sleep(TIME_TO_WRITE);
+    first + read_body(client, usize::MAX)
+}
