A control-plane node that ends waits until its callers have read their answers

Callers saw: a read of the configuration over a slow link was cut when the node that answered it got SIGTERM: the head with status 200, then the end of the connection within a chunk.

The node ended 0.1 s after those that stay held what it had acknowledged; threads that were writing answers ended with the process. For that the servers are polled and shared in place of run and owned; shutdown and servers have modules of their own.

an_answer_that_a_caller_still_reads_comes_whole_from_a_node_that_ends failed before ('it did not wait'; with that check left out, 'a whole chunk: failed to fill whole buffer'), passes now.

--- a/crates/control-plane/src/main.rs
+++ b/crates/control-plane/src/main.rs
@@ -7,9 +7,11 @@
 mod edge_streams;
 mod error;
 mod host;
+mod http_server;
 mod outbox;
 mod peers;
 mod serve;
+mod shutdown;
 mod start;
 mod writer;
 
--- a/crates/control-plane/src/serve.rs
+++ b/crates/control-plane/src/serve.rs
@@ -10,12 +10,12 @@
 use lynxmill_control_node::{Input, NodeOptions, StoredState, TICK};
 use lynxmill_startup::ServeError;
 use lynxmill_storage::Store;
-use rouille::{Request, Response, Server};
 
 use crate::error::ProgramError;
 use crate::host::Host;
+use crate::http_server::HttpServer;
 use crate::writer::WriteQueue;
-use crate::{connections, control, directory, edge_streams, start, writer};
+use crate::{connections, control, directory, edge_streams, shutdown, start, writer};
 
 /// The database in the folder that `DataPath` names.
 const DATABASE_FILE: &str = "control.redb";
@@ -27,10 +27,6 @@
 const SIGNAL_POLL: Duration = Duration::from_millis(100);
 /// The settings file is looked at once in so many looks at signals.
 const SETTINGS_POLL: u32 = 20;
-/// Between two looks at whether the node may end.
-const DEPARTURE_POLL: Duration = Duration::from_millis(20);
-/// How long the last effects may take to go out.
-const LAST_EFFECTS: Duration = Duration::from_millis(100);
 /// Between two log lines of counters.
 const COUNTERS_INTERVAL: Duration = Duration::from_secs(10);
 /// The stack of a thread, in bytes.
@@ -51,7 +47,7 @@
     Ok((StoredState::new(contents, &options), store))
 }
 
-fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), ProgramError> {
+pub(crate) fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), ProgramError> {
     std::thread::Builder::new()
         .name(name.to_owned())
         .stack_size(STACK_BYTES)
@@ -65,20 +61,6 @@
         .map_err(|error| ServeError::Listen(format!("{ip}:{port}"), error.into()).into())
 }
 
-/// Binds an HTTP server; what is returned serves until the process ends.
-fn bind_http(
-    host: &Arc<Host>,
-    address: &str,
-    threads: usize,
-    handle: fn(&Arc<Host>, &Request) -> Response,
-) -> Result<impl FnOnce() + Send + use<>, ProgramError> {
-    let host = host.clone();
-    let server = Server::new(address, move |request| handle(&host, request))
-        .map_err(|error| ServeError::Listen(address.to_owned(), error))?
-        .pool_size(threads);
-    Ok(move || server.run())
-}
-
 fn tick(host: &Arc<Host>) {
     let pause = Duration::from_micros(TICK.micros() as u64);
     let mut next_counters = Instant::now() + COUNTERS_INTERVAL;
@@ -115,8 +97,8 @@
     log::info!("{} starts, {which_start}", settings.node_name);
     let (writes, queued) = WriteQueue::new();
     let host = Arc::new(Host::new(settings, incarnation, started, stored, writes));
-    let serve_control = bind_http(&host, &addresses.control, CONTROL_THREADS, control::handle)?;
-    let serve_directory = bind_http(
+    let control = HttpServer::bind(&host, &addresses.control, CONTROL_THREADS, control::handle)?;
+    let directory = HttpServer::bind(
         &host,
         &addresses.directory,
         DIRECTORY_THREADS,
@@ -134,9 +116,12 @@
     })?;
     let shared = host.clone();
     spawn("tick", move || tick(&shared))?;
-    spawn("control", serve_control)?;
-    spawn("directory", serve_directory)?;
-    wait_for_end(&host)
+    spawn("control", control.serve)?;
+    spawn("directory", directory.serve)?;
+    wait_for_termination(&host)?;
+    let answers = [control.wait_until_idle, directory.wait_until_idle];
+    shutdown::leave(&host, answers);
+    Ok(())
 }
 
 /// Takes the seeds of the settings file as it is now; all else needs a restart.
@@ -162,9 +147,8 @@
     Ok(flag)
 }
 
-/// Waits for SIGTERM, then until those that stay hold what this node has acknowledged. Meanwhile it reads the
-/// settings file again on SIGHUP and whenever it was modified.
-fn wait_for_end(host: &Arc<Host>) -> Result<(), ProgramError> {
+/// Waits for SIGTERM. Meanwhile it reads the settings file again on SIGHUP and whenever it was modified.
+fn wait_for_termination(host: &Arc<Host>) -> Result<(), ProgramError> {
     let terminate = flag_on("SIGTERM", signal_hook::consts::SIGTERM)?;
     let hang_up = flag_on("SIGHUP", signal_hook::consts::SIGHUP)?;
     let mut last_modified = settings_modified();
@@ -182,11 +166,5 @@
             reload(host);
         }
     }
-    host.step(Input::Leave);
-    while !host.has_left() {
-        std::thread::sleep(DEPARTURE_POLL);
-    }
-    std::thread::sleep(LAST_EFFECTS);
-    host.log_counters();
     Ok(())
 }
--- /dev/null
+++ b/crates/control-plane/tests/shutdown.rs
@@ -0,0 +1,116 @@
+//! What callers of a control-plane node get whose process is told to end.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use lynxmill_operator::{Deployment, HOST, configuration};
+use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Routes whose paths are so long that a read of the configuration is longer than the sockets' buffers.
+const ROUTES: usize = 400;
+const ROUTES_A_CHANGE: usize = 100;
+const PATH_BYTES: usize = 12_000;
+/// Bytes that a slow caller's socket takes.
+const SMALL_WINDOW: usize = 16 << 10;
+/// Far more than a node of three takes to give up its leases and to tell the others.
+const TIME_TO_LEAVE: Duration = Duration::from_millis(1_500);
+/// Of a grace of 3 s.
+const TIME_TO_END: Duration = Duration::from_secs(3);
+const LINE_END: &[u8] = b"\r\n";
+const POLL: Duration = Duration::from_millis(5);
+
+fn programs() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_lynxmill-control-plane"))
+        .parent()
+        .expect("a folder")
+}
+
+/// Routes whose paths are long, from a number on.
+fn long_routes(first: usize) -> Value {
+    let long = "x".repeat(PATH_BYTES);
+    let route = |n: usize| {
+        json!({
+            "Name": format!("r-{n}"), "Host": HOST, "PathPrefix": format!("/{n}/{long}/"), "RouteKind": "idempotent",
+            "TimeoutS": 5.0, "TargetS": 1.0, "Priority": 1, "Service": "mill", "MaxAttempts": 2, "HomeRegions": [],
+            "Version": "00000001",
+        })
+    };
+    let routes: Vec<Value> = (first..first + ROUTES_A_CHANGE).map(route).collect();
+    json!({"Upsert": {"Routes": routes}})
+}
+
+/// A system whose configuration is large.
+fn started() -> Deployment {
+    let mut system = Deployment::start(programs()).expect("the system starts");
+    let changes = (0..ROUTES).step_by(ROUTES_A_CHANGE).map(long_routes);
+    for change in std::iter::once(configuration()).chain(changes) {
+        let (by, answer) = system.configure(&change, PATIENCE).expect("an answer");
+        assert_eq!(answer.status, 200, "{by}: {}", answer.body);
+    }
+    system
+}
+
+/// Asks for the configuration over a link that carries little at a time; the head of the answer has been read.
+fn read_slowly(control: &str) -> TcpStream {
+    let address: SocketAddr = control.parse().expect("an address");
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(SMALL_WINDOW).expect("a window");
+    socket.connect(&address.into()).expect("a connection");
+    let mut stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    let request = format!("GET /v1/configuration HTTP/1.1\r\nHost: {control}\r\n\r\n");
+    stream.write_all(request.as_bytes()).expect("a request");
+    let mut head = Vec::new();
+    let mut byte = [0u8];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).expect("a head");
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).expect("text").to_ascii_lowercase();
+    assert!(head.starts_with("http/1.1 200 "), "{head}");
+    assert!(head.contains("transfer-encoding: chunked"), "{head}");
+    stream
+}
+
+/// The rest of a chunked body; panics where it is cut.
+fn read_chunks(stream: TcpStream) -> Vec<u8> {
+    let mut stream = BufReader::new(stream);
+    let mut body = Vec::new();
+    loop {
+        let mut size = String::new();
+        stream.read_line(&mut size).expect("the size of a chunk");
+        let size = usize::from_str_radix(size.trim_end(), 16).expect("a whole size");
+        let mut chunk = vec![0u8; size + LINE_END.len()];
+        stream.read_exact(&mut chunk).expect("a whole chunk");
+        assert!(chunk.ends_with(LINE_END));
+        if size == 0 {
+            return body;
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
+/// Guards against answers that are cut by the end of a node while slow callers still read them.
+#[test]
+fn an_answer_that_a_caller_still_reads_comes_whole_from_a_node_that_ends() {
+    let mut system = started();
+    let stream = read_slowly(&system.controls()[0]);
+    system.terminate_core(0).expect("a signal");
+    let until = Instant::now() + TIME_TO_LEAVE;
+    while Instant::now() < until {
+        assert!(system.core_exit(0).is_none(), "it did not wait");
+        std::thread::sleep(POLL);
+    }
+    let read: Value = serde_json::from_slice(&read_chunks(stream)).expect("JSON");
+    assert!(read["Routes"].as_array().expect("a list").len() > ROUTES);
+    let until = Instant::now() + TIME_TO_END;
+    while system.core_exit(0).is_none() {
+        assert!(Instant::now() < until, "it waits for nobody");
+        std::thread::sleep(POLL);
+    }
+    assert!(system.core_exit(0).is_some_and(|status| status.success()));
+}
--- a/crates/operator/src/deployment.rs
+++ b/crates/operator/src/deployment.rs
@@ -5,12 +5,13 @@
 use std::fs::File;
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use lynxmill_configuration::{Bounds, FaultTolerance, Listen, NodeSettings, ResourceLimits};
 use lynxmill_startup::SETTINGS_VARIABLE;
+use rustix::process::{Pid, Signal, kill_process};
 
 use crate::client;
 
@@ -205,6 +206,12 @@
         Ok(())
     }
 
+    fn terminate(&mut self) -> Result<(), String> {
+        let error = |e: &dyn std::fmt::Display| format!("{}: {e}", self.local.node_name);
+        let child = self.child.as_ref().ok_or_else(|| error(&"not started"))?;
+        kill_process(Pid::from_child(child), Signal::TERM).map_err(|e| error(&e))
+    }
+
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -305,6 +312,16 @@
         self.core[n].kill();
     }
 
+    /// Tells a control-plane node to end in order.
+    pub fn terminate_core(&mut self, n: usize) -> Result<(), String> {
+        self.core[n].terminate()
+    }
+
+    /// How a control-plane node has ended; None while it runs.
+    pub fn core_exit(&mut self, n: usize) -> Option<ExitStatus> {
+        self.core[n].child.as_mut()?.try_wait().ok()?
+    }
+
     /// The data folder of a control-plane node.
     pub fn data_folder(&self, n: usize) -> PathBuf {
         self.core[n]
