--- a/crates/edge-proxy/src/client_stream.rs
+++ b/crates/edge-proxy/src/client_stream.rs
@@ -1,32 +1,25 @@
 //! The socket of a client's connection, which tells how far its answers are written and closes without losing any.
-//!
-//! A socket that is closed while its client still sends is reset, and what its client has not got by then is lost. So
-//! only the sending side is closed at first, and what comes is dropped until the client closes too (RFC 9112, 9.6).
 
 use std::io::{self, IoSlice};
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use lynxmill_lingering_close::LingeringClose;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Sleep, sleep};
 
 use crate::connections::OpenConnection;
 
 /// How long a client may take to close its side after its last answer.
 const LINGER: Duration = Duration::from_secs(2);
-/// Bytes that are read and dropped at a time.
-const DISCARD_BYTES: usize = 4 << 10;
 
 /// A client's socket. The HTTP library flushes it only when it holds no more bytes itself.
 pub(crate) struct ClientStream {
     stream: TcpStream,
     connection: Rc<OpenConnection>,
-    /// Runs once the sending side is closed.
-    linger: Option<Pin<Box<Sleep>>>,
+    closing: LingeringClose,
 }
 
 impl ClientStream {
@@ -34,28 +27,17 @@
         ClientStream {
             stream,
             connection,
-            linger: None,
+            closing: LingeringClose::new(LINGER),
         }
     }
 
-    fn wrote(&self, written: io::Result<usize>) -> Poll<io::Result<usize>> {
+    fn wrote(&mut self, written: io::Result<usize>) -> Poll<io::Result<usize>> {
         if let Ok(bytes) = &written {
             self.connection.wrote(*bytes);
+            self.closing.wrote();
         }
         Poll::Ready(written)
     }
-
-    /// Drops what the client sends until it has closed its side.
-    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        loop {
-            let mut bytes = [MaybeUninit::uninit(); DISCARD_BYTES];
-            let mut buffer = ReadBuf::uninit(&mut bytes);
-            match ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer)) {
-                Ok(()) if !buffer.filled().is_empty() => {}
-                Ok(()) | Err(_) => return Poll::Ready(()),
-            }
-        }
-    }
 }
 
 impl AsyncRead for ClientStream {
@@ -98,19 +80,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.linger.is_none() {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
-            if !self.connection.wrote_within(LINGER) {
-                return Poll::Ready(Ok(()));
-            }
-            self.linger = Some(Box::pin(sleep(LINGER)));
-        }
-        if self.poll_discard(context).is_ready() {
-            return Poll::Ready(Ok(()));
-        }
-        match &mut self.linger {
-            Some(linger) => linger.as_mut().poll(context).map(Ok),
-            None => Poll::Pending,
-        }
+        let this = &mut *self;
+        this.closing.poll_close(&mut this.stream, context)
     }
 }
--- a/crates/edge-proxy/src/connections.rs
+++ b/crates/edge-proxy/src/connections.rs
@@ -6,10 +6,8 @@
 use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
-use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 use crate::app::App;
 
@@ -66,7 +64,6 @@
 pub(crate) struct OpenConnection {
     app: Rc<App>,
     written_bytes: Cell<u64>,
-    last_answer: Cell<Option<Instant>>,
     /// What was written before the answer that is being written, in bytes.
     answer_begins_at: Cell<Option<u64>>,
 }
@@ -78,7 +75,6 @@
         Rc::new(OpenConnection {
             app: app.clone(),
             written_bytes: Cell::new(0),
-            last_answer: Cell::new(None),
             answer_begins_at: Cell::new(None),
         })
     }
@@ -108,15 +104,8 @@
         }
     }
 
-    /// Whether the last answer was written less than `time` ago.
-    pub(crate) fn wrote_within(&self, time: Duration) -> bool {
-        let last = self.last_answer.get();
-        last.is_some_and(|last| last.elapsed() < time)
-    }
-
     fn answer_ended(&self) {
         if self.answer_begins_at.take().is_some() {
-            self.last_answer.set(Some(Instant::now()));
             let unwritten = &self.app.connections.unwritten_answers;
             unwritten.set(unwritten.get() - 1);
         }
