A forwarder closes a client's connection in two steps, so that no answer is lost by it

Callers saw: a client that sent once more while the last part of an answer was under way lost that part: of bytes, in service and while the forwarder ended. Slow readers alone lost nothing: the forwarder waits for its connections, each of which ends with its last byte.

Cause: the socket was closed with the HTTP library's exchange, and what came after that was answered by a reset. Change: the socket outlasts the exchange. Its line and reason are written as before, then what comes is dropped until the client closes too, at most 2 s, within the gate, so that a forwarder that ends waits for it. A client that was cut as it took nothing is shut at once.

--- a/crates/forwarder-server/src/front.rs
+++ b/crates/forwarder-server/src/front.rs
@@ -1,6 +1,7 @@
 //! Clients' connections: taken in as the gate says, held to make progress, each with one line at its end.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
@@ -12,6 +13,7 @@
 use actix_http::{HttpService, Request};
 use actix_service::{Service, ServiceFactory, fn_service};
 use lynxmill_forwarder::Progress;
+use lynxmill_lingering_close::LingeringClose;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Sleep;
@@ -20,6 +22,9 @@
 use crate::back::Timeouts;
 use crate::invoke::invoke;
 
+/// How long a client may take to close its side after its last answer.
+const LINGER: Duration = Duration::from_secs(2);
+
 /// What has gone over a connection, and why it was cut.
 #[derive(Default)]
 struct ConnectionLog {
@@ -32,9 +37,15 @@
     cut: Cell<Option<&'static str>>,
 }
 
+/// A client's socket, and how far its close is. It outlasts what the HTTP library does with it.
+struct ClientSocket {
+    stream: TcpStream,
+    closing: LingeringClose,
+}
+
 /// A client's connection that is cut once it takes nothing of what is written.
 pub(crate) struct Front {
-    stream: TcpStream,
+    socket: Rc<RefCell<ClientSocket>>,
     patience: Timeouts,
     progress: Progress,
     alarm: Pin<Box<Sleep>>,
@@ -42,6 +53,20 @@
 }
 
 impl Front {
+    fn new(stream: TcpStream, patience: Timeouts, told: Rc<ConnectionLog>) -> Self {
+        let socket = ClientSocket {
+            stream,
+            closing: LingeringClose::new(LINGER),
+        };
+        Front {
+            socket: Rc::new(RefCell::new(socket)),
+            patience,
+            progress: patience.progress(),
+            alarm: Box::pin(tokio::time::sleep(Duration::ZERO)),
+            told,
+        }
+    }
+
     fn wrote(
         &mut self,
         cx: &mut Context<'_>,
@@ -54,6 +79,7 @@
                     .written
                     .set(self.told.written.get() + wrote as u64);
                 self.progress.moved(now, wrote as u64);
+                self.socket.borrow_mut().closing.wrote();
                 Poll::Ready(Ok(wrote))
             }
             Poll::Pending => {
@@ -79,12 +105,12 @@
 
 impl AsyncRead for Front {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         to: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = to.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, to);
+        let read = Pin::new(&mut self.socket.borrow_mut().stream).poll_read(cx, to);
         let got = to.filled().len() - before;
         self.told.read.set(self.told.read.get() + got as u64);
         if got == 0 && to.remaining() > 0 && matches!(read, Poll::Ready(Ok(()))) {
@@ -100,19 +126,30 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        let wrote = Pin::new(&mut self.socket.borrow_mut().stream).poll_write(cx, bytes);
         self.wrote(cx, wrote)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket.borrow_mut().stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket.borrow_mut().stream).poll_shutdown(cx)
     }
 }
 
+/// Closes a client's connection once it has got what was written.
+async fn close(socket: &RefCell<ClientSocket>) {
+    let closed = poll_fn(|cx| {
+        let mut socket = socket.borrow_mut();
+        let ClientSocket { stream, closing } = &mut *socket;
+        closing.poll_close(stream, cx)
+    });
+    // Its client has reset it: nothing is left to be done.
+    let _ = closed.await;
+}
+
 /// A place inside the gate.
 struct GatePermit(Rc<App>, IpAddr);
 
@@ -224,18 +261,16 @@
         }
         let inside = GatePermit(app.clone(), peer.ip());
         let _ = stream.set_nodelay(true);
-        let alarm = Box::pin(tokio::time::sleep(Duration::ZERO));
-        let front = Front {
-            stream,
-            patience,
-            progress: patience.progress(),
-            alarm,
-            told: told.clone(),
-        };
+        let front = Front::new(stream, patience, told.clone());
+        let socket = front.socket.clone();
         let service = service.clone();
         actix_rt::spawn(async move {
             let end = service.call((front, Some(peer))).await;
             ended(&inside.0, peer, reason(&end, &told), &told);
+            // One that took nothing any more gets no time for the rest either.
+            if told.cut.get().is_none() {
+                close(&socket).await;
+            }
         });
     };
     loop {
--- /dev/null
+++ b/crates/forwarder-server/tests/shutdown.rs
@@ -0,0 +1,132 @@
+//! What clients of a forwarder get that is told to end.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use common::{PATIENCE, Place, head, scripted};
+use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
+
+/// More bytes than the sockets between a forwarder and its client hold.
+const LONG_ANSWER: usize = 16 << 20;
+/// Bytes of an answer that are in the sockets' buffers when the forwarder has written all of it.
+const LAST_PART: usize = 64 << 10;
+/// Bytes that a slow client's socket takes.
+const SMALL_WINDOW: usize = 16 << 10;
+const DRAIN_S: f64 = 4.0;
+/// Far more than bytes on loopback take.
+const TIME_TO_WRITE: Duration = Duration::from_millis(50);
+/// Far more than a forwarder without connections takes to end.
+const TIME_TO_END: Duration = Duration::from_millis(500);
+const POLL: Duration = Duration::from_millis(2);
+const REQUEST: &str = "GET /lookup/k HTTP/1.1\r\nhost: f\r\n\r\n";
+
+/// A server whose every answer is long.
+fn long_answers() -> SocketAddr {
+    scripted(|_, mut stream| {
+        while head(&mut stream).is_some() {
+            let start = format!("HTTP/1.1 200 OK\r\ncontent-length: {LONG_ANSWER}\r\n\r\n");
+            let answer = [start.into_bytes(), vec![b'x'; LONG_ANSWER]].concat();
+            if stream.write_all(&answer).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+fn started() -> Place {
+    Place::start(long_answers(), |told: &mut Value| {
+        told["drain_s"] = json!(DRAIN_S);
+    })
+}
+
+/// A client on a slow link that has read the head of a long answer.
+fn begin_reading(place: &Place, request: &str) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(SMALL_WINDOW).expect("a window");
+    socket
+        .connect(&place.forwarder.address.into())
+        .expect("a connection");
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    let mut client = common::Client(stream);
+    client.send(request);
+    let head = client.head();
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    client.0
+}
+
+/// Bytes of a body that come until the end of the connection, or `most`.
+fn read_body(stream: &mut TcpStream, most: usize) -> usize {
+    let mut piece = vec![0u8; SMALL_WINDOW];
+    let mut got = 0;
+    while got < most {
+        match stream.read(&mut piece) {
+            Ok(bytes) if bytes > 0 => got += bytes,
+            _ => break,
+        }
+    }
+    got
+}
+
+fn wait_for_closing(place: &Place) {
+    let until = Instant::now() + Duration::from_secs_f64(DRAIN_S);
+    while TcpStream::connect(place.forwarder.address).is_ok() {
+        assert!(Instant::now() < until, "it takes connections for ever");
+        std::thread::sleep(POLL);
+    }
+}
+
+/// Whether it ends within some time; its exit has to be a success.
+fn ends_within(place: &mut Place, time: Duration) -> bool {
+    let until = Instant::now() + time;
+    loop {
+        if let Some(code) = place.forwarder.ended() {
+            assert_eq!(code, 0);
+            return true;
+        }
+        if Instant::now() >= until {
+            return false;
+        }
+        std::thread::sleep(POLL);
+    }
+}
+
+/// Guards against answers that are cut by the end of the process while slow clients still read them.
+#[test]
+fn an_answer_that_a_client_still_reads_comes_whole_from_a_forwarder_that_ends() {
+    let mut place = started();
+    let mut client = begin_reading(&place, REQUEST);
+    place.forwarder.end();
+    wait_for_closing(&place);
+    assert!(!ends_within(&mut place, TIME_TO_END), "it did not wait");
+    assert_eq!(read_body(&mut client, LONG_ANSWER), LONG_ANSWER);
+    drop(client);
+    assert!(ends_within(&mut place, TIME_TO_END), "it waits for nobody");
+}
+
+/// Guards against answers that are lost as the forwarder closes a connection on which its client sends once more.
+#[test]
+fn a_client_that_sends_across_a_close_gets_its_answer_whole() {
+    let mut place = started();
+    let closing = REQUEST.replace("host: f", "host: f\r\nconnection: close");
+    let mut clients = [&closing, &closing].map(|request| begin_reading(&place, request));
+    assert_eq!(read_across_a_close(&mut clients[0]), LONG_ANSWER);
+    place.forwarder.end();
+    wait_for_closing(&place);
+    assert_eq!(read_across_a_close(&mut clients[1]), LONG_ANSWER);
+    drop(clients);
+    assert!(ends_within(&mut place, TIME_TO_END), "it waits for nobody");
+}
+
+/// Reads a long answer and sends a further request while its last part is under way.
+fn read_across_a_close(client: &mut TcpStream) -> usize {
+    let first = read_body(client, LONG_ANSWER - LAST_PART);
+    std::thread::sleep(TIME_TO_WRITE);
+    client.write_all(REQUEST.as_bytes()).expect("room to write");
+    std::thread::sleep(TIME_TO_WRITE);
+    first + read_body(client, usize::MAX)
+}
