Members that have accepted others grant no lease until these are adopted

Cause: a grant looked at the adopted members alone, and an old owner that was cut off with the member that was replaced renewed its lease by the two of them, while the other old member and the newcomer were a majority of the new ones.

Change: Acceptor::may_grant_leases, the rule that held for ballots already; whoever does not hold a lease asks for none meanwhile.

--- a/crates/consensus/src/acceptor.rs
+++ b/crates/consensus/src/acceptor.rs
@@ -60,6 +60,15 @@
             .filter(|m| m.epoch > self.members.epoch)
     }
 
+    /// Whether it may grant leases, and renew them, by the membership that it has adopted. Not once it has accepted
+    /// another one, as for ballots: any majority that granted a lease of the old members has one in common with the
+    /// majority that accepted the new ones, so that no such lease is renewed after the change was chosen. A newcomer
+    /// votes only after that and grants nothing for longer than a lease (`LeaseGrants::became_voter`), and a majority of
+    /// the new members without the newcomer holds one that knows of its grant.
+    pub fn may_grant_leases(&self) -> bool {
+        !self.catching_up && self.pending_membership().is_none()
+    }
+
     fn register(&self, name: &str) -> Register {
         let fresh = || Register {
             name: name.to_owned(),
--- a/crates/consensus/tests/members.rs
+++ b/crates/consensus/tests/members.rs
@@ -138,6 +138,26 @@
     );
 }
 
+/// Guards against a lease that the old members renew while the new ones grant it anew.
+#[test]
+fn who_has_accepted_other_members_grants_no_lease_until_they_are_adopted() {
+    let [one, two] = [members(1, &[A, B, C]), members(2, &[A, B, D])];
+    let mut own = acceptor(A, &one);
+    assert!(own.may_grant_leases());
+    let asked = Accept {
+        register: "members".to_owned(),
+        ballot: ballot(1),
+        members: one.clone(),
+        value: two.encode_to_vec(),
+        incarnation: 7,
+    };
+    assert!(own.accept(&asked).0.ok);
+    assert!(!own.may_grant_leases(), "the members may have been changed");
+    assert!(own.adopt_membership(&two) && own.may_grant_leases());
+    own.catching_up = true;
+    assert!(!own.may_grant_leases());
+}
+
 #[test]
 fn an_accept_holds_only_in_the_life_that_promised() {
     let of = members(1, &[A, B, C]);
--- a/crates/control-node/src/node.rs
+++ b/crates/control-node/src/node.rs
@@ -239,10 +239,7 @@
             }
             PeerRequest::Learn(pending) => PeerResponse::Acknowledged(self.learn(now, &pending)),
             PeerRequest::LeaseRequest(request) => {
-                let promises = !self.acceptor.catching_up;
-                PeerResponse::Acknowledged(
-                    promises && self.leases.grant(now, &request, &self.acceptor.members),
-                )
+                PeerResponse::Acknowledged(self.grant_lease(now, &request))
             }
             PeerRequest::MemberStatus(status) => {
                 self.handle_status(now, &status);
--- a/crates/control-node/src/ownership.rs
+++ b/crates/control-node/src/ownership.rs
@@ -158,7 +158,14 @@
 
     fn claim(&mut self, now: Timestamp, service: &Service) {
         let name = service.name.as_str();
-        let taken = self.is_owned_by_another(now, name);
+        let held = self
+            .ownership
+            .services
+            .get(name)
+            .is_some_and(|ownership| ownership.election.is_held(now));
+        // While the members change a lease may run on, but nobody can get one.
+        let changing = !held && !self.acceptor.may_grant_leases();
+        let taken = changing || self.is_owned_by_another(now, name);
         let mine = rank(name, &self.options.ip);
         let before = self
             .acceptor
@@ -208,10 +215,9 @@
         if let Some(ownership) = self.ownership.services.get_mut(service) {
             ownership.attempt = if release { 0 } else { attempt };
         }
-        let members = self.acceptor.members.clone();
         let (holder, epoch, incarnation) = (
             self.options.ip.clone(),
-            members.epoch,
+            self.acceptor.members.epoch,
             self.options.incarnation,
         );
         let request = LeaseRequest {
@@ -233,12 +239,18 @@
                 awaited,
             );
         }
-        if self.is_member() && self.leases.grant(now, &request, &members) && !release {
+        if self.is_member() && self.grant_lease(now, &request) && !release {
             let me = self.options.ip.clone();
             self.lease_granted(service, attempt, &me);
         }
     }
 
+    /// Grants, renews or takes back a lease; whether this node did. Giving one back never does harm.
+    pub(crate) fn grant_lease(&mut self, now: Timestamp, request: &LeaseRequest) -> bool {
+        let may_grant = request.release || self.acceptor.may_grant_leases();
+        may_grant && self.leases.grant(now, request, &self.acceptor.members)
+    }
+
     pub(crate) fn lease_granted(&mut self, service: &str, attempt: u64, from: &str) {
         let members = &self.acceptor.members;
         if let Some(ownership) = self.ownership.services.get_mut(service)
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod contact;
 pub mod fingerprint;
+pub mod lease_handover;
 pub mod ownership;
 pub mod register;
 pub mod search;
--- a/crates/simulator/tests/found.rs
+++ b/crates/simulator/tests/found.rs
@@ -33,6 +33,8 @@
 #[case::newcomer_that_never_answers(&[5_005_455])]
 // A newcomer came back just before its seat was given up, was added blank, and the member beside it left.
 #[case::newcomer_that_is_back(&[8_027_503])]
+// A lease of the old members was renewed by members that had accepted others, while the new ones granted it anew.
+#[case::lease_across_a_change_of_members(&[5_205_357])]
 fn holds(#[case] seeds: &[u64]) {
     for seed in seeds {
         let violation = run(&Plan::drawn(*seed, &[]), &RunOptions::default()).violation;
