Programs catch signals from their start on

Callers saw: a control-plane node that gets SIGHUP in its first 40 ms ends with signal 1; the same holds for an edge between its listener and its handlers, and for SIGTERM, which then is no end in order.

Cause: handlers were installed last, after the database and the listeners. Change: a node installs them before it reads its settings, an edge before it listens. What came meanwhile is looked at once the node runs.

a_hang_up_while_a_node_starts_does_not_end_it failed before ('core-1 ended with signal: 1 (SIGHUP)'), passes now.

--- a/crates/control-plane/src/main.rs
+++ b/crates/control-plane/src/main.rs
@@ -12,13 +12,22 @@
 mod peers;
 mod serve;
 mod shutdown;
+mod signals;
 mod start;
 mod writer;
 
 use std::process::ExitCode;
 
+use crate::error::ProgramError;
+use crate::signals::Signals;
+
+fn run() -> Result<(), ProgramError> {
+    let signals = Signals::install()?;
+    serve::run(start::read()?, &signals)
+}
+
 fn main() -> ExitCode {
-    match start::read().and_then(serve::run) {
+    match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("lynxmill-control-plane: {error}");
--- a/crates/control-plane/src/serve.rs
+++ b/crates/control-plane/src/serve.rs
@@ -3,7 +3,6 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use lynxmill_configuration::NodeSettings;
@@ -14,6 +13,7 @@
 use crate::error::ProgramError;
 use crate::host::Host;
 use crate::http_server::HttpServer;
+use crate::signals::Signals;
 use crate::writer::WriteQueue;
 use crate::{connections, control, directory, edge_streams, shutdown, start, writer};
 
@@ -82,7 +82,7 @@
 }
 
 /// Runs the program until it is told to end.
-pub(crate) fn run(settings: NodeSettings) -> Result<(), ProgramError> {
+pub(crate) fn run(settings: NodeSettings, signals: &Signals) -> Result<(), ProgramError> {
     let incarnation = new_incarnation();
     let started = Instant::now();
     let (stored, store) = open_store(&settings, incarnation)?;
@@ -118,7 +118,7 @@
     spawn("tick", move || tick(&shared))?;
     spawn("control", control.serve)?;
     spawn("directory", directory.serve)?;
-    wait_for_termination(&host)?;
+    wait_for_termination(&host, signals);
     let answers = [control.wait_until_idle, directory.wait_until_idle];
     shutdown::leave(&host, answers);
     Ok(())
@@ -140,20 +140,11 @@
     std::fs::metadata(start::path().ok()?).ok()?.modified().ok()
 }
 
-fn flag_on(name: &'static str, signal: i32) -> Result<Arc<AtomicBool>, ServeError> {
-    let flag = Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(signal, flag.clone())
-        .map_err(|error| ServeError::Signal(name, error))?;
-    Ok(flag)
-}
-
 /// Waits for SIGTERM. Meanwhile it reads the settings file again on SIGHUP and whenever it was modified.
-fn wait_for_termination(host: &Arc<Host>) -> Result<(), ProgramError> {
-    let terminate = flag_on("SIGTERM", signal_hook::consts::SIGTERM)?;
-    let hang_up = flag_on("SIGHUP", signal_hook::consts::SIGHUP)?;
+fn wait_for_termination(host: &Arc<Host>, signals: &Signals) {
     let mut last_modified = settings_modified();
     let mut polls = 0u32;
-    while !terminate.load(Ordering::Relaxed) {
+    while !signals.is_terminated() {
         std::thread::sleep(SIGNAL_POLL);
         polls += 1;
         let modified = if polls.is_multiple_of(SETTINGS_POLL) {
@@ -161,10 +152,9 @@
         } else {
             last_modified
         };
-        if hang_up.swap(false, Ordering::Relaxed) || modified != last_modified {
+        if signals.take_hang_up() || modified != last_modified {
             last_modified = modified;
             reload(host);
         }
     }
-    Ok(())
 }
--- a/crates/edge-proxy/src/server.rs
+++ b/crates/edge-proxy/src/server.rs
@@ -62,16 +62,17 @@
 ///
 /// [`ServeError`] if an address can't be listened on or a signal handler can't be installed.
 pub async fn run(settings: NodeSettings) -> Result<(), ServeError> {
+    // One that comes before its handler ends the process.
+    let mut term =
+        signal(SignalKind::terminate()).map_err(|error| ServeError::Signal("SIGTERM", error))?;
+    let mut hup =
+        signal(SignalKind::hangup()).map_err(|error| ServeError::Signal("SIGHUP", error))?;
     let listen = settings.listen();
     let app = App::new(settings);
     ready::serve(&listen.readiness, app.health.clone())?;
     let listener = TcpListener::bind(&listen.front)
         .await
         .map_err(|error| ServeError::Listen(listen.front.clone(), error.into()))?;
-    let mut term =
-        signal(SignalKind::terminate()).map_err(|error| ServeError::Signal("SIGTERM", error))?;
-    let mut hup =
-        signal(SignalKind::hangup()).map_err(|error| ServeError::Signal("SIGHUP", error))?;
     let (end, ends) = watch::channel(false);
     spawn_local(streams::keep_streams(app.clone()));
     spawn_local(run_maintenance(app.clone()));
--- a/crates/operator/src/deployment.rs
+++ b/crates/operator/src/deployment.rs
@@ -27,6 +27,8 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// Ports of a system: control, directory, front, readiness, and two between assigners.
 const PORTS: u16 = 6;
+/// The first of the two ports between assigners, counted from a system's first.
+const INTERNAL_PORT: u16 = 4;
 /// Below the ports that the kernel gives to callers.
 const LOWEST: u32 = 20_000;
 const SPAN: u32 = 11_000;
@@ -132,7 +134,9 @@
             region: REGION.to_owned(),
             zones,
             listen_addrs: Some(listen),
-            internal_ports: vec![u32::from(self.port) + 4, u32::from(self.port) + 5],
+            internal_ports: [0, 1]
+                .map(|n| u32::from(self.port + INTERNAL_PORT + n))
+                .to_vec(),
             seed_nodes: (0..CORE).map(|n| self.control(n)).collect(),
             bootstrap: true,
             quorum_member: core,
@@ -206,10 +210,10 @@
         Ok(())
     }
 
-    fn terminate(&mut self) -> Result<(), String> {
+    fn signal(&mut self, signal: Signal) -> Result<(), String> {
         let error = |e: &dyn std::fmt::Display| format!("{}: {e}", self.local.node_name);
         let child = self.child.as_ref().ok_or_else(|| error(&"not started"))?;
-        kill_process(Pid::from_child(child), Signal::TERM).map_err(|e| error(&e))
+        kill_process(Pid::from_child(child), signal).map_err(|e| error(&e))
     }
 
     fn kill(&mut self) {
@@ -314,7 +318,12 @@
 
     /// Tells a control-plane node to end in order.
     pub fn terminate_core(&mut self, n: usize) -> Result<(), String> {
-        self.core[n].terminate()
+        self.core[n].signal(Signal::TERM)
+    }
+
+    /// Tells a control-plane node that its settings file has changed.
+    pub fn hang_up_core(&mut self, n: usize) -> Result<(), String> {
+        self.core[n].signal(Signal::HUP)
     }
 
     /// How a control-plane node has ended; None while it runs.
@@ -337,6 +346,11 @@
         self.site.core(n)
     }
 
+    /// Where a control-plane node takes the streams of edges.
+    pub fn internal_address(&self, n: usize) -> String {
+        format!("{}:{}", self.site.core(n), self.site.port + INTERNAL_PORT)
+    }
+
     /// From its next start on it keeps its state in another folder.
     pub fn move_data(&mut self, n: usize, folder: &Path) {
         self.core[n].local.data_path = Some(folder.display().to_string());
