--- a/crates/edge-proxy/tests/world/mod.rs
+++ b/crates/edge-proxy/tests/world/mod.rs
@@ -67,6 +67,15 @@
 
 const SEAL: &str = "Lynxmill-Server-Seal: 1.2\r\n";
 
+/// `after-MS-bytes-N`: how long the task works, and how long its answer is.
+fn timed_answer(what: &str) -> Option<(Duration, usize)> {
+    let (after, bytes) = what.strip_prefix("after-")?.split_once("-bytes-")?;
+    Some((
+        Duration::from_millis(after.parse().ok()?),
+        bytes.parse().ok()?,
+    ))
+}
+
 /// The path's last part says what becomes of the first arrival; every later one is served.
 fn play(what: &str, first: bool, id: &str, expects: bool) -> (Vec<u8>, bool) {
     let good = answer("200 OK", SEAL, id, SHORT_ANSWER, "whole");
@@ -82,6 +91,10 @@
             false,
         );
     }
+    if let Some((time, bytes)) = timed_answer(what) {
+        std::thread::sleep(time);
+        return (answer("200 OK", SEAL, id, bytes, &"x".repeat(bytes)), false);
+    }
     match what {
         "shed-all" => (
             answer("503 Full", "Lynxmill-Not-Executed: 1\r\n", id, 0, ""),
