A forwarder ends though a client connects in the moment of SIGTERM

Users saw a forwarder that logged 'ends' and went on taking connections until it was killed. Cause: the loop that takes connections waited for a connection or a notification; where both came at once, the connection was taken and the notification lost. The end is a CancellationToken now, which stays cancelled.

--- a/crates/forwarder-server/src/app.rs
+++ b/crates/forwarder-server/src/app.rs
@@ -14,6 +14,7 @@
 use lynxmill_time::Timestamp;
 use serde_json::{Value, json};
 use tokio::sync::{Notify, oneshot};
+use tokio_util::sync::CancellationToken;
 
 use crate::back::ServerConnection;
 use crate::start::{Clock, File, Options, SkippedGuard, millis};
@@ -32,7 +33,8 @@
     pub sums: RefCell<LoadSums>,
     /// The tables may have changed; or it has been told to end.
     pub changed: Notify,
-    pub ending: Notify,
+    /// Cancelled once it has been told to end and the gate has its deadline.
+    pub ending: CancellationToken,
     pub member: RefCell<Option<Rc<Runner<Member>>>>,
     layout: Layout,
     charges: RefCell<SliceAssignments>,
@@ -58,7 +60,7 @@
             book: RefCell::default(),
             sums: RefCell::new(LoadSums::new(&wish.zone, clock.now())),
             changed: Notify::new(),
-            ending: Notify::new(),
+            ending: CancellationToken::new(),
             member: RefCell::default(),
             layout: Layout::new(&wish.store.prefix),
             charges: RefCell::default(),
--- a/crates/forwarder-server/src/front.rs
+++ b/crates/forwarder-server/src/front.rs
@@ -212,7 +212,7 @@
         least,
     };
     let serving = app.clone();
-    let (ends, tells) = (app.clone(), app.clone());
+    let ends = app.clone();
     let service = HttpService::<Front, _, _>::build()
         .keep_alive(Duration::from_secs_f64(of.keep_alive_s))
         .client_request_timeout(Duration::from_millis(of.head_ms))
@@ -222,12 +222,9 @@
         .graceful_shutdown_signal(move || {
             let ends = ends.clone();
             async move {
-                let until = loop {
-                    let ending = ends.ending.notified();
-                    if let Some(until) = ends.gate.borrow().idle_until() {
-                        break until;
-                    }
-                    ending.await;
+                ends.ending.cancelled().await;
+                let Some(until) = ends.gate.borrow().idle_until() else {
+                    return;
                 };
                 let left = (until - ends.now()).secs().max(0.0);
                 tokio::time::sleep(Duration::from_secs_f64(left)).await;
@@ -274,7 +271,6 @@
         });
     };
     loop {
-        let ending = app.ending.notified();
         tokio::select! {
             came = listener.accept() => match came {
                 Ok((stream, peer)) => take(stream, peer),
@@ -284,7 +280,7 @@
                     tokio::time::sleep(Duration::from_millis(50)).await;
                 }
             },
-            () = ending => if tells.gate.borrow().ending() { break },
+            () = app.ending.cancelled() => break,
         }
     }
     // Those whose connection had come up are served yet; whoever comes later meets a successor.
--- a/crates/forwarder-server/src/main.rs
+++ b/crates/forwarder-server/src/main.rs
@@ -75,7 +75,7 @@
             .borrow_mut()
             .end_by(now, now + TimeDelta::from_secs(ends.wish.drain_s));
         log::info!("ends, with {} connections", ends.gate.borrow().inside());
-        ends.ending.notify_waiters();
+        ends.ending.cancel();
     });
     log::info!("{} listens on {}", app.wish.name, listener.local_addr()?);
     let served = front::serve(Rc::clone(&app), listener).await;
--- a/crates/forwarder-server/tests/shutdown.rs
+++ b/crates/forwarder-server/tests/shutdown.rs
@@ -24,6 +24,10 @@
 /// Far more than a process that waits for nobody takes to end.
 const TIME_TO_WAIT: Duration = Duration::from_millis(500);
 const POLL: Duration = Duration::from_millis(2);
+/// Forwarders that end one after the other, each while a client connects over and over.
+const CROWDED_ENDS: usize = 10;
+/// Time for a forwarder to become idle between two connections.
+const CONNECT_INTERVAL: Duration = Duration::from_micros(100);
 const REQUEST: &str = "GET /lookup/k HTTP/1.1\r\nhost: f\r\n\r\n";
 
 /// A server whose every answer is long.
@@ -132,3 +136,27 @@
     std::thread::sleep(TIME_TO_WRITE);
     first + read_body(client, usize::MAX)
 }
+
+/// Guards against a forwarder that never ends since a client connected in the very moment of SIGTERM.
+#[test]
+fn a_forwarder_ends_though_clients_connect_all_the_time() {
+    for round in 0..CROWDED_ENDS {
+        let mut place = started();
+        let reader = begin_reading(&place, REQUEST);
+        let address = place.forwarder.address;
+        let connecting = std::thread::spawn(move || connect_until_refused(address));
+        place.forwarder.end();
+        place.forwarder.told("ends, with").expect("its line");
+        drop(reader);
+        let ended = ends_within(&mut place, TIME_TO_END);
+        place.forwarder.kill();
+        connecting.join().expect("a client");
+        assert!(ended, "it goes on, round {round}");
+    }
+}
+
+fn connect_until_refused(address: SocketAddr) {
+    while TcpStream::connect(address).is_ok() {
+        std::thread::sleep(CONNECT_INTERVAL);
+    }
+}
