A task that signs off without a drain keeps its keys until its lease runs out

Cause: the planner released every lease at a sign-off.

Now it releases them only for a task that was draining.

--- a/crates/consensus/src/instance_registry.rs
+++ b/crates/consensus/src/instance_registry.rs
@@ -160,6 +160,12 @@
         Some(known.task.clone())
     }
 
+    /// Whether the task has said that it drains, and has not signed off yet.
+    pub fn is_draining(&self, id: &str) -> bool {
+        let state = self.tasks.get(id).map(|known| known.task.state);
+        state == Some(TaskState::Draining as i32)
+    }
+
     /// Removes tasks that were not heard of for long; their ids.
     pub fn remove_expired(&mut self, now: Timestamp) -> Vec<String> {
         let most = self.heartbeat_interval.times(EXPIRY_HEARTBEATS);
--- a/crates/control-node/src/instances.rs
+++ b/crates/control-node/src/instances.rs
@@ -155,12 +155,15 @@
             state: TaskState::Gone as i32,
             ..Task::default()
         };
+        let drained = self.instances.registry.is_draining(id);
         let task = self
             .instances
             .registry
             .mark_gone(id)
             .unwrap_or_else(unknown);
-        self.instance_ended(&task);
+        if drained {
+            self.drained_task_ended(&task);
+        }
         self.send_task_update(now, vec![task.clone()]);
         self.store_tasks(std::slice::from_ref(&task));
         self.replicate(now, call, task, Continuation::SignOff);
@@ -299,23 +302,24 @@
         report: &InstanceReport,
     ) -> bool {
         let registry = &mut self.instances.registry;
-        let mut changed: Vec<Task> = report
-            .tasks
-            .iter()
-            .filter(|task| registry.update(now, task))
-            .cloned()
-            .collect();
+        let mut changed: Vec<Task> = Vec::new();
+        let mut ended: Vec<Task> = Vec::new();
+        for task in &report.tasks {
+            let drained = registry.is_draining(&task.id);
+            if !registry.update(now, task) {
+                continue;
+            }
+            changed.push(task.clone());
+            if drained && task.state == TaskState::Gone as i32 {
+                ended.push(task.clone());
+            }
+        }
         for (id, seq) in report.heartbeat_ids.iter().zip(&report.heartbeat_sequences) {
             if registry.seen_elsewhere(now, id, *seq) {
                 changed.extend(registry.get(id).map(|known| known.as_of(now)));
             }
         }
-        for task in changed
-            .iter()
-            .filter(|task| task.state == TaskState::Gone as i32)
-        {
-            self.instance_ended(task);
-        }
+        ended.iter().for_each(|task| self.drained_task_ended(task));
         if !changed.is_empty() {
             self.store_tasks(&changed);
             self.send_task_update(now, changed);
--- a/crates/control-node/src/ownership.rs
+++ b/crates/control-node/src/ownership.rs
@@ -117,7 +117,9 @@
         held.map(|(service, _)| service.clone()).collect()
     }
 
-    pub(crate) fn instance_ended(&mut self, task: &Task) {
+    /// A task that had drained has signed off. One that signs off first may serve on for as long as a drain takes: it
+    /// keeps what it was granted until its lease runs out.
+    pub(crate) fn drained_task_ended(&mut self, task: &Task) {
         if let Some(planner) = self.ownership.planner_mut(&task.service) {
             planner.sign_off(&task.id);
         }
--- a/crates/operator/src/explore.rs
+++ b/crates/operator/src/explore.rs
@@ -51,6 +51,7 @@
             trace: false,
             sabotage,
             digest: options.digest,
+            sign_offs_first: true,
         },
         clock_faults: !options.steady_clocks,
         most_found: MOST_FOUND,
--- a/crates/placement/src/planner/grants.rs
+++ b/crates/placement/src/planner/grants.rs
@@ -136,7 +136,7 @@
         }
     }
 
-    /// A task has signed off: it holds nothing any more.
+    /// A task that had drained has signed off: it has ended and holds nothing any more.
     pub fn sign_off(&mut self, id: &str) {
         for state in &mut self.slices {
             if state.lease.holder.as_deref() == Some(id) {
--- a/crates/simulator/src/fault_injection.rs
+++ b/crates/simulator/src/fault_injection.rs
@@ -480,7 +480,11 @@
             return;
         }
         let task = ready[which % ready.len()];
-        if in_order {
+        // The plan's number is used once more, so that plans stay as they are.
+        let signs_off_first = self.options.sign_offs_first && which / ready.len() % 2 == 1;
+        if in_order && signs_off_first {
+            self.tasks[task].sign_off_first(self.now);
+        } else if in_order {
             self.tasks[task].drain(self.now);
         } else {
             self.tasks[task].crash(self.now);
--- a/crates/simulator/src/task.rs
+++ b/crates/simulator/src/task.rs
@@ -32,6 +32,8 @@
     Ready,
     Draining,
     SigningOff,
+    /// It has signed off without a drain; it sends no heartbeats any more.
+    ServingOn,
     Ended,
 }
 
@@ -74,6 +76,8 @@
     released: Vec<ReleasedShard>,
     /// When holdings were granted last.
     pub last_grant: Option<Timestamp>,
+    /// It signs off first and serves on, in place of a drain.
+    signs_off_first: bool,
 }
 
 /// What an answer has led to.
@@ -113,6 +117,7 @@
             highest_generation: [0; UNITS],
             released: Vec::new(),
             last_grant: None,
+            signs_off_first: false,
         }
     }
 
@@ -127,6 +132,14 @@
         }
     }
 
+    pub(crate) fn sign_off_first(&mut self, now: Timestamp) {
+        if self.stage == Stage::Ready {
+            (self.stage, self.since, self.next) = (Stage::SigningOff, now, now);
+            self.ended = Some(now);
+            self.signs_off_first = true;
+        }
+    }
+
     /// It ends at once and holds nothing any more.
     pub(crate) fn crash(&mut self, now: Timestamp) {
         (self.stage, self.ended) = (Stage::Ended, Some(now));
@@ -187,7 +200,7 @@
         }
         self.release_due(now);
         self.advance_end(now);
-        if self.stage == Stage::Ended {
+        if matches!(self.stage, Stage::ServingOn | Stage::Ended) {
             return None;
         }
         self.call_seq += 1;
@@ -209,6 +222,7 @@
                 (self.stage, self.since) = (Stage::SigningOff, now);
             }
             Stage::SigningOff if waited >= PATIENCE => self.crash(now),
+            Stage::ServingOn if waited >= DRAIN => self.crash(now),
             _ => {}
         }
     }
@@ -306,7 +320,11 @@
         let granted = self.apply_grants(now, open.sent, answer);
         match open.stage {
             Stage::SigningOff => {
-                self.crash(now);
+                if self.signs_off_first {
+                    (self.stage, self.since, self.next) = (Stage::ServingOn, now, now + DRAIN);
+                } else {
+                    self.crash(now);
+                }
                 TaskOutcome::SignOffAcknowledged
             }
             Stage::Draining => {
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -43,6 +43,8 @@
     pub sabotage: Option<Sabotage>,
     /// A digest is taken of all that nodes do.
     pub digest: bool,
+    /// Half of the tasks that end in order sign off first and serve on; the others drain.
+    pub sign_offs_first: bool,
 }
 
 #[derive(Debug)]
--- a/crates/simulator/tests/points.rs
+++ b/crates/simulator/tests/points.rs
@@ -14,17 +14,19 @@
 }
 
 fn hold_with_clocks(first: u64, seeds: u64, kinds: &[FaultKind], clock_faults: bool) {
-    let options = RunOptions::default();
-    let exploration = Exploration {
+    hold_all(&Exploration {
         first,
         seeds,
         jobs: JOBS,
         kinds: kinds.to_vec(),
-        options,
+        options: RunOptions::default(),
         clock_faults,
         most_found: 3,
-    };
-    let (found, end) = explore(&exploration, |_| {});
+    });
+}
+
+fn hold_all(exploration: &Exploration) {
+    let (found, end) = explore(exploration, |_| {});
     let found: Vec<String> = found
         .iter()
         .map(|f| {
@@ -37,7 +39,7 @@
         })
         .collect();
     assert!(found.is_empty(), "{}", found.join("\n"));
-    assert_eq!(end.seeds, seeds);
+    assert_eq!(end.seeds, exploration.seeds);
 }
 
 #[rstest]
@@ -151,3 +153,23 @@
     assert_eq!(digest(7), digest(7));
     assert_ne!(digest(7), digest(8));
 }
+
+/// Tasks that sign off first and serve on while others take over: no key has two holders.
+#[rstest]
+#[case::in_calm_time(20_000, &[FaultKind::TaskDrain])]
+#[case::while_owners_change(21_000, &[FaultKind::TaskDrain, FaultKind::Kill, FaultKind::CutOff])]
+fn tasks_that_sign_off_first(#[case] first: u64, #[case] kinds: &[FaultKind]) {
+    let options = RunOptions {
+        sign_offs_first: true,
+        ..RunOptions::default()
+    };
+    hold_all(&Exploration {
+        first,
+        seeds: 80,
+        jobs: JOBS,
+        kinds: kinds.to_vec(),
+        options,
+        clock_faults: false,
+        most_found: 3,
+    });
+}
