Control, directory and readiness are served by an HTTP server of our own with bounds

Callers saw a member's control address answer nobody while sixteen others had stopped in the middle of a body, and an address that took no connection any more after one that could not be taken (no descriptors); a start without threads panicked in the library. Cause: one thread for each call in progress, and a library whose accept loop ends at its first error.

--- a/crates/control-plane/src/control.rs
+++ b/crates/control-plane/src/control.rs
@@ -1,30 +1,30 @@
 //! The HTTP calls of tasks, operators and engineers on call.
 
+mod answers;
 mod configuration;
 mod instances;
-mod response;
 mod status;
 
 use std::sync::Arc;
 
-use rouille::{Request, Response};
+use lynxmill_http_server::{Request, Response, response};
 
 use crate::host::Host;
 
 /// Answers one request on the `Control` address.
-pub(crate) fn handle(host: &Arc<Host>, request: &Request) -> Response {
-    let url = request.url();
-    let segments: Vec<&str> = url.trim_matches('/').split('/').collect();
-    let result = match (request.method(), segments.as_slice()) {
-        ("PUT", ["v1", "instances", id]) => instances::heartbeat(host, id, request),
-        ("DELETE", ["v1", "instances", id]) => instances::sign_off(host, id),
-        ("PATCH", ["v1", "configuration"]) => configuration::patch(host, request),
-        ("GET", ["v1", "configuration"]) => configuration::read_back(host),
-        ("POST", ["v1", "evacuation", zone]) => configuration::evacuate(host, zone, true),
-        ("DELETE", ["v1", "evacuation", zone]) => configuration::evacuate(host, zone, false),
-        ("GET", ["v1", "counters"]) => Ok(status::counters(host)),
-        ("GET", ["v1", "status"]) => Ok(status::status(host)),
-        _ => Err(response::refused(404, "there is no such call")),
-    };
-    result.unwrap_or_else(|refusal| refusal)
+pub(crate) async fn handle(host: Arc<Host>, request: Request) -> Response {
+    let host = &host;
+    let path = request.path();
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (request.method(), segments.as_slice()) {
+        ("PUT", ["v1", "instances", id]) => instances::heartbeat(host, id, &request).await,
+        ("DELETE", ["v1", "instances", id]) => instances::sign_off(host, id).await,
+        ("PATCH", ["v1", "configuration"]) => configuration::patch(host, &request).await,
+        ("GET", ["v1", "configuration"]) => configuration::read_back(host).await,
+        ("POST", ["v1", "evacuation", zone]) => configuration::evacuate(host, zone, true).await,
+        ("DELETE", ["v1", "evacuation", zone]) => configuration::evacuate(host, zone, false).await,
+        ("GET", ["v1", "counters"]) => status::counters(host),
+        ("GET", ["v1", "status"]) => status::status(host),
+        _ => response::error(404, "there is no such call"),
+    }
 }
--- a/crates/control-plane/src/control/instances.rs
+++ b/crates/control-plane/src/control/instances.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use lynxmill_control_node::{Answer, ControlRequest, HeartbeatAnswer, InstanceHeartbeat};
+use lynxmill_http_server::{Request, Response, response};
 use lynxmill_placement::{Grant, HeldShard, ReleasedShard, TaskHoldings};
 use lynxmill_protocol::{Task, TaskState};
-use rouille::{Request, Response};
 use serde::{Deserialize, Serialize};
 
-use super::response::{done_or_refused, read_body, refused};
+use super::answers::done_or_refused;
 use crate::host::Host;
 
 /// The longest warm-up that a task may announce, in seconds.
@@ -138,33 +138,28 @@
     }
 }
 
-fn respond(id: &str, answer: Answer) -> Result<Response, Response> {
+fn respond(id: &str, answer: Answer) -> Response {
     match answer {
         Answer::Redirect(control) => {
             let location = format!("http://{control}/v1/instances/{id}");
-            Ok(Response::empty_204()
-                .with_status_code(307)
-                .with_additional_header("Location", location))
+            response::redirect(&location)
         }
-        Answer::Heartbeat(answer) => Ok(Response::json(&HeartbeatResponse::from(answer))),
+        Answer::Heartbeat(answer) => response::json(200, &HeartbeatResponse::from(answer)),
         other => done_or_refused(other, 409),
     }
 }
 
 /// `PUT /v1/instances/ID`: a task's heartbeat.
-pub(super) fn heartbeat(
-    host: &Arc<Host>,
-    id: &str,
-    request: &Request,
-) -> Result<Response, Response> {
-    let bytes = read_body(request)?;
-    let body: HeartbeatBody =
-        serde_json::from_slice(&bytes).map_err(|error| refused(400, error))?;
+pub(super) async fn heartbeat(host: &Arc<Host>, id: &str, request: &Request) -> Response {
+    let body: HeartbeatBody = match serde_json::from_slice(request.body()) {
+        Ok(body) => body,
+        Err(error) => return response::error(400, error),
+    };
     let heartbeat = body.into_heartbeat(id);
-    respond(id, host.call(ControlRequest::Heartbeat(heartbeat)))
+    respond(id, host.call(ControlRequest::Heartbeat(heartbeat)).await)
 }
 
 /// `DELETE /v1/instances/ID`: a task signs off.
-pub(super) fn sign_off(host: &Arc<Host>, id: &str) -> Result<Response, Response> {
-    respond(id, host.call(ControlRequest::SignOff(id.to_owned())))
+pub(super) async fn sign_off(host: &Arc<Host>, id: &str) -> Response {
+    respond(id, host.call(ControlRequest::SignOff(id.to_owned())).await)
 }
--- a/crates/control-plane/src/control/status.rs
+++ b/crates/control-plane/src/control/status.rs
@@ -3,15 +3,14 @@
 use std::sync::Arc;
 
 use lynxmill_control_node::NodeReport;
-use rouille::Response;
+use lynxmill_http_server::{Response, response};
 use serde::Serialize;
 
 use crate::host::Host;
 
 /// `GET /v1/counters`: the counters of this process.
 pub(super) fn counters(host: &Arc<Host>) -> Response {
-    let body = serde_json::json!(host.counters()).to_string();
-    Response::from_data("application/json", body)
+    response::json(200, &host.counters())
 }
 
 /// How far a snapshot is.
@@ -68,5 +67,5 @@
 /// `GET /v1/status`: how this node stands.
 pub(super) fn status(host: &Arc<Host>) -> Response {
     let report = host.with_node(|now, node| node.report(now));
-    Response::json(&NodeStatus::from(report))
+    response::json(200, &NodeStatus::from(report))
 }
--- a/crates/control-plane/src/directory.rs
+++ b/crates/control-plane/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use rouille::{Request, Response};
+use lynxmill_http_server::{Request, Response, response};
 use serde::Serialize;
 
 use crate::host::Host;
@@ -15,16 +15,16 @@
     ttl_s: f64,
 }
 
-pub(crate) fn handle(host: &Arc<Host>, request: &Request) -> Response {
-    if request.method() != "GET" || request.url() != "/v1/resolve" {
-        return Response::empty_404();
+pub(crate) async fn handle(host: Arc<Host>, request: Request) -> Response {
+    if request.method() != "GET" || request.path() != "/v1/resolve" {
+        return response::empty(404);
     }
-    let (zone, region) = (request.get_param("Zone"), request.get_param("Region"));
+    let (zone, region) = (request.parameter("Zone"), request.parameter("Region"));
     host.count("resolved");
     let (addresses, ttl_s) =
         host.with_node(|now, node| node.resolve(now, zone.as_deref(), region.as_deref()));
     if addresses.is_empty() {
-        return Response::text("no edge is ready\n").with_status_code(503);
+        return response::text(503, "no edge is ready\n");
     }
-    Response::json(&Resolved { addresses, ttl_s })
+    response::json(200, &Resolved { addresses, ttl_s })
 }
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -4,7 +4,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -14,6 +13,8 @@
     Unavailable,
 };
 use lynxmill_time::Timestamp;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::connections::Connections;
 use crate::edge_streams::EdgeStreams;
@@ -35,7 +36,7 @@
     pub connections: Connections,
     pub edges: EdgeStreams,
     writes: WriteQueue,
-    calls: Mutex<BTreeMap<CallId, Sender<Answer>>>,
+    calls: Mutex<BTreeMap<CallId, oneshot::Sender<Answer>>>,
     last_number: AtomicU64,
     left: AtomicBool,
     counters: Mutex<BTreeMap<&'static str, u64>>,
@@ -157,18 +158,34 @@
 
     /// A call of a task or an operator, and its answer. An order that waited here for long is not begun: its
     /// caller may have asked another node meanwhile, and acted on what that one answered.
-    pub(crate) fn call(self: &Arc<Self>, request: ControlRequest) -> Answer {
+    pub(crate) async fn call(self: &Arc<Self>, request: ControlRequest) -> Answer {
         let arrived = Instant::now();
         let call = CallId(self.next_number());
-        let (answer, answered): (Sender<Answer>, Receiver<Answer>) = channel();
+        let (answer, answered) = oneshot::channel();
         lock(&self.calls).insert(call, answer);
+        let _open = OpenCall {
+            host: self.clone(),
+            call,
+        };
         if !self.begin(call, request, arrived) {
-            lock(&self.calls).remove(&call);
             return Answer::Unavailable(Unavailable::NoMajority);
         }
-        let answer = answered.recv_timeout(LONGEST_CALL);
-        lock(&self.calls).remove(&call);
-        answer.unwrap_or(Answer::Unavailable(Unavailable::NoMajority))
+        match timeout(LONGEST_CALL, answered).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Answer::Unavailable(Unavailable::NoMajority),
+        }
+    }
+}
+
+/// A call that has not been answered yet.
+struct OpenCall {
+    host: Arc<Host>,
+    call: CallId,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        lock(&self.host.calls).remove(&self.call);
     }
 }
 
--- /dev/null
+++ b/crates/control-plane/src/http.rs
@@ -0,0 +1,50 @@
+//! The HTTP servers of the control plane, each in a thread of its own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lynxmill_http_server::{HttpServer, Limits, Request, Response};
+use lynxmill_startup::ServeError;
+use tokio::runtime::Builder;
+use tokio::sync::watch;
+
+use crate::error::ProgramError;
+use crate::host::Host;
+use crate::serve::{ServiceThread, spawn};
+
+/// What callers of one server may take up. Every task of a deployment may keep a connection to one member.
+const LIMITS: Limits = Limits {
+    connections: 16_384,
+    idle_time: Duration::from_secs(60),
+    body_bytes: 16 << 20,
+    all_bodies_bytes: 48 << 20,
+    body_time: Duration::from_secs(10),
+};
+
+/// Answers calls on an address in a thread that ends once `ends` is true and all callers have their answers.
+pub(crate) fn serve<H, F>(
+    name: &'static str,
+    host: &Arc<Host>,
+    address: &str,
+    handle: H,
+    ends: watch::Receiver<bool>,
+) -> Result<ServiceThread, ProgramError>
+where
+    H: Fn(Arc<Host>, Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let listen = |error: std::io::Error| ServeError::Listen(address.to_owned(), error.into());
+    let server = HttpServer::bind(address, LIMITS).map_err(listen)?;
+    let runtime = Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()
+        .map_err(listen)?;
+    let host = host.clone();
+    spawn(name, move || {
+        let handle = move |request| handle(host.clone(), request);
+        if let Err(error) = runtime.block_on(server.serve(handle, ends)) {
+            log::error!("{name}: {error}");
+        }
+    })
+}
--- a/crates/control-plane/src/main.rs
+++ b/crates/control-plane/src/main.rs
@@ -7,7 +7,7 @@
 mod edge_streams;
 mod error;
 mod host;
-mod http_server;
+mod http;
 mod outbox;
 mod peers;
 mod serve;
--- a/crates/control-plane/src/serve.rs
+++ b/crates/control-plane/src/serve.rs
@@ -3,26 +3,23 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use lynxmill_configuration::NodeSettings;
 use lynxmill_control_node::{Input, NodeOptions, StoredState, TICK};
 use lynxmill_startup::ServeError;
 use lynxmill_storage::Store;
+use tokio::sync::watch;
 
 use crate::error::ProgramError;
 use crate::host::Host;
-use crate::http_server::HttpServer;
 use crate::signals::Signals;
 use crate::writer::WriteQueue;
-use crate::{connections, control, directory, edge_streams, shutdown, start, writer};
+use crate::{connections, control, directory, edge_streams, http, shutdown, start, writer};
 
 /// The database in the folder that `DataPath` names.
 const DATABASE_FILE: &str = "control.redb";
-/// Threads that answer tasks and operators.
-const CONTROL_THREADS: usize = 16;
-/// Threads that answer clients of the directory.
-const DIRECTORY_THREADS: usize = 4;
 /// Between two looks at signals.
 const SIGNAL_POLL: Duration = Duration::from_millis(100);
 /// The settings file is looked at once in so many looks at signals.
@@ -47,12 +44,17 @@
     Ok((StoredState::new(contents, &options), store))
 }
 
-pub(crate) fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), ProgramError> {
+/// A thread that serves until the process ends or is told to.
+pub(crate) type ServiceThread = JoinHandle<()>;
+
+pub(crate) fn spawn(
+    name: &str,
+    work: impl FnOnce() + Send + 'static,
+) -> Result<ServiceThread, ProgramError> {
     std::thread::Builder::new()
         .name(name.to_owned())
         .stack_size(STACK_BYTES)
         .spawn(work)
-        .map(drop)
         .map_err(|error| ServeError::Thread(name.to_owned(), error).into())
 }
 
@@ -97,13 +99,6 @@
     log::info!("{} starts, {which_start}", settings.node_name);
     let (writes, queued) = WriteQueue::new();
     let host = Arc::new(Host::new(settings, incarnation, started, stored, writes));
-    let control = HttpServer::bind(&host, &addresses.control, CONTROL_THREADS, control::handle)?;
-    let directory = HttpServer::bind(
-        &host,
-        &addresses.directory,
-        DIRECTORY_THREADS,
-        directory::handle,
-    )?;
     let shared = host.clone();
     spawn("writer", move || writer::run(&shared, &store, &queued))?;
     let shared = host.clone();
@@ -116,11 +111,25 @@
     })?;
     let shared = host.clone();
     spawn("tick", move || tick(&shared))?;
-    spawn("control", control.serve)?;
-    spawn("directory", directory.serve)?;
+    let (end, ends) = watch::channel(false);
+    let services = [
+        http::serve(
+            "control",
+            &host,
+            &addresses.control,
+            control::handle,
+            ends.clone(),
+        )?,
+        http::serve(
+            "directory",
+            &host,
+            &addresses.directory,
+            directory::handle,
+            ends,
+        )?,
+    ];
     wait_for_termination(&host, signals);
-    let answers = [control.wait_until_idle, directory.wait_until_idle];
-    shutdown::leave(&host, answers);
+    shutdown::leave(&host, &end, &services);
     Ok(())
 }
 
--- a/crates/control-plane/src/shutdown.rs
+++ b/crates/control-plane/src/shutdown.rs
@@ -2,13 +2,13 @@
 //! as the grace lasts.
 
 use std::sync::Arc;
-use std::sync::mpsc::{RecvTimeoutError, channel};
 use std::time::{Duration, Instant};
 
 use lynxmill_control_node::Input;
+use tokio::sync::watch;
 
 use crate::host::Host;
-use crate::serve::spawn;
+use crate::serve::ServiceThread;
 
 /// Between two looks at whether the node may end.
 const DEPARTURE_POLL: Duration = Duration::from_millis(20);
@@ -18,9 +18,12 @@
 /// come a tenth of a second before it was looked at.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 
-/// Ends the service. First those that stay have to hold what this node has acknowledged, then each of `answers`
-/// returns once its server answers nobody.
-pub(crate) fn leave<const N: usize>(host: &Arc<Host>, answers: [Box<dyn FnOnce() + Send>; N]) {
+/// Between two looks at whether all callers have their answers.
+const ANSWERS_POLL: Duration = Duration::from_millis(5);
+
+/// Ends the service. First those that stay have to hold what this node has acknowledged, then `end` tells the HTTP
+/// servers, and each of `services` ends once it answers nobody.
+pub(crate) fn leave(host: &Arc<Host>, end: &watch::Sender<bool>, services: &[ServiceThread]) {
     let started = Instant::now();
     let grace = Duration::from_secs_f64(host.settings.bounds().grace_s.max(0.0));
     let exit_at = started + grace.saturating_sub(EXIT_RESERVE);
@@ -29,7 +32,8 @@
         std::thread::sleep(DEPARTURE_POLL);
     }
     std::thread::sleep(LAST_EFFECTS);
-    let answered = wait_until_answered(answers, exit_at);
+    let _ = end.send(true);
+    let answered = wait_until_ended(services, exit_at);
     host.log_counters();
     let took = started.elapsed().as_secs_f64();
     if answered {
@@ -39,20 +43,13 @@
     }
 }
 
-/// Whether all callers had their answers by `until`.
-fn wait_until_answered<const N: usize>(
-    answers: [Box<dyn FnOnce() + Send>; N],
-    until: Instant,
-) -> bool {
-    let (done, finished) = channel();
-    let waiting = spawn("answers", move || {
-        answers.into_iter().for_each(|answered| answered());
-        let _ = done.send(());
-    });
-    if let Err(error) = waiting {
-        log::warn!("it does not wait for callers: {error}");
-        return false;
+/// Whether all servers had ended by `until`.
+fn wait_until_ended(services: &[ServiceThread], until: Instant) -> bool {
+    while !services.iter().all(ServiceThread::is_finished) {
+        if Instant::now() >= until {
+            return false;
+        }
+        std::thread::sleep(ANSWERS_POLL);
     }
-    let left = until.saturating_duration_since(Instant::now());
-    finished.recv_timeout(left) != Err(RecvTimeoutError::Timeout)
+    true
 }
--- /dev/null
+++ b/crates/control-plane/tests/callers.rs
@@ -0,0 +1,50 @@
+//! Callers of a control-plane node that stop midway, or give an order up before it arrives.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use lynxmill_operator::{Deployment, configuration, get};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+/// More than a node has threads.
+const STALLED_CALLERS: usize = 40;
+/// A caller that waits for longer goes to another node.
+const CALLER_PATIENCE: Duration = Duration::from_secs(1);
+
+fn programs() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_lynxmill-control-plane"))
+        .parent()
+        .expect("a folder")
+}
+
+fn configured() -> Deployment {
+    let mut system = Deployment::start(programs()).expect("the system starts");
+    let (by, answer) = system
+        .configure(&configuration(), PATIENCE)
+        .expect("an answer");
+    assert_eq!(answer.status, 200, "{by}: {}", answer.body);
+    system
+}
+
+fn send(control: &str, request: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(control).expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    stream.write_all(request.as_bytes()).expect("room to write");
+    stream
+}
+
+/// Guards against callers that stop in the middle of a body and leave no thread for heartbeats.
+#[test]
+fn callers_that_stop_midway_hold_no_other_up() {
+    let system = configured();
+    let control = &system.controls()[0];
+    let half = "PATCH /v1/configuration HTTP/1.1\r\nHost: c\r\nContent-Length: 9000\r\n\r\nhalf";
+    let stalled: Vec<TcpStream> = (0..STALLED_CALLERS).map(|_| send(control, half)).collect();
+    let began = Instant::now();
+    let answer = get(control, "/v1/status").expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert!(began.elapsed() < CALLER_PATIENCE);
+    drop(stalled);
+}
--- a/crates/edge-proxy/src/ready.rs
+++ b/crates/edge-proxy/src/ready.rs
@@ -3,11 +3,22 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
+use lynxmill_http_server::{HttpServer, Limits, Request, Response, response};
 use lynxmill_startup::ServeError;
-use rouille::{Response, Server};
+use tokio::sync::watch;
 
-/// What other threads may see.
+/// What those that ask may take up.
+const LIMITS: Limits = Limits {
+    connections: 64,
+    idle_time: Duration::from_secs(30),
+    body_bytes: 0,
+    all_bodies_bytes: 0,
+    body_time: Duration::from_secs(1),
+};
+
+/// What the page tells.
 #[derive(Default)]
 pub struct Health {
     /// Whether clients may be sent here.
@@ -16,27 +27,35 @@
     pub counters: Mutex<std::collections::BTreeMap<&'static str, u64>>,
 }
 
-/// Serves `GET /v1/readiness` (200 or 503) and `GET /v1/counters` (JSON) in a thread of its own.
+/// Answers `GET /v1/readiness` (200 or 503) and `GET /v1/counters` (JSON) until the process ends.
 pub(crate) fn serve(address: &str, health: Arc<Health>) -> Result<(), ServeError> {
-    let handler = move |request: &rouille::Request| match request.url().as_str() {
-        "/v1/readiness" if health.ready.load(Ordering::Relaxed) => Response::text("ready\n"),
-        "/v1/readiness" => Response::text("not ready\n").with_status_code(503),
+    let server = HttpServer::bind(address, LIMITS)
+        .map_err(|error| ServeError::Listen(address.to_owned(), error.into()))?;
+    let handle = move |request: Request| {
+        let answer = answer(&health, &request);
+        async move { answer }
+    };
+    tokio::spawn(async move {
+        let (_never, ends) = watch::channel(false);
+        if let Err(error) = server.serve(handle, ends).await {
+            log::error!("readiness can't be told: {error}");
+        }
+    });
+    Ok(())
+}
+
+fn answer(health: &Health, request: &Request) -> Response {
+    match request.path().as_str() {
+        "/v1/readiness" if health.ready.load(Ordering::Relaxed) => response::text(200, "ready\n"),
+        "/v1/readiness" => response::text(503, "not ready\n"),
         "/v1/counters" => {
             let counters = health
                 .counters
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .clone();
-            Response::from_data("application/json", serde_json::json!(counters).to_string())
+            response::json(200, &counters)
         }
-        _ => Response::empty_404(),
-    };
-    let server = Server::new(address, handler)
-        .map_err(|error| ServeError::Listen(address.to_owned(), error))?;
-    std::thread::Builder::new()
-        .name("readiness".to_owned())
-        .stack_size(256 << 10)
-        .spawn(move || server.run())
-        .map(drop)
-        .map_err(|error| ServeError::Thread("readiness".to_owned(), error))
+        _ => response::empty(404),
+    }
 }
