An order is dropped once its caller has closed its connection, unless it has been proposed

A PATCH that was refused elsewhere came into force in the same way. Cause: nothing knew that the caller had gone.

--- a/crates/control-node/src/messages.rs
+++ b/crates/control-node/src/messages.rs
@@ -76,6 +76,11 @@
         /// What is asked for.
         request: ControlRequest,
     },
+    /// The caller of an unanswered call has gone.
+    Abandoned {
+        /// The call.
+        call: CallId,
+    },
     /// An edge speaks; the first message of a stream is its hello.
     Edge {
         /// The stream.
--- a/crates/control-node/src/node.rs
+++ b/crates/control-node/src/node.rs
@@ -179,6 +179,7 @@
             } => self.handle_request(now, connection, envelope),
             Input::Response { from, response } => self.handle_response(now, &from, response),
             Input::Call { call, request } => self.handle_call(now, call, request),
+            Input::Abandoned { call } => self.abandon_order(call),
             Input::Edge { stream, message } => self.handle_edge_message(now, stream, message),
             Input::EdgeClosed { stream } => self.edge_closed(stream),
             Input::Stored { ticket, failure } => self.stored(now, ticket, failure),
--- a/crates/control-node/src/orders.rs
+++ b/crates/control-node/src/orders.rs
@@ -141,6 +141,17 @@
         self.propose_orders(now);
     }
 
+    /// Drops an order whose caller has gone, unless it is part of the round that is open: it may have been agreed on.
+    pub(crate) fn abandon_order(&mut self, call: CallId) {
+        let waiting = self.orders.waiting.len();
+        self.orders
+            .waiting
+            .retain(|order| order.call != Some(call) || order.verdict != Verdict::Deferred);
+        if self.orders.waiting.len() < waiting {
+            self.count("orders-abandoned");
+        }
+    }
+
     /// Opens a round for the orders that wait, unless one is open.
     pub(crate) fn propose_orders(&mut self, now: Timestamp) {
         self.expire_orders(now);
--- a/crates/control-node/tests/node.rs
+++ b/crates/control-node/tests/node.rs
@@ -486,3 +486,31 @@
         );
     }
 }
+
+/// An order whose caller goes while no majority can be reached is not carried out once one can.
+#[test]
+fn an_order_that_waits_is_dropped_as_its_caller_goes() {
+    for abandoned in [false, true] {
+        let mut cluster = Cluster::founded(3);
+        cluster.run(1.0);
+        cluster.kill(2);
+        cluster.kill(3);
+        let zone = "z".to_owned();
+        let call = cluster.send_call(1, ControlRequest::Evacuate { zone, on: true });
+        if abandoned {
+            cluster.step(1, Input::Abandoned { call });
+        }
+        cluster.restart(2);
+        cluster.restart(3);
+        cluster.run(3.0);
+        let answer = cluster.answer(1, call);
+        let node = &cluster.machines[&1].node;
+        let evacuated = node.configuration().evacuated().count();
+        let expected = if abandoned {
+            (None, 0)
+        } else {
+            (Some(Answer::Done), 1)
+        };
+        assert_eq!((answer, evacuated), expected);
+    }
+}
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -157,7 +157,8 @@
     }
 
     /// A call of a task or an operator, and its answer. An order that waited here for long is not begun: its
-    /// caller may have asked another node meanwhile, and acted on what that one answered.
+    /// caller may have asked another node meanwhile, and acted on what that one answered. An order whose future is
+    /// dropped is abandoned unless it has been proposed.
     pub(crate) async fn call(self: &Arc<Self>, request: ControlRequest) -> Answer {
         let arrived = Instant::now();
         let call = CallId(self.next_number());
@@ -185,7 +186,10 @@
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
-        lock(&self.host.calls).remove(&self.call);
+        let unanswered = lock(&self.host.calls).remove(&self.call).is_some();
+        if unanswered {
+            self.host.step(Input::Abandoned { call: self.call });
+        }
     }
 }
 
--- a/crates/control-plane/tests/callers.rs
+++ b/crates/control-plane/tests/callers.rs
@@ -6,10 +6,13 @@
 use std::time::{Duration, Instant};
 
 use lynxmill_operator::{Deployment, configuration, get};
+use serde_json::{Value, json};
 
 const PATIENCE: Duration = Duration::from_secs(30);
 /// More than a node has threads.
 const STALLED_CALLERS: usize = 40;
+/// Far longer than an order takes.
+const TIME_FOR_ORDERS: Duration = Duration::from_secs(2);
 /// A caller that waits for longer goes to another node.
 const CALLER_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -48,3 +51,51 @@
     assert!(began.elapsed() < CALLER_PATIENCE);
     drop(stalled);
 }
+
+/// The configuration with a longer timeout, under a higher version.
+fn later_change() -> String {
+    let mut change = configuration();
+    for kind in ["Routes", "Services"] {
+        for item in change["Upsert"][kind].as_array_mut().expect("a list") {
+            item["Version"] = json!("00000002");
+        }
+    }
+    change.to_string()
+}
+
+fn newest_versions(system: &Deployment) -> Vec<Value> {
+    let read_back = |control: &String| get(control, "/v1/configuration").ok();
+    let answer = system
+        .controls()
+        .iter()
+        .filter_map(read_back)
+        .find(|answer| answer.status == 200)
+        .expect("an answer");
+    let newest = answer.json().expect("JSON");
+    let routes = newest["Routes"].as_array().expect("a list");
+    routes
+        .iter()
+        .map(|route| route["Version"].clone())
+        .collect()
+}
+
+/// Guards against an order that the network held up until its caller had given it up, and that undoes a later one.
+#[test]
+fn an_order_that_its_caller_gave_up_is_not_carried_out() {
+    let system = configured();
+    let body = later_change();
+    let order = format!(
+        "PATCH /v1/configuration HTTP/1.1\r\nHost: c\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    for control in system.controls() {
+        drop(send(&control, &order));
+    }
+    std::thread::sleep(TIME_FOR_ORDERS);
+    let versions = newest_versions(&system);
+    assert!(!versions.is_empty());
+    assert!(
+        versions.iter().all(|version| version == "00000001"),
+        "{versions:?}"
+    );
+}
