Edge: answers count towards its memory until clients have read them; 503 where bodies are a load

Clients of an edge with MemoryMb 64 that read 16 MB answers slowly made it hold all of them (ten: 177 MB), until the machine would end it; a chunked body that found no room beside others got 413, which tells its client not to come again.

Answers and requests' bodies hold three tenths of the memory each. An answer's memory is reserved before it is read (it waits until its deadline, then 504), and given back once the client's socket has taken it. Answers up to 64 KB never wait.

--- a/crates/edge-proxy/src/app.rs
+++ b/crates/edge-proxy/src/app.rs
@@ -15,11 +15,17 @@
 use tokio::time::Instant;
 
 use crate::connections::{ClientConnections, PendingWork};
+use crate::memory::BodyMemory;
 use crate::pool::Pools;
 use crate::ready::Health;
 use crate::reports::LoadReports;
 use crate::shutdown::GracePeriod;
 
+/// The part of the memory that requests' bodies may take, and answers as much again.
+const MEMORY_SHARE: f64 = 0.3;
+/// The least memory that is reckoned with, in MB.
+const MIN_MEMORY_MB: f64 = 64.0;
+
 /// The state of one edge.
 pub struct App {
     /// The settings file as it was last read.
@@ -55,8 +61,10 @@
     pub connections: ClientConnections,
     /// Requests under way.
     pub active_requests: Cell<usize>,
-    /// Bytes of requests' bodies that are held.
-    pub buffered_bytes: Cell<usize>,
+    /// What requests' bodies hold.
+    pub request_memory: Arc<BodyMemory>,
+    /// What answers hold until their clients have read them.
+    pub answer_memory: Arc<BodyMemory>,
     random: RefCell<Pcg>,
 }
 
@@ -74,6 +82,8 @@
         };
         let mut load_balancer = LoadBalancer::new(Timestamp::default(), place, settings.bounds());
         load_balancer.set_heartbeat_interval(TimeDelta::from_secs(settings.beat_interval_s));
+        let memory_mb = settings.resource_limits().memory_mb.max(MIN_MEMORY_MB);
+        let body_bytes = (memory_mb * MEMORY_SHARE * 1e6) as usize;
         Rc::new(App {
             load_balancer: RefCell::new(load_balancer),
             started: Instant::now(),
@@ -91,7 +101,8 @@
             reports: RefCell::new(LoadReports::default()),
             connections: ClientConnections::default(),
             active_requests: Cell::new(0),
-            buffered_bytes: Cell::new(0),
+            request_memory: BodyMemory::new(body_bytes),
+            answer_memory: BodyMemory::new(body_bytes),
             random: RefCell::new(Pcg::new(incarnation)),
             settings: RefCell::new(settings),
         })
--- a/crates/edge-proxy/src/attempts.rs
+++ b/crates/edge-proxy/src/attempts.rs
@@ -190,6 +190,7 @@
                     .max(MIN_CONNECT_TIMEOUT),
             ),
             deadline: app.instant(self.deadline),
+            memory: &app.answer_memory,
             is_allowed: &is_allowed,
         };
         app.load_balancer.borrow_mut().attempt_started(sent, id);
@@ -212,11 +213,13 @@
         let reason = match error {
             UpstreamError::NotSent(reason) | UpstreamError::MayHaveRun(reason) => reason,
             UpstreamError::TimedOut => "late",
+            UpstreamError::NoMemory => "answer-memory",
         };
         let id = in_flight.id;
         self.app.count(reason);
-        // A task is not to blame for our own bound of connections, nor for draining.
-        if reason != "conns" && reason != WITHDRAWN {
+        // A task is not to blame for our own bounds, nor for draining.
+        let is_our_own = reason == "conns" || error == UpstreamError::NoMemory;
+        if !is_our_own && reason != WITHDRAWN {
             in_flight.ended(AttemptResult::Failed, None);
         }
         if matches!(error, UpstreamError::NotSent(_)) {
@@ -226,7 +229,9 @@
         self.attempts.may_have_run = true;
         self.attempts.sent(id);
         match error {
-            UpstreamError::TimedOut => Some(local_response(504, reason, None)),
+            UpstreamError::TimedOut | UpstreamError::NoMemory => {
+                Some(local_response(504, reason, None))
+            }
             _ => (!self.route.is_idempotent()).then(|| local_response(502, reason, None)),
         }
     }
--- a/crates/edge-proxy/src/body.rs
+++ b/crates/edge-proxy/src/body.rs
@@ -8,51 +8,48 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::app::App;
+use crate::memory::Reservation;
 use crate::response::{ClientResponse, local_response};
 
-/// Part of the memory that bodies may take.
-const MEMORY_SHARE: f64 = 0.3;
+/// After how long a client may come again whose body found no room, in seconds.
+const RETRY_AFTER_S: f64 = 0.2;
 
-/// Counts what a request takes up for as long as it lasts.
-pub(crate) struct BodyMemory {
+/// A request under way, counted for as long as it lasts.
+pub(crate) struct ActiveRequest {
     app: Rc<App>,
-    bytes: usize,
+    body: Reservation,
 }
 
-impl BodyMemory {
+impl ActiveRequest {
     /// One more request is under way.
     pub(crate) fn new(app: &Rc<App>) -> Self {
         app.active_requests.set(app.active_requests.get() + 1);
-        BodyMemory {
+        ActiveRequest {
             app: app.clone(),
-            bytes: 0,
+            body: Reservation::new(&app.request_memory),
         }
     }
-
-    fn reserve(&mut self, bytes: usize) {
-        self.bytes += bytes;
-        self.app
-            .buffered_bytes
-            .set(self.app.buffered_bytes.get() + bytes);
-    }
 }
 
-impl Drop for BodyMemory {
+impl Drop for ActiveRequest {
     fn drop(&mut self) {
         self.app
             .active_requests
             .set(self.app.active_requests.get() - 1);
-        self.app
-            .buffered_bytes
-            .set(self.app.buffered_bytes.get() - self.bytes);
     }
 }
 
+/// A matter of load: the body is in order by itself.
+fn no_room(app: &App) -> ClientResponse {
+    app.count("memory");
+    local_response(503, "memory", Some(RETRY_AFTER_S))
+}
+
 /// The whole body of a request, of `most` bytes, by `until`.
 pub(crate) async fn read(
     app: &App,
     mut body: Incoming,
-    usage: &mut BodyMemory,
+    active: &mut ActiveRequest,
     most: u64,
     until: Instant,
 ) -> Result<Bytes, ClientResponse> {
@@ -61,11 +58,9 @@
     if size.lower() > most {
         return Err(too_long());
     }
-    let room =
-        (app.settings.borrow().resource_limits().memory_mb.max(64.0) * MEMORY_SHARE * 1e6) as usize;
-    if app.buffered_bytes.get() + size.lower() as usize > room {
-        app.count("memory");
-        return Err(local_response(503, "memory", Some(0.2)));
+    let memory = &app.request_memory;
+    if !memory.has_room_for(size.lower() as usize) {
+        return Err(no_room(app));
     }
     if size.exact() == Some(0) {
         return Ok(Bytes::new());
@@ -81,11 +76,14 @@
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
-                usage.reserve(data.len());
-                whole.extend_from_slice(&data);
-                if whole.len() as u64 > most || app.buffered_bytes.get() > room {
+                if (whole.len() + data.len()) as u64 > most {
                     return Err(too_long());
                 }
+                if !memory.has_room_for(data.len()) {
+                    return Err(no_room(app));
+                }
+                active.body.hold(data.len());
+                whole.extend_from_slice(&data);
             }
         }
     }
--- a/crates/edge-proxy/src/client_stream.rs
+++ b/crates/edge-proxy/src/client_stream.rs
@@ -9,6 +9,7 @@
 use lynxmill_lingering_close::LingeringClose;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 use crate::connections::OpenConnection;
 
@@ -20,24 +21,51 @@
     stream: TcpStream,
     connection: Rc<OpenConnection>,
     closing: LingeringClose,
+    /// How long the client may take none of an answer.
+    longest_stall: Duration,
+    /// Runs while the client takes none.
+    stalled: Option<Pin<Box<Sleep>>>,
 }
 
 impl ClientStream {
-    pub(crate) fn new(stream: TcpStream, connection: Rc<OpenConnection>) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        connection: Rc<OpenConnection>,
+        longest_stall: Duration,
+    ) -> Self {
         ClientStream {
             stream,
             connection,
             closing: LingeringClose::new(LINGER),
+            longest_stall,
+            stalled: None,
         }
     }
 
-    fn wrote(&mut self, written: io::Result<usize>) -> Poll<io::Result<usize>> {
+    /// Notes how much the client's socket took; a client that takes nothing for too long is cut off.
+    fn poll_wrote(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        let Poll::Ready(written) = written else {
+            return self.poll_stalled(context).map(Err);
+        };
+        self.stalled = None;
         if let Ok(bytes) = &written {
             self.connection.wrote(*bytes);
             self.closing.wrote();
         }
         Poll::Ready(written)
     }
+
+    fn poll_stalled(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
+        let longest = self.longest_stall;
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(longest)));
+        ready!(stalled.as_mut().poll(context));
+        self.connection.client_stalled();
+        Poll::Ready(io::ErrorKind::TimedOut.into())
+    }
 }
 
 impl AsyncRead for ClientStream {
@@ -56,8 +84,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes));
-        self.wrote(written)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.poll_wrote(written, context)
     }
 
     fn poll_write_vectored(
@@ -65,8 +93,8 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices));
-        self.wrote(written)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.poll_wrote(written, context)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/edge-proxy/src/connections.rs
+++ b/crates/edge-proxy/src/connections.rs
@@ -3,13 +3,14 @@
 //! An answer that was handed to the HTTP library is not written: its client may read slowly. Whoever ends the
 //! process asks here what would be cut.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
 
 use tokio::sync::Notify;
 
 use crate::app::App;
+use crate::response::HeldAnswer;
 
 /// What clients still wait for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -66,6 +67,8 @@
     written_bytes: Cell<u64>,
     /// What was written before the answer that is being written, in bytes.
     answer_begins_at: Cell<Option<u64>>,
+    /// The memory of answers that are being written.
+    held: RefCell<Vec<HeldAnswer>>,
 }
 
 impl OpenConnection {
@@ -76,11 +79,13 @@
             app: app.clone(),
             written_bytes: Cell::new(0),
             answer_begins_at: Cell::new(None),
+            held: RefCell::default(),
         })
     }
 
     /// An answer has been handed to the HTTP library.
-    pub(crate) fn answer_begun(&self) {
+    pub(crate) fn answer_begun(&self, held: Option<HeldAnswer>) {
+        self.held.borrow_mut().extend(held);
         let before = self
             .answer_begins_at
             .replace(Some(self.written_bytes.get()));
@@ -96,6 +101,11 @@
             .set(self.written_bytes.get() + bytes as u64);
     }
 
+    /// Its client has taken nothing of an answer for too long.
+    pub(crate) fn client_stalled(&self) {
+        self.app.count("client-stalled");
+    }
+
     /// The socket has taken all bytes that there are.
     pub(crate) fn flushed(&self) {
         let begins_at = self.answer_begins_at.get();
@@ -105,6 +115,7 @@
     }
 
     fn answer_ended(&self) {
+        self.held.borrow_mut().clear();
         if self.answer_begins_at.take().is_some() {
             let unwritten = &self.app.connections.unwritten_answers;
             unwritten.set(unwritten.get() - 1);
--- a/crates/edge-proxy/src/downstream.rs
+++ b/crates/edge-proxy/src/downstream.rs
@@ -53,7 +53,7 @@
                     .headers_mut()
                     .insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            open.answer_begun();
+            open.answer_begun(reply.extensions_mut().remove());
             Ok::<_, Infallible>(reply)
         }
     });
@@ -63,7 +63,7 @@
         .timer(TokioTimer::new())
         .max_buf_size(longest)
         .header_read_timeout(Duration::from_secs_f64(header_s.max(idle_s)));
-    let stream = ClientStream::new(stream, open.clone());
+    let stream = ClientStream::new(stream, open.clone(), Duration::from_secs_f64(idle_s));
     let taken_last = *ends.borrow();
     builder.keep_alive(!taken_last);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/crates/edge-proxy/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod connections;
 pub mod downstream;
 mod headers;
+pub mod memory;
 pub mod pool;
 mod ready;
 mod reports;
--- a/crates/edge-proxy/src/request.rs
+++ b/crates/edge-proxy/src/request.rs
@@ -10,7 +10,7 @@
 
 use crate::app::App;
 use crate::attempts::RequestAttempts;
-use crate::body::{self, BodyMemory};
+use crate::body::{self, ActiveRequest};
 use crate::headers::{ATTEMPT_ID, DEADLINE, SHARD_KEY, end_to_end, text};
 use crate::response::{ClientResponse, local_response};
 
@@ -37,12 +37,12 @@
 
 /// Carries a request to an answer.
 pub(crate) async fn serve(app: Rc<App>, request: Request<Incoming>) -> ClientResponse {
-    let mut usage = BodyMemory::new(&app);
+    let mut active = ActiveRequest::new(&app);
     app.count("requests");
     if !app.is_configured.get() {
         return counted(&app, 503, "not-ready", Some(0.3));
     }
-    match prepare(&app, request, &mut usage).await {
+    match prepare(&app, request, &mut active).await {
         Ok(mut attempts) => attempts.run().await,
         Err(reply) => reply,
     }
@@ -52,7 +52,7 @@
 async fn prepare(
     app: &Rc<App>,
     request: Request<Incoming>,
-    usage: &mut BodyMemory,
+    active: &mut ActiveRequest,
 ) -> Result<RequestAttempts, ClientResponse> {
     let started = app.now();
     let (head, body) = request.into_parts();
@@ -81,7 +81,7 @@
     let deadline = started + TimeDelta::from_secs(most);
     let bound = app.load_balancer.borrow().routes().limits.max_body_bytes;
     let longest = if bound > 0 { bound } else { MAX_BODY_BYTES };
-    let read = body::read(app, body, usage, longest, app.instant(deadline)).await;
+    let read = body::read(app, body, active, longest, app.instant(deadline)).await;
     let body = read.inspect_err(|_| app.count("body"))?;
     let name = route.select_service(app.random_fraction()).to_owned();
     let service = app.load_balancer.borrow().routes().service(&name).cloned();
--- a/crates/edge-proxy/src/response.rs
+++ b/crates/edge-proxy/src/response.rs
@@ -1,13 +1,22 @@
 //! What a client gets: a task's answer, or one of the edge's own.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 
 use crate::headers::end_to_end;
+use crate::memory::Reservation;
 use crate::upstream::UpstreamResponse;
 
+/// The memory of an answer, in the extensions of its response: it is held until the client has read the answer.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldAnswer(
+    #[expect(dead_code, reason = "held until it is dropped")] Arc<Reservation>,
+);
+
 /// A whole answer to a client.
 pub(crate) type ClientResponse = Response<Full<Bytes>>;
 
@@ -35,4 +44,7 @@
     *reply.status_mut() = answer.status;
     *reply.headers_mut() = headers;
     reply
+        .extensions_mut()
+        .insert(HeldAnswer(Arc::new(answer.reservation)));
+    reply
 }
--- a/crates/edge-proxy/src/upstream.rs
+++ b/crates/edge-proxy/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One exchange with a task. An answer counts only whole and with the id that was sent.
 
 use std::cell::RefCell;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -14,10 +15,13 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::headers::{ATTEMPT_ID, closes_connection, text};
+use crate::memory::{BodyMemory, Reservation};
 use crate::pool::{Checkout, Connection, MAX_IDLE, Pools};
 
 /// The longest answer that is held, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// An answer that is no longer, in bytes, never waits for memory: those that are long can't hold it up.
+const SMALL_RESPONSE_BYTES: usize = 64 << 10;
 /// How long bytes may stay unacknowledged by a task.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -32,6 +36,8 @@
     pub headers: HeaderMap,
     /// All of it.
     pub body: Bytes,
+    /// The memory that the body takes up.
+    pub reservation: Reservation,
 }
 
 /// Why there is none.
@@ -43,6 +49,8 @@
     MayHaveRun(&'static str),
     /// No answer in time; it may have run.
     TimedOut,
+    /// There was no memory for the answer in time; it has run.
+    NoMemory,
 }
 
 /// What is to be sent, and to whom.
@@ -61,6 +69,8 @@
     pub connect_deadline: Instant,
     /// By when the answer has to be whole.
     pub deadline: Instant,
+    /// What answers hold.
+    pub memory: &'a Arc<BodyMemory>,
     /// Whether the request may still go to this task. It is asked once a connection is open: meanwhile the task
     /// may have begun to drain, or its zone may have been evacuated.
     pub is_allowed: &'a dyn Fn() -> bool,
@@ -133,9 +143,23 @@
     }
 }
 
-/// The whole body of an answer.
-async fn collect(mut body: Incoming, until: Instant) -> Result<Bytes, UpstreamError> {
-    let mut whole = BytesMut::new();
+/// The whole body of an answer. It is read only as far as there is memory for it.
+async fn collect(
+    mut body: Incoming,
+    until: Instant,
+    reservation: &mut Reservation,
+    longest: usize,
+) -> Result<Bytes, UpstreamError> {
+    let length = body.size_hint().lower();
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
+    if length > longest {
+        return Err(UpstreamError::MayHaveRun("too-long"));
+    }
+    // All of it at once, so that no two answers each hold what the other waits for.
+    if length > SMALL_RESPONSE_BYTES && !reservation.hold_when_free(length, until).await {
+        return Err(UpstreamError::NoMemory);
+    }
+    let mut whole = BytesMut::with_capacity(length);
     loop {
         match timeout_at(until, body.frame()).await {
             Err(_) => return Err(UpstreamError::TimedOut),
@@ -147,9 +171,13 @@
                 }
             }
         }
-        if whole.len() > MAX_RESPONSE_BYTES {
+        if whole.len() > longest {
             return Err(UpstreamError::MayHaveRun("too-long"));
         }
+        let is_small = whole.len() <= SMALL_RESPONSE_BYTES;
+        if !is_small && !reservation.hold_when_free(whole.len(), until).await {
+            return Err(UpstreamError::NoMemory);
+        }
     }
 }
 
@@ -226,7 +254,9 @@
             return Err(UpstreamError::MayHaveRun(reason));
         }
         let (head, body) = response.into_parts();
-        let body = collect(body, call.deadline).await?;
+        let mut reservation = Reservation::new(call.memory);
+        let longest = MAX_RESPONSE_BYTES.min(call.memory.limit());
+        let body = collect(body, call.deadline, &mut reservation, longest).await?;
         if !closes_connection(&head.headers) {
             connection.return_to_pool(keep_alive(&head.headers));
         }
@@ -234,6 +264,7 @@
             status: head.status,
             headers: head.headers,
             body,
+            reservation,
         });
     }
 }
--- a/crates/edge-proxy/tests/upstream/main.rs
+++ b/crates/edge-proxy/tests/upstream/main.rs
@@ -8,11 +8,13 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use lynxmill_edge_proxy::memory::BodyMemory;
 use lynxmill_edge_proxy::pool::Pools;
 use lynxmill_edge_proxy::upstream::{UpstreamError, UpstreamRequest, UpstreamResponse, exchange};
 use tokio::io::AsyncWriteExt;
@@ -28,6 +30,8 @@
 
 /// Connections that may be open to the task.
 const MOST_OPEN: usize = 8;
+/// Far more than answers are long.
+const ANSWER_MEMORY: usize = 1 << 20;
 /// The most that a scene may take.
 const SCENE: Duration = Duration::from_secs(40);
 
@@ -37,6 +41,7 @@
     address: String,
     /// The task has begun to drain.
     withdrawn: Cell<bool>,
+    memory: Arc<BodyMemory>,
 }
 
 impl Edge {
@@ -46,6 +51,7 @@
             pools: RefCell::default(),
             address,
             withdrawn: Cell::new(false),
+            memory: BodyMemory::new(ANSWER_MEMORY),
         })
     }
 
@@ -64,6 +70,7 @@
             attempt_id,
             connect_deadline: began + TIME,
             deadline: began + TIME,
+            memory: &self.memory,
             is_allowed: &|| !self.withdrawn.get(),
         };
         let request = Request::post("/p")
--- a/crates/edge-proxy/tests/world/mod.rs
+++ b/crates/edge-proxy/tests/world/mod.rs
@@ -1,4 +1,6 @@
-//! An edge proxy between a scripted member of the core, scripted tasks and scripted clients, on loopback.
+//! An edge proxy between a scripted member of the core, scripted tasks and scripted clients, on loopback. Each test
+//! program uses its part.
+#![allow(dead_code)]
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -150,6 +152,21 @@
     }
 }
 
+/// What a client may take.
+pub(crate) struct ClientLimits {
+    pub body_bytes: usize,
+    pub idle_s: u32,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        ClientLimits {
+            body_bytes: 1000,
+            idle_s: 15,
+        }
+    }
+}
+
 /// The proxy's process and what its tasks have seen.
 pub(crate) struct World {
     pub process: Child,
@@ -171,6 +188,25 @@
 impl World {
     /// Starts all of it; the proxy has `grace_s` seconds between SIGTERM and SIGKILL.
     pub(crate) fn new(name: &str, grace_s: f64) -> World {
+        World::with_limits(name, grace_s, 200, &ClientLimits::default())
+    }
+
+    /// With this memory for the proxy, in MB.
+    pub(crate) fn with_limits(
+        name: &str,
+        grace_s: f64,
+        memory_mb: u32,
+        limits: &ClientLimits,
+    ) -> World {
+        let config = CONFIG
+            .replace(
+                "\"MaxBodyBytes\":1000",
+                &format!("\"MaxBodyBytes\":{}", limits.body_bytes),
+            )
+            .replace(
+                "\"IdleTimeoutS\":15",
+                &format!("\"IdleTimeoutS\":{}", limits.idle_s),
+            );
         let arrivals = Arrivals::default();
         let mut tasks = Vec::new();
         for id in ["i-a", "i-b"] {
@@ -191,7 +227,7 @@
         let port = core.local_addr().unwrap().port();
         std::thread::spawn(move || {
             let mut configuration = Configuration::default();
-            for item in ConfigurationChange::read(CONFIG.as_bytes()).unwrap().items {
+            for item in ConfigurationChange::read(config.as_bytes()).unwrap().items {
                 configuration.merge(&item);
             }
             let items: Vec<_> = configuration.items.values().cloned().collect();
@@ -223,7 +259,7 @@
         let settings = format!(
             "NodeName: edge-1\nRole: edge\nMachineClass: edge\nServes: [edge]\nIp: 127.0.0.1\nZone: z\nRegion: r\n\
              Zones: {{z: r}}\nListenAddrs: {{Front: \"{front}\", Readiness: \"{ready}\"}}\nInternalPorts: [{port}]\n\
-             SeedNodes: [\"127.0.0.1:1\"]\nBeatIntervalS: 1.5\nLimits: {{MemoryMb: 200}}\n\
+             SeedNodes: [\"127.0.0.1:1\"]\nBeatIntervalS: 1.5\nLimits: {{MemoryMb: {memory_mb}}}\n\
              Bounds: {{RetryRatio: 0.2, RetrySlack: 64, GraceS: {grace_s}}}\n"
         );
         std::fs::write(&file, settings).unwrap();
