The local deployment is a package of its own, of any size

Moved from operator: processes, addresses and calls. Machine names a member or an edge in place of five methods for members alone; sizes are given. Tests change in names only (kill_core(n) is kill(Machine::Member(n)), and so on).

--- a/crates/control-plane/tests/shutdown.rs
+++ b/crates/control-plane/tests/shutdown.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use lynxmill_operator::{Deployment, HOST, configuration};
+use lynxmill_operator::{Deployment, HOST, Machine, Signal, configuration};
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
 
@@ -114,20 +114,26 @@
         .wait("it reads back", PATIENCE, answered)
         .expect("an answer");
     let reading = reading.expect("an answer");
-    system.terminate_core(0).expect("a signal");
+    system
+        .signal(Machine::Member(0), Signal::TERM)
+        .expect("a signal");
     let until = Instant::now() + TIME_TO_LEAVE;
     while Instant::now() < until {
-        assert!(system.core_exit(0).is_none(), "it did not wait");
+        assert!(system.exit(Machine::Member(0)).is_none(), "it did not wait");
         std::thread::sleep(POLL);
     }
     let read: Value = serde_json::from_slice(&reading.body()).expect("JSON");
     assert!(read["Routes"].as_array().expect("a list").len() > ROUTES);
     let until = Instant::now() + TIME_TO_END;
-    while system.core_exit(0).is_none() {
+    while system.exit(Machine::Member(0)).is_none() {
         assert!(Instant::now() < until, "it waits for nobody");
         std::thread::sleep(POLL);
     }
-    assert!(system.core_exit(0).is_some_and(|status| status.success()));
+    assert!(
+        system
+            .exit(Machine::Member(0))
+            .is_some_and(|status| status.success())
+    );
 }
 
 /// Guards against a node that ends by a signal that comes while it starts.
@@ -142,7 +148,9 @@
         while TcpStream::connect(address).is_err() {
             std::thread::yield_now();
         }
-        system.hang_up_core(n).expect("a signal");
+        system
+            .signal(Machine::Member(n), Signal::HUP)
+            .expect("a signal");
     }
     let (by, answer) = system
         .configure(&configuration(), PATIENCE)
--- a/crates/control-plane/tests/system.rs
+++ b/crates/control-plane/tests/system.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use lynxmill_operator::{
-    Deployment, HOST, Kind, Sent, Task, agent, by, configuration, get, kinds, patch, send, tasks,
+    Deployment, HOST, Kind, Machine, Sent, Task, agent, by, configuration, get, kinds, patch, send,
+    tasks,
 };
 use serde_json::{Value, json};
 
@@ -175,7 +176,7 @@
 fn a_configuration_outlives_a_killed_member_and_a_kill_of_all() {
     let mut running = started();
     let front = running.system.fronts()[0].clone();
-    running.system.kill_core(0);
+    running.system.kill(Machine::Member(0));
     // Two of three acknowledge.
     let (_, taken) = running
         .system
@@ -190,18 +191,26 @@
         .expect("a list")
         .push(later);
     let wanted = laid_out(&whole);
-    running.system.restart_core(0).expect("it starts again");
+    running
+        .system
+        .restart(Machine::Member(0))
+        .expect("it starts again");
     for n in 0..3 {
         running.reads_back(n, &wanted);
     }
     // With nobody left to ask, what is read back is what the disks hold.
-    (0..3).for_each(|n| running.system.kill_core(n));
+    (0..3).for_each(|n| running.system.kill(Machine::Member(n)));
     assert!(read_back(&running.system.controls()[1]).is_none());
     for kind in kinds().iter().filter(|kind| !kind.keyed) {
         let sent = send(&front, kind).expect("an edge goes on by what it has");
         assert!(sent.served(), "{sent:?}");
     }
-    (0..3).for_each(|n| running.system.restart_core(n).expect("it starts again"));
+    (0..3).for_each(|n| {
+        running
+            .system
+            .restart(Machine::Member(n))
+            .expect("it starts again")
+    });
     for n in 0..3 {
         running.reads_back(n, &wanted);
     }
--- a/crates/operator/src/client.rs
+++ b/crates/deployment/src/client.rs
@@ -1,4 +1,4 @@
-//! PendingChanges by HTTP, each with a bound on its time; no status is an error.
+//! Calls by HTTP, each with a bound on its time; no status is an error.
 
 use std::time::Duration;
 
@@ -10,16 +10,25 @@
 /// An answer, read whole.
 #[derive(Debug)]
 pub struct Answer {
+    /// The status.
     pub status: u16,
+    /// The head.
     pub headers: http::HeaderMap,
+    /// The whole body.
     pub body: String,
 }
 
 impl Answer {
+    /// The body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// If it is none.
     pub fn json(&self) -> Result<Value, String> {
         serde_json::from_str(&self.body).map_err(|e| format!("the answer is no JSON: {e}"))
     }
 
+    /// The value of a header; empty if there is none.
     pub fn header(&self, name: &str) -> &str {
         self.headers
             .get(name)
@@ -28,6 +37,7 @@
     }
 }
 
+/// Makes calls, each within this time.
 pub fn agent(patience: Duration) -> ureq::Agent {
     let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
@@ -37,7 +47,12 @@
     config.build().into()
 }
 
-pub(crate) fn call(agent: &ureq::Agent, request: http::Request<Vec<u8>>) -> Result<Answer, String> {
+/// Makes a call.
+///
+/// # Errors
+///
+/// If no whole answer comes.
+pub fn call(agent: &ureq::Agent, request: http::Request<Vec<u8>>) -> Result<Answer, String> {
     let at = request.uri().to_string();
     let (head, body) = request.into_parts();
     // A body of no bytes is none.
@@ -58,6 +73,10 @@
 }
 
 /// A call of JSON to a path at an address.
+///
+/// # Errors
+///
+/// If no whole answer comes.
 pub fn by(
     agent: &ureq::Agent,
     method: &str,
@@ -74,11 +93,20 @@
     call(agent, request)
 }
 
+/// Reads a page.
+///
+/// # Errors
+///
+/// If no whole answer comes.
 pub fn get(address: &str, path: &str) -> Result<Answer, String> {
     by(&agent(PATIENCE), "GET", address, path, Vec::new())
 }
 
 /// Sends a configuration to a control address.
+///
+/// # Errors
+///
+/// If no whole answer comes.
 pub fn patch(address: &str, change: &Value) -> Result<Answer, String> {
     by(
         &agent(PATIENCE),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,9 +5,7 @@
 #![allow(clippy::missing_errors_doc, missing_docs)]
 
 pub mod check;
-mod client;
 mod command_line;
-mod deployment;
 pub mod disk;
 mod disk_command_line;
 mod explore;
@@ -16,8 +14,8 @@
 mod task;
 mod trial;
 
-pub use client::{Answer, agent, by, get, patch};
 pub use command_line::run;
-pub use deployment::{Deployment, Site};
+pub use lynxmill_deployment::client::{Answer, agent, by, get, patch};
+pub use lynxmill_deployment::{Deployment, Machine, Signal, Site};
 pub use task::Task;
 pub use trial::{HOST, Kind, Sent, configuration, kinds, resolve, send, tasks};
--- a/crates/operator/src/plan.rs
+++ b/crates/operator/src/plan.rs
@@ -7,7 +7,8 @@
 use lynxmill_configuration::{Configuration, ConfigurationChange, Item};
 use serde_json::{Map, Value};
 
-use crate::{check, client};
+use crate::check;
+use lynxmill_deployment::client;
 
 /// What a change would do, item by item.
 #[derive(Debug, Default, PartialEq)]
--- a/crates/operator/src/show.rs
+++ b/crates/operator/src/show.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-use crate::client;
+use lynxmill_deployment::client;
 
 /// What stands at a control-plane node.
 fn items(held: &Value) -> String {
--- a/crates/operator/src/task.rs
+++ b/crates/operator/src/task.rs
@@ -11,7 +11,7 @@
 use rouille::{Request, Response, Server};
 use serde::{Deserialize, Serialize};
 
-use crate::client;
+use lynxmill_deployment::client;
 
 const KEYS: usize = 1 << 16;
 const SLOTS: u32 = 8;
--- a/crates/operator/src/trial.rs
+++ b/crates/operator/src/trial.rs
@@ -8,9 +8,9 @@
 use serde_json::{Value, json};
 use ureq::http;
 
-use crate::client::{self, Answer};
-use crate::deployment::{BEAT_S, Deployment, REGION, ZONES};
 use crate::task::{Task, TaskOptions};
+use lynxmill_deployment::client::{self, Answer};
+use lynxmill_deployment::{BEAT_S, Deployment, REGION, ZONES};
 
 pub const HOST: &str = "shop.example";
 /// Until the first configuration is acknowledged, edges are ready, or a first request is served.
--- a/crates/operator/tests/recovery.rs
+++ b/crates/operator/tests/recovery.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lynxmill_operator::disk::{DiskOutcome, check, export, import};
-use lynxmill_operator::{Deployment, Task, configuration, get, tasks};
+use lynxmill_operator::{Deployment, Machine, Task, configuration, get, tasks};
 use lynxmill_storage::inspect::{
     EPOCH_STEP, FENCE_STEP, FILE_NAME, RecoveryRequest, RegisterValue, inspect,
 };
@@ -85,7 +85,7 @@
     let wanted = read_back(&controls[0]).expect("it reads back");
     all_read_back(&mut system, &wanted);
 
-    (0..MEMBERS).for_each(|n| system.kill_core(n));
+    (0..MEMBERS).for_each(|n| system.kill(Machine::Member(n)));
     (1..MEMBERS)
         .for_each(|n| std::fs::remove_dir_all(system.data_folder(n)).expect("the disk is lost"));
     let (left, exported) = (system.data_folder(0), system.folder.join("core-1.json"));
@@ -105,7 +105,7 @@
         assert_eq!(made.expect("a new disk"), DiskOutcome::Done);
         system.move_data(n, &folder);
     }
-    (0..MEMBERS).for_each(|n| system.restart_core(n).expect("it starts again"));
+    (0..MEMBERS).for_each(|n| system.restart(Machine::Member(n)).expect("it starts again"));
 
     all_read_back(&mut system, &wanted);
     every_key_has_an_owner(&mut system, &tasks, FENCE_STEP);
@@ -120,7 +120,7 @@
         })
         .expect("a change");
 
-    (0..MEMBERS).for_each(|n| system.kill_core(n));
+    (0..MEMBERS).for_each(|n| system.kill(Machine::Member(n)));
     let held = inspect(&system.data_folder(1).join(FILE_NAME))
         .expect("it can be read")
         .export;
