lynxmill system soak: real processes under series of signals and changes, and a ledger of rules

A package of its own on the local deployment: members, edges, scripted tasks, clients and operators; a schedule drawn from a seed; LOST, TWICE, UNASKED, MIXED, REFUSED, DENIED, OWNER, CONFIG, EVAC, DRAIN, ends of processes and leaks, each in a file with ledgers that break it and that just do not.

--- a/crates/deployment/src/deployment.rs
+++ b/crates/deployment/src/deployment.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-use lynxmill_configuration::NodeSettings;
+use lynxmill_configuration::{Bounds, NodeSettings};
 use lynxmill_startup::SETTINGS_VARIABLE;
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -268,6 +268,19 @@
         process.child.as_ref().map(Child::id)
     }
 
+    /// The settings file of a machine.
+    pub fn settings_path(&self, machine: Machine) -> PathBuf {
+        self.folder.join(format!("{machine}.yaml"))
+    }
+
+    /// What all machines are told to keep to.
+    pub fn bounds(&self) -> Bounds {
+        let first = self.processes.values().next();
+        first
+            .map(|process| process.local.bounds())
+            .unwrap_or_default()
+    }
+
     /// Where a machine writes its log.
     pub fn log_path(&self, machine: Machine) -> PathBuf {
         self.folder.join(format!("{machine}.log"))
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -3,7 +3,7 @@
 use std::ffi::OsString;
 use std::path::PathBuf;
 
-use crate::{check, disk_command_line, explore, plan, show, trial};
+use crate::{check, disk_command_line, explore, plan, show, soak, trial};
 
 xflags::xflags! {
     /// The whole system: files checked, programs shown, changes planned, all of it tried on loopback.
@@ -52,6 +52,24 @@
             /// Prints a digest of all that nodes did: two builds with one digest behave alike.
             optional --digest
         }
+        /// Runs a system on loopback whose processes are signalled, killed and started again while clients use it, and
+        /// checks every rule.
+        cmd soak {
+            /// The first seed; 1 without it.
+            optional --seed number: u64
+            /// How many seeds are run, one after the other; one without it.
+            optional --seeds count: u64
+            /// Size, load and doses, as TOML; see docs/operations/soak.md.
+            optional --settings file: PathBuf
+            /// How long clients send in each; as the settings say without it.
+            optional --seconds seconds: f64
+            /// Where lynxmill-control-plane and lynxmill-edge-proxy are; without it beside this program.
+            optional --programs folder: PathBuf
+            /// Writes all reports to a file, as JSON.
+            optional --report file: PathBuf
+            /// Leaves settings files, disks and logs where they are.
+            optional --keep
+        }
         /// A control-plane node's disk: show, verify, export, import; `disk --help` tells of each.
         cmd disk {
             repeated words: OsString
@@ -130,6 +148,18 @@
             };
             explore::run(&options).map(|held| if held { DONE } else { FAILED })
         }
+        SystemCmd::Soak(options) => {
+            let options = soak::SoakOptions {
+                first_seed: options.seed.unwrap_or(1),
+                seeds: options.seeds.unwrap_or(1),
+                settings: options.settings,
+                seconds: options.seconds,
+                programs: options.programs,
+                report: options.report,
+                keep: options.keep,
+            };
+            soak::run(&options).map(|held| if held { DONE } else { FAILED })
+        }
         SystemCmd::Disk(options) => return disk_command_line::run(options.words),
         SystemCmd::Try(options) => {
             trial::run(options.seconds, options.programs, options.keep).map(|()| DONE)
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -11,6 +11,7 @@
 mod explore;
 pub mod plan;
 mod show;
+mod soak;
 mod task;
 mod trial;
 
--- /dev/null
+++ b/crates/soak/src/clients.rs
@@ -0,0 +1,351 @@
+//! Clients that keep using open connections until these end: kept ones, old ones, slow senders and readers, early leavers.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use lynxmill_random::Pcg;
+use tokio::time::{sleep, timeout};
+
+use crate::http::{Head, HttpStream, Pace, connect};
+use crate::ledger::{Ledger, Outcome, Try};
+use crate::rules::PROMISES;
+use crate::tasks::body_of;
+
+/// How long a client waits for an answer.
+pub(crate) const DEADLINE: Duration = Duration::from_millis(2_000);
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+/// Tries of one request at most.
+const MAX_TRIES: u32 = 3;
+/// Between two requests of a client, at most.
+const PAUSE_S: f64 = 0.25;
+/// A connection that stays unused, at most.
+const IDLE_S: f64 = 4.0;
+/// The share of pauses that leave a connection unused for long.
+const IDLE_SHARE: f64 = 0.08;
+const LEAVES_SHARE: f64 = 0.04;
+const SLOW_SENDER_SHARE: f64 = 0.06;
+const SLOW_READER_SHARE: f64 = 0.1;
+const SLOW_PACE: Pace = Pace {
+    piece: 32 << 10,
+    pause: Duration::from_millis(15),
+};
+const SEND_PAUSE: Duration = Duration::from_millis(150);
+/// Between two tries of one request.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Sizes of answers in bytes, each with its share.
+const ANSWERS: [(f64, usize); 5] = [
+    (0.2, 0),
+    (0.5, 300),
+    (0.24, 20_000),
+    (0.05, 1_000_000),
+    (0.01, 8_000_000),
+];
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    name: &'static str,
+    method: &'static str,
+    repeatable: bool,
+    keyed: bool,
+    body_bytes: usize,
+    share: f64,
+}
+
+const KINDS: [Kind; 5] = [
+    Kind {
+        name: "read",
+        method: "GET",
+        repeatable: true,
+        keyed: false,
+        body_bytes: 0,
+        share: 0.35,
+    },
+    Kind {
+        name: "order",
+        method: "POST",
+        repeatable: false,
+        keyed: false,
+        body_bytes: 200,
+        share: 0.25,
+    },
+    Kind {
+        name: "upload",
+        method: "PUT",
+        repeatable: false,
+        keyed: false,
+        body_bytes: 100_000,
+        share: 0.08,
+    },
+    Kind {
+        name: "keyed",
+        method: "GET",
+        repeatable: true,
+        keyed: true,
+        body_bytes: 0,
+        share: 0.2,
+    },
+    Kind {
+        name: "moving",
+        method: "GET",
+        repeatable: true,
+        keyed: false,
+        body_bytes: 0,
+        share: 0.12,
+    },
+];
+
+/// What all clients share.
+#[derive(Debug)]
+pub(crate) struct ClientWorld {
+    pub ledger: Arc<Ledger>,
+    pub fronts: Vec<String>,
+    pub host: &'static str,
+    pub over: AtomicBool,
+    pub seed: u64,
+}
+
+/// One request, whatever its tries.
+#[derive(Clone, Debug)]
+struct Request {
+    id: String,
+    kind: Kind,
+    key: u32,
+    answer_bytes: usize,
+    tries: u32,
+}
+
+impl Request {
+    fn drawn(id: String, random: &mut Pcg) -> Self {
+        let kind = pick(random, KINDS.map(|kind| (kind.share, kind)));
+        let answer_bytes = if kind.name == "read" {
+            pick(random, ANSWERS)
+        } else {
+            300
+        };
+        Request {
+            id,
+            kind,
+            key: (random.unit() * 65_536.0) as u32,
+            answer_bytes,
+            tries: 0,
+        }
+    }
+
+    fn head(&self, host: &str) -> String {
+        let Kind {
+            name,
+            method,
+            body_bytes,
+            ..
+        } = self.kind;
+        let key = if self.kind.keyed {
+            format!("Lynxmill-Shard-Key: {}\r\n", self.key)
+        } else {
+            String::new()
+        };
+        format!(
+            "{method} /{name}/{id} HTTP/1.1\r\nHost: {host}\r\nLynxmill-Attempt-Id: {id}\r\n\
+             Lynxmill-Deadline-Ms: {}\r\nSoak-Method: {method}\r\nSoak-Body: {body_bytes}\r\n\
+             Soak-Answer: {}\r\n{key}Content-Length: {body_bytes}\r\n\r\n",
+            DEADLINE.as_millis(),
+            self.answer_bytes,
+            id = self.id,
+        )
+    }
+
+    /// Whether it may be sent again after such an end.
+    fn may_go_again(&self, outcome: &Outcome) -> bool {
+        let again = match outcome {
+            Outcome::Answered { status, .. } if PROMISES.contains(status) => true,
+            Outcome::Answered { status, .. } => *status >= 500 && self.kind.repeatable,
+            Outcome::NotSent => true,
+            Outcome::Cut | Outcome::TimedOut => self.kind.repeatable,
+            Outcome::Left => false,
+        };
+        again && self.tries < MAX_TRIES
+    }
+}
+
+fn pick<T: Copy, const N: usize>(random: &mut Pcg, shares: [(f64, T); N]) -> T {
+    let mut left = random.unit();
+    for (share, value) in shares {
+        left -= share;
+        if left < 0.0 {
+            return value;
+        }
+    }
+    shares[N - 1].1
+}
+
+/// Sends requests until it is over.
+pub(crate) async fn run(number: usize, world: Arc<ClientWorld>) {
+    let seed = world
+        .seed
+        .wrapping_mul(1_000_003)
+        .wrapping_add(number as u64);
+    let mut client = Client {
+        random: Pcg::new(seed),
+        number,
+        count: 0,
+        world,
+    };
+    let mut pending = None;
+    while !client.is_over() {
+        let edge = (client.random.unit() * client.world.fronts.len() as f64) as usize;
+        pending = client.use_connection(edge, pending).await;
+    }
+}
+
+struct Client {
+    random: Pcg,
+    number: usize,
+    count: u64,
+    world: Arc<ClientWorld>,
+}
+
+/// How a try ended, and its connection if it can be used again.
+struct TryResult {
+    outcome: Outcome,
+    stream: Option<HttpStream>,
+}
+
+impl TryResult {
+    fn ended(outcome: Outcome) -> Self {
+        TryResult {
+            outcome,
+            stream: None,
+        }
+    }
+}
+
+impl Client {
+    fn is_over(&self) -> bool {
+        self.world.over.load(Ordering::Relaxed)
+    }
+
+    fn next_request(&mut self) -> Request {
+        self.count += 1;
+        let id = format!("{:x}-{}-{}", self.world.seed, self.number, self.count);
+        Request::drawn(id, &mut self.random)
+    }
+
+    async fn pause(&mut self) {
+        let idle = self.random.unit() < IDLE_SHARE;
+        let most = if idle { IDLE_S } else { PAUSE_S };
+        sleep(Duration::from_secs_f64(self.random.unit() * most)).await;
+    }
+
+    /// Uses one connection until it ends; a request that is to be sent again on another.
+    async fn use_connection(&mut self, edge: usize, pending: Option<Request>) -> Option<Request> {
+        let address = self.world.fronts[edge].clone();
+        let Ok(Ok(stream)) = timeout(CONNECT_PATIENCE, connect(&address)).await else {
+            sleep(RETRY_PAUSE).await;
+            return pending;
+        };
+        let mut stream = Some(stream);
+        let mut pending = pending;
+        while let Some(open) = stream.take() {
+            self.pause().await;
+            if self.is_over() {
+                return None;
+            }
+            let mut request = match pending.take() {
+                Some(request) => request,
+                None => self.next_request(),
+            };
+            request.tries += 1;
+            let result = self.send(edge, open, &request).await;
+            stream = result.stream;
+            if request.may_go_again(&result.outcome) {
+                sleep(RETRY_PAUSE).await;
+                pending = Some(request);
+            }
+        }
+        pending
+    }
+
+    /// Sends a request and reads its answer; what happened goes into the ledger.
+    async fn send(&mut self, edge: usize, mut stream: HttpStream, request: &Request) -> TryResult {
+        let sent = self.world.ledger.now();
+        let slowly = self.random.unit() < SLOW_SENDER_SHARE;
+        let leaves = self.random.unit() < LEAVES_SHARE;
+        let pace = if self.random.unit() < SLOW_READER_SHARE {
+            SLOW_PACE
+        } else {
+            Pace::FAST
+        };
+        let written = self.write(&mut stream, request, slowly).await;
+        let sent_whole = self.world.ledger.now();
+        let result = match written {
+            Err(_) => TryResult::ended(Outcome::Cut),
+            Ok(()) if leaves => TryResult::ended(Outcome::Left),
+            Ok(()) => timeout(DEADLINE, read(stream, request, pace))
+                .await
+                .unwrap_or_else(|_| TryResult::ended(Outcome::TimedOut)),
+        };
+        let ended = self.world.ledger.now();
+        self.world.ledger.records().tries.push(Try {
+            id: request.id.clone(),
+            kind: request.kind.name,
+            repeatable: request.kind.repeatable,
+            edge,
+            sent,
+            sent_whole,
+            ended,
+            outcome: result.outcome.clone(),
+        });
+        result
+    }
+
+    async fn write(
+        &mut self,
+        stream: &mut HttpStream,
+        request: &Request,
+        slowly: bool,
+    ) -> io::Result<()> {
+        let mut bytes = request.head(self.world.host).into_bytes();
+        bytes.extend(body_of(&request.id, request.kind.body_bytes));
+        if !slowly {
+            return stream.write(&bytes).await;
+        }
+        let (first, rest) = bytes.split_at(bytes.len() / 2);
+        stream.write(first).await?;
+        sleep(SEND_PAUSE).await;
+        stream.write(rest).await
+    }
+}
+
+async fn read(mut stream: HttpStream, request: &Request, pace: Pace) -> TryResult {
+    let Ok(Some(head)) = stream.read_head().await else {
+        return TryResult::ended(Outcome::Cut);
+    };
+    let Ok(body) = stream.read_body(&head, pace).await else {
+        return TryResult::ended(Outcome::Cut);
+    };
+    let Ok(status) = head.status() else {
+        return TryResult::ended(Outcome::Cut);
+    };
+    let outcome = Outcome::Answered {
+        status,
+        seal: head
+            .header("lynxmill-server-seal")
+            .unwrap_or_default()
+            .to_owned(),
+        is_own: is_own(&head, &body, request),
+    };
+    TryResult {
+        outcome,
+        stream: (!head.closes()).then_some(stream),
+    }
+}
+
+/// Whether an answer is this request's, as its task gave it.
+fn is_own(head: &Head, body: &[u8], request: &Request) -> bool {
+    let seal = head.header("lynxmill-server-seal").unwrap_or_default();
+    let echoed = head.header("lynxmill-attempt-id") == Some(request.id.as_str());
+    let sealed = seal.ends_with(&format!(".{}", request.id));
+    echoed && sealed && body == body_of(&request.id, request.answer_bytes)
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,19 @@
+//! A seeded soak of real processes: a system on loopback with clients, tasks and operators of its own, disrupted in series by
+//! signals, restarts and changes. All that is sent, run, answered and granted goes into a ledger, and rules check it.
+
+mod clients;
+mod error;
+mod http;
+mod keys;
+pub mod ledger;
+mod operators;
+mod processes;
+pub mod report;
+pub mod rules;
+mod run;
+pub mod schedule;
+pub mod settings;
+mod tasks;
+
+pub use error::SoakError;
+pub use run::run;
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,282 @@
+//! One soak from its start to its report.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use lynxmill_deployment::{BEAT_S, Deployment, Size, ZONES};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::clients::{self, ClientWorld};
+use crate::error::SoakError;
+use crate::ledger::{Change, Ledger};
+use crate::operators::{HOST, Operator, SERVICES, first_configuration};
+use crate::processes::Processes;
+use crate::report::Report;
+use crate::rules::{Bounds, check};
+use crate::schedule::{Disruption, Planned, draw};
+use crate::settings::SoakSettings;
+use crate::tasks::{self, TaskEnd, TaskHandle, TaskOptions};
+
+/// Until the first configuration is acknowledged and edges are ready.
+const START_PATIENCE: Duration = Duration::from_secs(20);
+/// Until all keys are granted, and tables are with the edges.
+const SETTLE: Duration = Duration::from_secs(2);
+/// After the clients, until all is calm again and measured.
+const CALM: Duration = Duration::from_secs(4);
+/// Tries to read the configuration back.
+const READ_BACKS: u32 = 40;
+const READ_BACK_PAUSE: Duration = Duration::from_millis(250);
+/// Between two looks for processes that have ended by themselves.
+const LOOK: Duration = Duration::from_millis(50);
+/// A task that has ended is replaced after so long.
+const REPLACED_AFTER: Duration = Duration::from_millis(500);
+/// `LossSlackS`; the settings files of programs do not have it.
+const LOSS_SLACK_S: f64 = 0.2;
+
+/// What a soak runs on.
+struct Soak {
+    settings: SoakSettings,
+    ledger: Arc<Ledger>,
+    processes: Processes,
+    operator: Arc<Operator>,
+    bounds: Bounds,
+    tasks: Vec<Option<TaskHandle>>,
+    /// Tasks that are about to end, with their places.
+    ending: JoinSet<(usize, TaskOptions)>,
+    /// Disruptions under way.
+    disruptions: JoinSet<Result<(), SoakError>>,
+    next_task: usize,
+    next_member: usize,
+}
+
+/// Runs one soak with programs from a folder. Nothing of it is left running, also where the future is dropped.
+///
+/// # Errors
+///
+/// [`SoakError`] if it can't be run; broken rules are in the report.
+pub async fn run(
+    settings: &SoakSettings,
+    seed: u64,
+    programs: &Path,
+    keep: bool,
+) -> Result<Report, SoakError> {
+    let mut soak = Soak::start(settings, programs, keep).await?;
+    let schedule = draw(settings, seed);
+    soak.processes.measure();
+    let world = Arc::new(ClientWorld {
+        ledger: soak.ledger.clone(),
+        fronts: soak.processes.system().fronts(),
+        host: HOST,
+        over: AtomicBool::new(false),
+        seed,
+    });
+    let mut clients = JoinSet::new();
+    for number in 0..settings.clients.0 {
+        clients.spawn(clients::run(number, world.clone()));
+    }
+    soak.play(&schedule).await?;
+    world.over.store(true, Ordering::Relaxed);
+    while clients.join_next().await.is_some() {}
+    let seconds = soak.ledger.now();
+    soak.settle().await?;
+    let records = soak.ledger.records();
+    let violations = check(&records, &soak.bounds);
+    Ok(Report::new(seed, seconds, &records, schedule, violations))
+}
+
+impl Soak {
+    async fn start(
+        settings: &SoakSettings,
+        programs: &Path,
+        keep: bool,
+    ) -> Result<Self, SoakError> {
+        let size = Size {
+            members: settings.members.0,
+            edges: settings.edges.0,
+        };
+        let programs = programs.to_owned();
+        let started = tokio::task::spawn_blocking(move || configured(&programs, size, keep));
+        let system = started.await.map_err(std::io::Error::other)??;
+        let told = system.bounds();
+        let bounds = Bounds {
+            contact_s: told.contact_s,
+            grace_s: told.grace_s,
+            drain_s: told.drain_s,
+            evacuate_s: told.evacuate_s,
+            config_apply_s: told.config_apply_s,
+            loss_slack_s: LOSS_SLACK_S,
+            deadline_s: clients::DEADLINE.as_secs_f64(),
+        };
+        let ledger = Arc::new(Ledger::default());
+        ledger.records().changes.push(Change {
+            version: 1,
+            service: SERVICES[1],
+            sent: 0.0,
+            acknowledged: Some(0.0),
+        });
+        let controls = system.controls();
+        let options: Vec<TaskOptions> = (0..settings.tasks.0 * SERVICES.len())
+            .map(|n| TaskOptions {
+                service: SERVICES[n % SERVICES.len()],
+                zone: ZONES[n / SERVICES.len() % ZONES.len()],
+                ip: system.site.task(n),
+                controls: controls.clone(),
+                beat: Duration::from_secs_f64(BEAT_S),
+                drain_s: told.drain_s,
+            })
+            .collect();
+        let mut tasks = Vec::new();
+        for options in options {
+            tasks.push(Some(tasks::start(options, &ledger).await?));
+        }
+        let operator = Arc::new(Operator::new(ledger.clone(), controls));
+        sleep(SETTLE).await;
+        Ok(Soak {
+            settings: settings.clone(),
+            processes: Processes::new(system, ledger.clone(), size, told.grace_s),
+            ledger,
+            operator,
+            bounds,
+            tasks,
+            ending: JoinSet::new(),
+            disruptions: JoinSet::new(),
+            next_task: 0,
+            next_member: 0,
+        })
+    }
+
+    /// Plays the schedule to the end of the soak.
+    async fn play(&mut self, schedule: &[Planned]) -> Result<(), SoakError> {
+        let began = Instant::now();
+        let mut next = schedule.iter().peekable();
+        loop {
+            self.processes.look();
+            self.replace_tasks().await?;
+            while let Some(done) = self.disruptions.try_join_next() {
+                done.map_err(std::io::Error::other)??;
+            }
+            let elapsed = began.elapsed().as_secs_f64();
+            if elapsed >= self.settings.seconds.0 {
+                return Ok(());
+            }
+            while let Some(planned) = next.next_if(|planned| planned.at_s <= elapsed) {
+                self.disrupt(planned.disruption);
+            }
+            sleep_until(Instant::now() + LOOK).await;
+        }
+    }
+
+    fn disrupt(&mut self, disruption: Disruption) {
+        let processes = self.processes.clone();
+        let operator = self.operator.clone();
+        self.next_member += 1;
+        let member = self.next_member;
+        match disruption {
+            Disruption::Terminate(machine) => {
+                self.disruptions
+                    .spawn(async move { processes.terminate(machine).await });
+            }
+            Disruption::Kill(machine) => {
+                self.disruptions
+                    .spawn(async move { processes.kill(machine).await });
+            }
+            Disruption::Freeze(machine, lasts_s) => {
+                self.disruptions
+                    .spawn(async move { processes.freeze(machine, lasts_s).await });
+            }
+            Disruption::HangUp(machine) => {
+                self.disruptions
+                    .spawn(async move { processes.hang_up(machine).await });
+            }
+            Disruption::Configure => {
+                self.disruptions.spawn(async move {
+                    operator.change(member).await;
+                    Ok(())
+                });
+            }
+            Disruption::Evacuate(zone, lasts_s) => {
+                self.disruptions.spawn(async move {
+                    operator.evacuate(member, zone, lasts_s).await;
+                    Ok(())
+                });
+            }
+            Disruption::DrainTask => self.end_task(TaskEnd::Drain),
+            Disruption::SignOffTask => self.end_task(TaskEnd::SignOffFirst),
+            Disruption::CrashTask => self.end_task(TaskEnd::Crash),
+        }
+    }
+
+    /// Ends the next task in turn, unless it is ending already.
+    fn end_task(&mut self, end: TaskEnd) {
+        let place = self.next_task % self.tasks.len();
+        self.next_task += 1;
+        let Some(task) = self.tasks[place].take() else {
+            return;
+        };
+        self.ending.spawn(async move {
+            let _ = task.end.send(end);
+            let _ = task.finished.await;
+            sleep(REPLACED_AFTER).await;
+            (place, task.options)
+        });
+    }
+
+    async fn replace_tasks(&mut self) -> Result<(), SoakError> {
+        while let Some(ended) = self.ending.try_join_next() {
+            let (place, options) = ended.map_err(std::io::Error::other)?;
+            self.tasks[place] = Some(tasks::start(options, &self.ledger).await?);
+        }
+        Ok(())
+    }
+
+    /// Waits until all disruptions are over and all is calm, reads the configuration back and measures.
+    async fn settle(&mut self) -> Result<(), SoakError> {
+        while let Some(done) = self.disruptions.join_next().await {
+            done.map_err(std::io::Error::other)??;
+        }
+        sleep(CALM).await;
+        self.processes.look();
+        for _ in 0..READ_BACKS {
+            let read_back = self.operator.read_back().await;
+            if read_back.is_some() {
+                self.ledger.records().read_back = read_back;
+                break;
+            }
+            sleep(READ_BACK_PAUSE).await;
+        }
+        self.processes.measure();
+        self.end_all_tasks().await
+    }
+
+    async fn end_all_tasks(&mut self) -> Result<(), SoakError> {
+        let tasks: Vec<TaskHandle> = self.tasks.iter_mut().filter_map(Option::take).collect();
+        for task in tasks {
+            let _ = task.end.send(TaskEnd::Crash);
+            task.finished.await.map_err(std::io::Error::other)?;
+        }
+        while let Some(ended) = self.ending.join_next().await {
+            ended.map_err(std::io::Error::other)?;
+        }
+        Ok(())
+    }
+}
+
+/// A system with its first configuration, whose edges are ready.
+fn configured(programs: &Path, size: Size, keep: bool) -> Result<Deployment, SoakError> {
+    let mut system = Deployment::start_with(programs, size).map_err(SoakError::Deployment)?;
+    system.keep = keep;
+    let (by, answer) = system
+        .configure(&first_configuration(), START_PATIENCE)
+        .map_err(SoakError::Deployment)?;
+    if answer.status != 200 {
+        let text = format!("{by} answers {}: {}", answer.status, answer.body.trim());
+        return Err(SoakError::Deployment(text));
+    }
+    system
+        .wait_ready(START_PATIENCE)
+        .map_err(SoakError::Deployment)?;
+    Ok(system)
+}
