Tests of shutdowns share one slow client

Edge, forwarder and control plane had the same twenty lines each: a small window, a head read byte by byte, a body, a request sent across a close. They are in crates/raw-client now.

--- a/crates/control-plane/tests/shutdown.rs
+++ b/crates/control-plane/tests/shutdown.rs
@@ -7,15 +7,12 @@
 
 use lynxmill_operator::{Deployment, HOST, Machine, Signal, configuration};
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
 
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Routes whose paths are so long that a read of the configuration is longer than the sockets' buffers.
 const ROUTES: usize = 900;
 const ROUTES_A_CHANGE: usize = 25;
 const PATH_BYTES: usize = 6_000;
-/// Bytes that a slow caller's socket takes.
-const SMALL_WINDOW: usize = 16 << 10;
 /// Far more than a node of three takes to give up its leases and to tell the others.
 const TIME_TO_LEAVE: Duration = Duration::from_millis(1_500);
 /// Of a grace of 3 s.
@@ -56,21 +53,11 @@
 /// Asks for the configuration over a link that carries little at a time; the head of the answer has been read. None
 /// from a node that is not sure of the newest.
 fn read_slowly(control: &str) -> Option<Reading> {
-    let address: SocketAddr = control.parse().expect("an address");
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(SMALL_WINDOW).expect("a window");
-    socket.connect(&address.into()).expect("a connection");
-    let mut stream = TcpStream::from(socket);
-    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    let address = control.parse().expect("an address");
+    let mut stream = lynxmill_raw_client::connect(address, PATIENCE);
     let request = format!("GET /v1/configuration HTTP/1.1\r\nHost: {control}\r\n\r\n");
     stream.write_all(request.as_bytes()).expect("a request");
-    let mut head = Vec::new();
-    let mut byte = [0u8];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).expect("a head");
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8(head).expect("text").to_ascii_lowercase();
+    let head = lynxmill_raw_client::read_head(&mut stream).to_ascii_lowercase();
     if head.starts_with("http/1.1 503 ") {
         return None;
     }
--- a/crates/edge-proxy/tests/shutdown.rs
+++ b/crates/edge-proxy/tests/shutdown.rs
@@ -2,44 +2,32 @@
 
 mod world;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use lynxmill_raw_client::{read_body, read_head};
 use rustix::process::{Pid, Signal, kill_process};
-use socket2::{Domain, Socket, Type};
 
 use world::{LONG_ANSWER, SHORT_ANSWER, World};
 
 /// Seconds between SIGTERM and SIGKILL.
 const GRACE_S: f64 = 6.0;
-/// Bytes that a slow client's socket takes.
-const SMALL_WINDOW: usize = 16 << 10;
 /// Far more than a process without work takes to end.
 const TIME_TO_END: Duration = Duration::from_secs(2);
 /// Far more than a process that waits for nobody takes to end.
 const TIME_TO_WAIT: Duration = Duration::from_millis(500);
-/// Far more than bytes on loopback take.
-const TIME_TO_WRITE: Duration = Duration::from_millis(50);
 /// A client that gets nothing for so long gives up.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Connections that wait to be taken.
 const WAITING_CLIENTS: usize = 8;
-/// Bytes of an answer that are in the sockets' buffers when the proxy has written all of it.
-const LAST_PART: usize = 64 << 10;
 /// What a request with a body of two bytes ends with.
 const END_OF_REQUEST: &[u8] = b"\r\n\r\nhi";
 const POLL: Duration = Duration::from_millis(2);
 
 /// A client's connection with a small window, as over a slow link.
 fn connect(world: &World) -> TcpStream {
-    let address: SocketAddr = world.front.parse().unwrap();
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.set_recv_buffer_size(SMALL_WINDOW).unwrap();
-    socket.connect(&address.into()).unwrap();
-    let stream = TcpStream::from(socket);
-    stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
-    stream
+    lynxmill_raw_client::connect(world.front.parse().unwrap(), READ_TIMEOUT)
 }
 
 fn request(method: &str, path: &str, id: &str, length: usize) -> String {
@@ -53,32 +41,6 @@
     )
 }
 
-/// Reads the head of an answer and no byte more.
-fn read_head(stream: &mut TcpStream) -> String {
-    let mut head = Vec::new();
-    let mut byte = [0u8];
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => head.push(byte[0]),
-            _ => break,
-        }
-    }
-    String::from_utf8(head).unwrap()
-}
-
-/// Bytes of a body that come until the end of the connection, or `most`.
-fn read_body(stream: &mut TcpStream, most: usize) -> usize {
-    let mut piece = vec![0u8; SMALL_WINDOW];
-    let mut got = 0;
-    while got < most {
-        match stream.read(&mut piece) {
-            Ok(bytes) if bytes > 0 => got += bytes,
-            _ => break,
-        }
-    }
-    got
-}
-
 fn signal(world: &World, signal: Signal) {
     kill_process(Pid::from_child(&world.process), signal).unwrap();
 }
@@ -257,10 +219,6 @@
 
 /// Reads a long answer and sends a further request while its last part is under way.
 fn read_across_a_close(client: &mut TcpStream) -> usize {
-    let first = read_body(client, LONG_ANSWER - LAST_PART);
-    std::thread::sleep(TIME_TO_WRITE);
     let next = request("GET", "/get/ok", "crossing", 0);
-    client.write_all(next.as_bytes()).unwrap();
-    std::thread::sleep(TIME_TO_WRITE);
-    first + read_body(client, usize::MAX)
+    lynxmill_raw_client::read_across_a_close(client, LONG_ANSWER, &next)
 }
--- a/crates/forwarder-server/tests/shutdown.rs
+++ b/crates/forwarder-server/tests/shutdown.rs
@@ -2,23 +2,17 @@
 
 mod common;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use common::{PATIENCE, Place, head, scripted};
+use lynxmill_raw_client::{read_body, read_head};
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
 
 /// More bytes than the sockets between a forwarder and its client hold.
 const LONG_ANSWER: usize = 16 << 20;
-/// Bytes of an answer that are in the sockets' buffers when the forwarder has written all of it.
-const LAST_PART: usize = 64 << 10;
-/// Bytes that a slow client's socket takes.
-const SMALL_WINDOW: usize = 16 << 10;
 const DRAIN_S: f64 = 4.0;
-/// Far more than bytes on loopback take.
-const TIME_TO_WRITE: Duration = Duration::from_millis(50);
 /// Far more than a forwarder without connections takes to end.
 const TIME_TO_END: Duration = Duration::from_millis(1_500);
 /// Far more than a process that waits for nobody takes to end.
@@ -51,31 +45,11 @@
 
 /// A client on a slow link that has read the head of a long answer.
 fn begin_reading(place: &Place, request: &str) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(SMALL_WINDOW).expect("a window");
-    socket
-        .connect(&place.forwarder.address.into())
-        .expect("a connection");
-    let stream = TcpStream::from(socket);
-    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
-    let mut client = common::Client(stream);
-    client.send(request);
-    let head = client.head();
+    let mut client = lynxmill_raw_client::connect(place.forwarder.address, PATIENCE);
+    client.write_all(request.as_bytes()).expect("room to write");
+    let head = read_head(&mut client);
     assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
-    client.0
-}
-
-/// Bytes of a body that come until the end of the connection, or `most`.
-fn read_body(stream: &mut TcpStream, most: usize) -> usize {
-    let mut piece = vec![0u8; SMALL_WINDOW];
-    let mut got = 0;
-    while got < most {
-        match stream.read(&mut piece) {
-            Ok(bytes) if bytes > 0 => got += bytes,
-            _ => break,
-        }
-    }
-    got
+    client
 }
 
 fn wait_for_closing(place: &Place) {
@@ -130,11 +104,7 @@
 
 /// Reads a long answer and sends a further request while its last part is under way.
 fn read_across_a_close(client: &mut TcpStream) -> usize {
-    let first = read_body(client, LONG_ANSWER - LAST_PART);
-    std::thread::sleep(TIME_TO_WRITE);
-    client.write_all(REQUEST.as_bytes()).expect("room to write");
-    std::thread::sleep(TIME_TO_WRITE);
-    first + read_body(client, usize::MAX)
+    lynxmill_raw_client::read_across_a_close(client, LONG_ANSWER, REQUEST)
 }
 
 /// Guards against a forwarder that never ends since a client connected in the very moment of SIGTERM.
