--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -67,8 +67,12 @@
             optional --programs folder: PathBuf
             /// Writes all reports to a file, as JSON.
             optional --report file: PathBuf
+            /// Draws the latencies of each seed over time into a folder, as seed-N.svg.
+            optional --plots folder: PathBuf
             /// Leaves settings files, disks and logs where they are.
             optional --keep
+            /// Looks for a shorter schedule that breaks the same rule, at the first seed that breaks one; takes long.
+            optional --shrink
         }
         /// A control-plane node's disk: show, verify, export, import; `disk --help` tells of each.
         cmd disk {
@@ -157,6 +161,8 @@
                 programs: options.programs,
                 report: options.report,
                 keep: options.keep,
+                plots: options.plots,
+                shrink: options.shrink,
             };
             soak::run(&options).map(|held| if held { DONE } else { FAILED })
         }
--- a/crates/operator/src/soak.rs
+++ b/crates/operator/src/soak.rs
@@ -4,7 +4,9 @@
 
 use lynxmill_soak::report::Report;
 use lynxmill_soak::settings::{self, Seconds, SoakSettings};
+use lynxmill_soak::{Find, SoakError, plot};
 use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Threads that clients, tasks and operators share.
 const THREADS: usize = 2;
@@ -17,7 +19,9 @@
     pub seconds: Option<f64>,
     pub programs: Option<PathBuf>,
     pub report: Option<PathBuf>,
+    pub plots: Option<PathBuf>,
     pub keep: bool,
+    pub shrink: bool,
 }
 
 fn read_settings(options: &SoakOptions) -> Result<SoakSettings, String> {
@@ -49,28 +53,43 @@
     std::fs::write(path, text).map_err(|e| format!("{shown}: {e}"))
 }
 
-/// Runs a seed, or ends it where Ctrl-C or SIGTERM comes; nothing is left running.
-fn run_seed(
+/// Waits for a soak, unless Ctrl-C or SIGTERM comes first; nothing is left running then.
+fn until_interrupted<T>(
     runtime: &Runtime,
-    settings: &SoakSettings,
-    seed: u64,
-    programs: &Path,
-    keep: bool,
-) -> Result<Option<Report>, String> {
+    soak: impl Future<Output = Result<T, SoakError>>,
+) -> Result<Option<T>, String> {
     runtime.block_on(async {
-        let mut terminate =
-            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-                .map_err(|e| e.to_string())?;
+        let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
         tokio::select! {
-            report = lynxmill_soak::run(settings, seed, programs, keep) => {
-                report.map(Some).map_err(|e| e.to_string())
-            }
+            done = soak => done.map(Some).map_err(|e| e.to_string()),
             _ = tokio::signal::ctrl_c() => Ok(None),
             _ = terminate.recv() => Ok(None),
         }
     })
 }
 
+fn draw(folder: &Path, report: &Report) -> Result<(), String> {
+    std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let path = folder.join(format!("seed-{}.svg", report.seed));
+    plot::draw(report, &path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn show_shortest(runtime: &Runtime, find: &Find<'_>, report: &Report) -> Result<(), String> {
+    let progress = |schedule: &[_]| eprintln!("{} disruptions are enough", schedule.len());
+    let shrinking = lynxmill_soak::shrink(find, &report.schedule, progress);
+    let Some(shortest) = until_interrupted(runtime, shrinking)? else {
+        return Ok(());
+    };
+    println!(
+        "the shortest schedule found in which most runs break {:?}:",
+        find.rule
+    );
+    for planned in shortest {
+        println!("  {:8.3} s  {}", planned.at_s, planned.disruption);
+    }
+    Ok(())
+}
+
 /// Runs all seeds; whether every rule held in all of them.
 pub(crate) fn run(options: &SoakOptions) -> Result<bool, String> {
     let settings = read_settings(options)?;
@@ -84,11 +103,27 @@
             .enable_all()
             .build()
             .map_err(|e| e.to_string())?;
-        let Some(report) = run_seed(&runtime, &settings, seed, &programs, options.keep)? else {
+        let soak = lynxmill_soak::run(&settings, seed, &programs, options.keep);
+        let Some(report) = until_interrupted(&runtime, soak)? else {
             ended_early = true;
             break;
         };
         print!("{report}");
+        if let Some(folder) = &options.plots {
+            draw(folder, &report)?;
+        }
+        let first_rule = report.violations.first().map(|violation| violation.rule);
+        if let (true, Some(rule)) = (options.shrink, first_rule) {
+            let find = Find {
+                settings: &settings,
+                seed,
+                rule,
+                programs: &programs,
+            };
+            show_shortest(&runtime, &find, &report)?;
+            reports.push(report);
+            break;
+        }
         reports.push(report);
     }
     if let Some(path) = &options.report {
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -2,12 +2,15 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::links::Links;
+
 /// The longest head that is read, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
@@ -152,13 +155,18 @@
     pub body: Vec<u8>,
 }
 
-/// Calls on a connection that is kept between them.
-#[derive(Debug, Default)]
+/// Calls of members on a connection that is kept between them.
+#[derive(Debug)]
 pub(crate) struct Caller {
+    links: Arc<Links>,
     kept: Option<(String, HttpStream)>,
 }
 
 impl Caller {
+    pub(crate) fn new(links: Arc<Links>) -> Self {
+        Caller { links, kept: None }
+    }
+
     /// Makes a call with a body of JSON, within a time.
     pub(crate) async fn call(
         &mut self,
@@ -176,7 +184,7 @@
         let call = async {
             let mut stream = match kept {
                 Some((_, stream)) => stream,
-                None => connect(address).await?,
+                None => connect(self.links.begin_of(address)).await?,
             };
             stream.write(request.as_bytes()).await?;
             let head = stream
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,14 +6,18 @@
 mod http;
 mod keys;
 pub mod ledger;
+mod links;
 mod operators;
+pub mod plot;
 mod processes;
 pub mod report;
 pub mod rules;
 mod run;
 pub mod schedule;
 pub mod settings;
+mod shrink;
 mod tasks;
 
 pub use error::SoakError;
 pub use run::run;
+pub use shrink::{Find, shrink};
--- a/crates/soak/src/operators.rs
+++ b/crates/soak/src/operators.rs
@@ -11,6 +11,7 @@
 
 use crate::http::{Answer, Caller};
 use crate::ledger::{Change, Evacuation, Ledger};
+use crate::links::Links;
 
 /// Where clients think they send to.
 pub(crate) const HOST: &str = "soak.example";
@@ -27,6 +28,7 @@
 pub(crate) struct Operator {
     ledger: Arc<Ledger>,
     controls: Vec<String>,
+    links: Arc<Links>,
     /// One change at a time, so that the order of versions is the order of sending.
     changes: Mutex<()>,
 }
@@ -86,10 +88,11 @@
 }
 
 impl Operator {
-    pub(crate) fn new(ledger: Arc<Ledger>, controls: Vec<String>) -> Self {
+    pub(crate) fn new(ledger: Arc<Ledger>, controls: Vec<String>, links: Arc<Links>) -> Self {
         Operator {
             ledger,
             controls,
+            links,
             changes: Mutex::new(()),
         }
     }
@@ -125,7 +128,7 @@
             (records.changes.len() - 1, version)
         };
         let body = json!({"Upsert": {"Routes": [moving_route(version)]}}).to_string();
-        let mut caller = Caller::default();
+        let mut caller = Caller::new(self.links.clone());
         for member in first_member.. {
             let path = "/v1/configuration";
             let answer = self.order(&mut caller, member, "PATCH", path, &body).await;
@@ -141,7 +144,7 @@
     async fn evacuation_order(&self, first_member: usize, method: &str, zone: &str) -> bool {
         let path = format!("/v1/evacuation/{zone}");
         let began = self.ledger.now();
-        let mut caller = Caller::default();
+        let mut caller = Caller::new(self.links.clone());
         for member in first_member.. {
             let answer = self.order(&mut caller, member, method, &path, "").await;
             if answer.is_some_and(|answer| (200..300).contains(&answer.status)) {
@@ -155,9 +158,20 @@
         false
     }
 
-    /// Evacuates a zone and takes it back after some seconds.
-    pub(crate) async fn evacuate(&self, first_member: usize, zone: usize, lasts_s: f64) {
-        let zone = ZONES[zone];
+    /// Evacuates a zone and takes it back after some seconds, so often in a row.
+    pub(crate) async fn evacuate(
+        &self,
+        first_member: usize,
+        zone: usize,
+        lasts_s: f64,
+        times: usize,
+    ) {
+        for _ in 0..times {
+            self.evacuate_once(first_member, ZONES[zone], lasts_s).await;
+        }
+    }
+
+    async fn evacuate_once(&self, first_member: usize, zone: &'static str, lasts_s: f64) {
         let place = {
             let mut records = self.ledger.records();
             records.evacuations.push(Evacuation {
@@ -181,7 +195,7 @@
 
     /// The version of the moving route that a member reads back.
     pub(crate) async fn read_back(&self) -> Option<u64> {
-        let mut caller = Caller::default();
+        let mut caller = Caller::new(self.links.clone());
         for control in &self.controls {
             let path = "/v1/configuration";
             let answer = caller.call(control, "GET", path, "", LARGE_PATIENCE).await;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -6,7 +6,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use crate::ledger::{Outcome, Records};
+use crate::ledger::{Outcome, Records, Try};
 use crate::rules::{Rule, Violation};
 use crate::schedule::Planned;
 
@@ -30,6 +30,19 @@
     pub max_ms: f64,
 }
 
+/// Latencies of the whole answers of one second.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Second {
+    /// The middle of the second, since the start.
+    pub at: f64,
+    /// How many answers there were.
+    pub count: u64,
+    /// The median, in milliseconds.
+    pub p50_ms: f64,
+    /// The 99th percentile, in milliseconds.
+    pub p99_ms: f64,
+}
+
 /// How many tries ended how.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Ends {
@@ -68,6 +81,10 @@
     pub tasks: usize,
     /// Latencies by kind of request.
     pub latencies: BTreeMap<&'static str, Latencies>,
+    /// Latencies by kind of request and second.
+    pub seconds_by_kind: BTreeMap<&'static str, Vec<Second>>,
+    /// When the first request was sent: the schedule counts from there.
+    pub first_request_s: f64,
     /// What was done to the system.
     pub schedule: Vec<Planned>,
     /// Broken rules, by time.
@@ -101,6 +118,8 @@
             evacuations: (evacuated.count(), records.evacuations.len()),
             tasks: records.tasks.len(),
             latencies: latencies(records),
+            seconds_by_kind: seconds_by_kind(records),
+            first_request_s: records.tries.iter().map(|t| t.sent).fold(seconds, f64::min),
             timelines: shown
                 .map(|violation| timeline(records, violation))
                 .collect(),
@@ -188,8 +207,12 @@
     ends
 }
 
-fn latencies(records: &Records) -> BTreeMap<&'static str, Latencies> {
-    let mut histograms: BTreeMap<&'static str, Histogram<u64>> = BTreeMap::new();
+/// Latencies of whole answers of tasks, by something that their tries have in common.
+fn histograms<K: Ord>(
+    records: &Records,
+    common: impl Fn(&Try) -> K,
+) -> BTreeMap<K, Histogram<u64>> {
+    let mut histograms: BTreeMap<K, Histogram<u64>> = BTreeMap::new();
     for sent in &records.tries {
         let served = matches!(&sent.outcome, Outcome::Answered { seal, .. } if !seal.is_empty());
         if !served {
@@ -198,21 +221,40 @@
         let Ok(empty) = Histogram::new(DIGITS) else {
             continue;
         };
-        let histogram = histograms.entry(sent.kind).or_insert(empty);
         let micros = ((sent.ended - sent.sent_whole) * 1e6).max(0.0) as u64;
+        let histogram = histograms.entry(common(sent)).or_insert(empty);
         // It grows as it has to; no value is too large for it.
         let _ = histogram.record(micros);
     }
+    histograms
+}
+
+fn quantile_ms(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1e3
+}
+
+fn latencies(records: &Records) -> BTreeMap<&'static str, Latencies> {
     let summed = |histogram: &Histogram<u64>| Latencies {
         count: histogram.len(),
-        p50_ms: histogram.value_at_quantile(0.5) as f64 / 1e3,
-        p99_ms: histogram.value_at_quantile(0.99) as f64 / 1e3,
+        p50_ms: quantile_ms(histogram, 0.5),
+        p99_ms: quantile_ms(histogram, 0.99),
         max_ms: histogram.max() as f64 / 1e3,
     };
-    histograms
-        .iter()
-        .map(|(kind, h)| (*kind, summed(h)))
-        .collect()
+    let by_kind = histograms(records, |sent| sent.kind);
+    by_kind.iter().map(|(kind, h)| (*kind, summed(h))).collect()
+}
+
+fn seconds_by_kind(records: &Records) -> BTreeMap<&'static str, Vec<Second>> {
+    let mut by_kind: BTreeMap<&'static str, Vec<Second>> = BTreeMap::new();
+    for ((kind, second), histogram) in histograms(records, |sent| (sent.kind, sent.ended as u64)) {
+        by_kind.entry(kind).or_default().push(Second {
+            at: second as f64 + 0.5,
+            count: histogram.len(),
+            p50_ms: quantile_ms(&histogram, 0.5),
+            p99_ms: quantile_ms(&histogram, 0.99),
+        });
+    }
+    by_kind
 }
 
 /// All that is known of the subject of a violation, and what was done to machines around it.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,7 @@
 use crate::clients::{self, ClientWorld};
 use crate::error::SoakError;
 use crate::ledger::{Change, Ledger};
+use crate::links::Links;
 use crate::operators::{HOST, Operator, SERVICES, first_configuration};
 use crate::processes::Processes;
 use crate::report::Report;
@@ -42,6 +43,7 @@
     ledger: Arc<Ledger>,
     processes: Processes,
     operator: Arc<Operator>,
+    links: Arc<Links>,
     bounds: Bounds,
     tasks: Vec<Option<TaskHandle>>,
     /// Tasks that are about to end, with their places.
@@ -62,9 +64,19 @@
     seed: u64,
     programs: &Path,
     keep: bool,
+) -> Result<Report, SoakError> {
+    run_schedule(settings, seed, &draw(settings, seed), programs, keep).await
+}
+
+/// Runs one soak with another schedule than the seed's own.
+pub(crate) async fn run_schedule(
+    settings: &SoakSettings,
+    seed: u64,
+    schedule: &[Planned],
+    programs: &Path,
+    keep: bool,
 ) -> Result<Report, SoakError> {
     let mut soak = Soak::start(settings, programs, keep).await?;
-    let schedule = draw(settings, seed);
     soak.processes.measure();
     let world = Arc::new(ClientWorld {
         ledger: soak.ledger.clone(),
@@ -77,14 +89,20 @@
     for number in 0..settings.clients.0 {
         clients.spawn(clients::run(number, world.clone()));
     }
-    soak.play(&schedule).await?;
+    soak.play(schedule).await?;
     world.over.store(true, Ordering::Relaxed);
     while clients.join_next().await.is_some() {}
     let seconds = soak.ledger.now();
     soak.settle().await?;
     let records = soak.ledger.records();
     let violations = check(&records, &soak.bounds);
-    Ok(Report::new(seed, seconds, &records, schedule, violations))
+    Ok(Report::new(
+        seed,
+        seconds,
+        &records,
+        schedule.to_vec(),
+        violations,
+    ))
 }
 
 impl Soak {
@@ -118,6 +136,7 @@
             acknowledged: Some(0.0),
         });
         let controls = system.controls();
+        let links = Arc::new(Links::open(&controls).await?);
         let options: Vec<TaskOptions> = (0..settings.tasks.0 * SERVICES.len())
             .map(|n| TaskOptions {
                 service: SERVICES[n % SERVICES.len()],
@@ -130,15 +149,16 @@
             .collect();
         let mut tasks = Vec::new();
         for options in options {
-            tasks.push(Some(tasks::start(options, &ledger).await?));
+            tasks.push(Some(tasks::start(options, &ledger, &links).await?));
         }
-        let operator = Arc::new(Operator::new(ledger.clone(), controls));
+        let operator = Arc::new(Operator::new(ledger.clone(), controls, links.clone()));
         sleep(SETTLE).await;
         Ok(Soak {
             settings: settings.clone(),
             processes: Processes::new(system, ledger.clone(), size, told.grace_s),
             ledger,
             operator,
+            links,
             bounds,
             tasks,
             ending: JoinSet::new(),
@@ -197,12 +217,21 @@
                     Ok(())
                 });
             }
-            Disruption::Evacuate(zone, lasts_s) => {
+            Disruption::Evacuate(zone, lasts_s, times) => {
+                self.disruptions.spawn(async move {
+                    operator.evacuate(member, zone, lasts_s, times).await;
+                    Ok(())
+                });
+            }
+            Disruption::HoldCalls(held, lasts_s) => {
+                let lasts = Duration::from_secs_f64(lasts_s);
+                let links = self.links.clone();
                 self.disruptions.spawn(async move {
-                    operator.evacuate(member, zone, lasts_s).await;
+                    links.hold(held, lasts).await;
                     Ok(())
                 });
             }
+            Disruption::ResetCalls(member) => self.links.reset(member),
             Disruption::DrainTask => self.end_task(TaskEnd::Drain),
             Disruption::SignOffTask => self.end_task(TaskEnd::SignOffFirst),
             Disruption::CrashTask => self.end_task(TaskEnd::Crash),
@@ -227,7 +256,7 @@
     async fn replace_tasks(&mut self) -> Result<(), SoakError> {
         while let Some(ended) = self.ending.try_join_next() {
             let (place, options) = ended.map_err(std::io::Error::other)?;
-            self.tasks[place] = Some(tasks::start(options, &self.ledger).await?);
+            self.tasks[place] = Some(tasks::start(options, &self.ledger, &self.links).await?);
         }
         Ok(())
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -17,6 +17,8 @@
 const EDGE_RECOVERY_S: f64 = 4.0;
 /// How long a process stands still, at least and at most.
 const FREEZE_S: (f64, f64) = (0.3, 2.5);
+/// How long calls are held up, at least and at most.
+const HOLD_S: (f64, f64) = (0.5, 6.0);
 /// How long a zone stays evacuated, at least and at most. Longer than an evacuation takes to be in force.
 const EVACUATION_S: (f64, f64) = (6.0, 9.0);
 
@@ -39,8 +41,12 @@
     CrashTask,
     /// A route moves to another service.
     Configure,
-    /// A zone, by its number, is evacuated for so many seconds.
-    Evacuate(usize, f64),
+    /// A zone, by its number, is evacuated for so many seconds, so often in a row.
+    Evacuate(usize, f64, usize),
+    /// The way from callers to a member, by its number, holds everything back for so many seconds.
+    HoldCalls(usize, f64),
+    /// All connections of callers to a member, by its number, are reset.
+    ResetCalls(usize),
 }
 
 fn as_name<S: serde::Serializer>(machine: &Machine, to: S) -> Result<S::Ok, S::Error> {
@@ -58,8 +64,16 @@
             Disruption::SignOffTask => out.write_str("a task signs off first"),
             Disruption::CrashTask => out.write_str("a task crashes"),
             Disruption::Configure => out.write_str("a route moves"),
-            Disruption::Evacuate(zone, s) => {
-                write!(out, "{} is evacuated for {s:.2} s", ZONES[*zone])
+            Disruption::Evacuate(zone, s, times) => {
+                let zone = ZONES[*zone];
+                write!(out, "{zone} is evacuated for {s:.2} s, {times} times")
+            }
+            Disruption::HoldCalls(member, s) => {
+                let member = Machine::Member(*member);
+                write!(out, "calls to {member} are held up for {s:.2} s")
+            }
+            Disruption::ResetCalls(member) => {
+                write!(out, "calls to {} are reset", Machine::Member(*member))
             }
         }
     }
@@ -90,7 +104,7 @@
     type Draw<'a> = (PerMinute, &'a dyn Fn(&mut Pcg) -> Disruption);
     let edge = |random: &mut Pcg| Machine::Edge(below(random, edges));
     let member = |random: &mut Pcg| Machine::Member(below(random, members));
-    let kinds: [Draw; 13] = [
+    let kinds: [Draw; 15] = [
         (doses.edge_terminate, &|r| Disruption::Terminate(edge(r))),
         (doses.edge_kill, &|r| Disruption::Kill(edge(r))),
         (doses.edge_freeze, &|r| {
@@ -110,7 +124,14 @@
         (doses.task_crash, &|_| Disruption::CrashTask),
         (doses.configuration, &|_| Disruption::Configure),
         (doses.evacuation, &|r| {
-            Disruption::Evacuate(below(r, ZONES.len()), between(r, EVACUATION_S))
+            let zone = below(r, ZONES.len());
+            Disruption::Evacuate(zone, between(r, EVACUATION_S), 1 + below(r, 2))
+        }),
+        (doses.calls_hold, &|r| {
+            Disruption::HoldCalls(below(r, members), between(r, HOLD_S))
+        }),
+        (doses.calls_reset, &|r| {
+            Disruption::ResetCalls(below(r, members))
         }),
     ];
     let last = settings.seconds.0 - CALM_AT_END_S;
@@ -151,7 +172,10 @@
                     take(edges_free_at.entry(n).or_insert(0.0), at, EDGE_RECOVERY_S)
                 }
             },
-            Disruption::Evacuate(_, lasts) => take(&mut zones_free_at, at, lasts + EDGE_RECOVERY_S),
+            Disruption::Evacuate(_, lasts, times) => {
+                let lasts = (lasts + EDGE_RECOVERY_S) * times as f64;
+                take(&mut zones_free_at, at, lasts)
+            }
             _ => true,
         };
         if free {
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -102,8 +102,12 @@
     pub task_crash: PerMinute,
     /// A route moves to another service.
     pub configuration: PerMinute,
-    /// A zone is evacuated, and taken back after a while.
+    /// A zone is evacuated, and taken back after a while; half of the time twice in a row.
     pub evacuation: PerMinute,
+    /// The way from callers to a member holds everything back for a while.
+    pub calls_hold: PerMinute,
+    /// All connections of callers to a member are reset.
+    pub calls_reset: PerMinute,
 }
 
 impl Default for Doses {
@@ -122,6 +126,8 @@
             task_crash: PerMinute(2.0),
             configuration: PerMinute(12.0),
             evacuation: PerMinute(2.0),
+            calls_hold: PerMinute(4.0),
+            calls_reset: PerMinute(3.0),
         }
     }
 }
--- a/crates/soak/src/tasks.rs
+++ b/crates/soak/src/tasks.rs
@@ -14,6 +14,7 @@
 use crate::http::{Caller, Head, HttpStream, Pace};
 use crate::keys::{GrantRow, HeldKeys, ReleasedRow, Row};
 use crate::ledger::{Ledger, Run, TaskFault, TaskLife};
+use crate::links::Links;
 
 /// A heartbeat counts within a second.
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -75,7 +76,11 @@
 }
 
 /// Starts a task, of which an end can be asked.
-pub(crate) async fn start(options: TaskOptions, ledger: &Arc<Ledger>) -> io::Result<TaskHandle> {
+pub(crate) async fn start(
+    options: TaskOptions,
+    ledger: &Arc<Ledger>,
+    links: &Arc<Links>,
+) -> io::Result<TaskHandle> {
     let life = LIVES.fetch_add(1, Ordering::Relaxed);
     let id = format!("i-{}-{}-{life}", options.service, std::process::id());
     let listener = TcpListener::bind((options.ip.as_str(), 0)).await?;
@@ -98,7 +103,7 @@
         shared: shared.clone(),
         options: options.clone(),
         address,
-        caller: Caller::default(),
+        caller: Caller::new(links.clone()),
         target: None,
         next_control: life as usize,
         seq: 0,
