Soak: clients stay with an edge that ends until it takes none; runs of other tries excuse no cut

A cut was excused where any run of its request was broken off or late, also of a later try (case a_later_try_worked_late of tests/rules.rs failed before). Clients that went to any edge after each close left an ending edge within a fraction of a second, so that hardly any answer was under way at its end.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -26,6 +26,8 @@
 const IDLE_SHARE: f64 = 0.08;
 const LEAVES_SHARE: f64 = 0.04;
 const SLOW_SENDER_SHARE: f64 = 0.06;
+/// The share of connections that go to a client's own edge.
+const OWN_EDGE_SHARE: f64 = 0.8;
 /// One of so many clients has a slow link: its answers take up to half of a grace of 3 s, so that all can be written.
 const SLOW_ONE_IN: usize = 4;
 const SLOW_PACE: Pace = Pace {
@@ -35,14 +37,18 @@
 const SEND_PAUSE: Duration = Duration::from_millis(150);
 /// Between two tries of one request.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Sizes of answers in bytes, each with its share. The longest is more than the sockets between an edge and a client hold.
+/// Bytes of the answers to all but reads.
+const SHORT_ANSWER: usize = 300;
+/// Sizes of answers in bytes, each with its share.
 const ANSWERS: [(f64, usize); 5] = [
     (0.2, 0),
-    (0.47, 300),
+    (0.5, 300),
     (0.24, 20_000),
     (0.05, 1_000_000),
-    (0.04, 8_000_000),
+    (0.01, 8_000_000),
 ];
+/// The same for clients with slow links; the longest is more than the sockets between an edge and a client hold.
+const SLOW_ANSWERS: [(f64, usize); 3] = [(0.4, 300), (0.4, 20_000), (0.2, 8_000_000)];
 
 /// A kind of request.
 #[derive(Clone, Copy, Debug)]
@@ -119,12 +125,12 @@
 }
 
 impl Request {
-    fn drawn(id: String, random: &mut Pcg) -> Self {
+    fn drawn(id: String, random: &mut Pcg, slow_link: bool) -> Self {
         let kind = pick(random, KINDS.map(|kind| (kind.share, kind)));
-        let answer_bytes = if kind.name == "read" {
-            pick(random, ANSWERS)
-        } else {
-            300
+        let answer_bytes = match (kind.name, slow_link) {
+            ("read", false) => pick(random, ANSWERS),
+            ("read", true) => pick(random, SLOW_ANSWERS),
+            _ => SHORT_ANSWER,
         };
         Request {
             id,
@@ -195,7 +201,7 @@
     };
     let mut pending = None;
     while !client.is_over() {
-        let edge = (client.random.unit() * client.world.fronts.len() as f64) as usize;
+        let edge = client.next_edge();
         pending = client.use_connection(edge, pending).await;
     }
 }
@@ -227,6 +233,15 @@
         self.world.over.load(Ordering::Relaxed)
     }
 
+    /// Most connections go to the client's own edge, also while that is ending, until it takes none.
+    fn next_edge(&mut self) -> usize {
+        let edges = self.world.fronts.len();
+        if self.random.unit() < OWN_EDGE_SHARE {
+            return self.number / SLOW_ONE_IN % edges;
+        }
+        (self.random.unit() * edges as f64) as usize
+    }
+
     fn has_slow_link(&self) -> bool {
         self.number.is_multiple_of(SLOW_ONE_IN)
     }
@@ -234,7 +249,8 @@
     fn next_request(&mut self) -> Request {
         self.count += 1;
         let id = format!("{:x}-{}-{}", self.world.seed, self.number, self.count);
-        Request::drawn(id, &mut self.random)
+        let slow_link = self.has_slow_link();
+        Request::drawn(id, &mut self.random, slow_link)
     }
 
     async fn pause(&mut self) {
--- a/crates/soak/src/rules/lost.rs
+++ b/crates/soak/src/rules/lost.rs
@@ -4,7 +4,7 @@
 use lynxmill_deployment::Machine;
 
 use super::{Bounds, Rule, Violation};
-use crate::ledger::{MachineEvent, Outcome, Records, TaskFault, Try};
+use crate::ledger::{MachineEvent, Outcome, Records, Run, TaskFault, Try};
 
 /// Planned work counts for so long after the grace.
 const AFTER_GRACE_S: f64 = 1.0;
@@ -16,7 +16,7 @@
         .filter(|sent| sent.outcome == Outcome::Cut);
     cut.filter(|sent| is_lost(records, bounds, sent))
         .map(|sent| {
-            let runs = records.runs_of(&sent.id).len();
+            let runs = runs_of(records, sent).count();
             let text = format!(
                 "edge-{} closed without a whole answer; {runs} runs",
                 sent.edge + 1
@@ -26,15 +26,18 @@
         .collect()
 }
 
+/// The runs that a try brought about; others of its request came of other tries.
+fn runs_of<'a>(records: &'a Records, sent: &Try) -> impl Iterator<Item = &'a Run> {
+    let span = sent.sent..=sent.ended;
+    let runs = records.runs_of(&sent.id).iter();
+    runs.filter(move |run| span.contains(&run.begun))
+}
+
 fn is_lost(records: &Records, bounds: &Bounds, sent: &Try) -> bool {
-    let runs = records.runs_of(&sent.id);
-    let reached = runs
-        .iter()
-        .any(|run| (sent.sent..=sent.ended).contains(&run.begun));
+    let reached = runs_of(records, sent).next().is_some();
     let was_read = reached || sent.ended - sent.sent_whole > bounds.loss_slack_s;
-    let task_broke_off = runs
-        .iter()
-        .any(|run| run.fault == TaskFault::Cut || run.ended.is_none());
+    let task_broke_off =
+        runs_of(records, sent).any(|run| run.fault == TaskFault::Cut || run.ended.is_none());
     let too_late = sent.ended - sent.sent >= bounds.deadline_s;
     was_read
         && !task_broke_off
@@ -76,7 +79,5 @@
 /// Whether the task was still at work in the second half of the grace.
 fn worked_late(records: &Records, bounds: &Bounds, sent: &Try, planned: f64) -> bool {
     let half = planned + bounds.grace_s / 2.0;
-    let runs = records.runs_of(&sent.id);
-    runs.iter()
-        .any(|run| run.ended.is_none_or(|ended| ended > half))
+    runs_of(records, sent).any(|run| run.ended.is_none_or(|ended| ended > half))
 }
--- a/crates/soak/tests/rules.rs
+++ b/crates/soak/tests/rules.rs
@@ -112,6 +112,7 @@
 #[case::killed_before(|r: &mut Records| r.machine(EDGE, 95.1, MachineEvent::Killed), &[])]
 #[case::member_frozen(|r: &mut Records| r.machine(MEMBER, 100.2, MachineEvent::Frozen), &[])]
 #[case::other_edge_killed(|r: &mut Records| r.machine(Machine::Edge(1), 99.0, MachineEvent::Killed), &[Rule::Lost])]
+#[case::a_later_try_worked_late(|r: &mut Records| r.runs.get_mut("r").unwrap().push(run("i-a", 103.0)), &[Rule::Lost])]
 #[case::client_left(|r: &mut Records| r.tries[0].outcome = Outcome::Left, &[])]
 fn what_excuses_a_cut(#[case] change: fn(&mut Records), #[case] rules: &[Rule]) {
     let mut records = records(
