--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 mod deployment;
+pub mod heartbeat;
 mod site;
 
 pub use client::Answer;
--- a/crates/operator/src/task.rs
+++ b/crates/operator/src/task.rs
@@ -9,9 +9,11 @@
 use std::time::{Duration, Instant};
 
 use rouille::{Request, Response, Server};
-use serde::{Deserialize, Serialize};
 
 use lynxmill_deployment::client;
+use lynxmill_deployment::heartbeat::{
+    GrantRow, HeartbeatAnswer, HeartbeatBody, Info, ReleasedRow, Row, Status,
+};
 
 const KEYS: usize = 1 << 16;
 const SLOTS: u32 = 8;
@@ -23,48 +25,6 @@
 
 static LIVES: AtomicU32 = AtomicU32::new(0);
 
-/// From, to, fence.
-type Row = (u32, u32, u64);
-/// From, to, handover.
-type ReleasedRow = (u32, u32, String);
-
-#[derive(Serialize)]
-#[serde(rename_all = "PascalCase")]
-struct Info<'a> {
-    service: &'a str,
-    version: &'static str,
-    zone: &'a str,
-    slots: u32,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "PascalCase")]
-struct Status {
-    state: &'static str,
-    call_seq: u64,
-    cold_left_s: f64,
-}
-
-/// `PUT /v1/instances/ID`.
-#[derive(Serialize)]
-#[serde(rename_all = "PascalCase")]
-struct HeartbeatBody<'a> {
-    address: &'a str,
-    info: Info<'a>,
-    status: Status,
-    holdings: Vec<Row>,
-    released: Vec<ReleasedRow>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-#[derive(Default)]
-struct HeartbeatResponse {
-    beat_target: Option<String>,
-    holdings: Option<Vec<(u32, u32, u64, String)>>,
-    hold_s: Option<f64>,
-}
-
 /// Keys held, by the fence of each; 0 is none.
 struct HeldKeys {
     held: Vec<u64>,
@@ -110,7 +70,7 @@
     }
 
     /// Takes what it is to hold from now on; what it lets go.
-    fn grant(&mut self, rows: &[(u32, u32, u64, String)], until: Instant) -> Vec<(u32, u32)> {
+    fn grant(&mut self, rows: &[GrantRow], until: Instant) -> Vec<(u32, u32)> {
         let mut next = vec![0; KEYS];
         for (from, to, fence, _) in rows {
             let range = *from as usize..=(*to as usize).min(KEYS - 1);
@@ -372,7 +332,7 @@
         }
         let answer = answer.filter(|a| (200..300).contains(&a.status));
         let Some(granted) =
-            answer.and_then(|a| serde_json::from_str::<HeartbeatResponse>(&a.body).ok())
+            answer.and_then(|a| serde_json::from_str::<HeartbeatAnswer>(&a.body).ok())
         else {
             // The next assigner at once.
             self.target = None;
--- a/crates/soak/src/keys.rs
+++ b/crates/soak/src/keys.rs
@@ -1,18 +1,13 @@
 //! The keys that a task holds: granted by answers to its heartbeats, let go, or run out.
 
+use lynxmill_deployment::heartbeat::{GrantRow, ReleasedRow, Row};
+
 use crate::ledger::Hold;
 
 const KEYS: usize = 1 << 16;
 /// Work on keys that are let go takes no longer, in seconds.
 const LONGEST_WORK_S: f64 = 0.1;
 
-/// From, to, fence.
-pub(crate) type Row = (u32, u32, u64);
-/// From, to, fence, handover.
-pub(crate) type GrantRow = (u32, u32, u64, String);
-/// From, to, handover.
-pub(crate) type ReleasedRow = (u32, u32, String);
-
 /// One key. Fence 0 is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Key {
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -1,5 +1,6 @@
 //! What a soak is told: its size, its load, and how often each disruption comes. A TOML file, all of it optional.
 
+use std::fmt::Display;
 use std::ops::Range;
 
 use serde::Deserialize;
@@ -21,6 +22,14 @@
     pub message: String,
 }
 
+fn within<T: PartialOrd + Display>(value: T, least: T, most: T) -> Result<T, String> {
+    if value >= least && value <= most {
+        Ok(value)
+    } else {
+        Err(format!("{value} is not within {least} to {most}"))
+    }
+}
+
 /// How often something comes, a minute.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(try_from = "f64")]
@@ -30,13 +39,9 @@
     type Error = String;
 
     fn try_from(value: f64) -> Result<Self, String> {
-        if (0.0..=MOST_A_MINUTE).contains(&value) {
-            Ok(PerMinute(value))
-        } else {
-            Err(format!(
-                "{value} is not within 0 to {MOST_A_MINUTE} a minute"
-            ))
-        }
+        let told = within(value, 0.0, MOST_A_MINUTE);
+        told.map(PerMinute)
+            .map_err(|error| format!("{error} a minute"))
     }
 }
 
@@ -49,11 +54,7 @@
     type Error = String;
 
     fn try_from(value: usize) -> Result<Self, String> {
-        if (LEAST..=MOST).contains(&value) {
-            Ok(Count(value))
-        } else {
-            Err(format!("{value} is not within {LEAST} to {MOST}"))
-        }
+        within(value, LEAST, MOST).map(Count)
     }
 }
 
@@ -66,11 +67,9 @@
     type Error = String;
 
     fn try_from(value: f64) -> Result<Self, String> {
-        if (1.0..=MOST_SECONDS).contains(&value) {
-            Ok(Seconds(value))
-        } else {
-            Err(format!("{value} is not within 1 to {MOST_SECONDS} seconds"))
-        }
+        let told = within(value, 1.0, MOST_SECONDS);
+        told.map(Seconds)
+            .map_err(|error| format!("{error} seconds"))
     }
 }
 
--- a/crates/soak/src/tasks.rs
+++ b/crates/soak/src/tasks.rs
@@ -5,14 +5,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use lynxmill_deployment::heartbeat::{
+    HeartbeatAnswer, HeartbeatBody, Info, ReleasedRow, Row, Status,
+};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::http::{Caller, Head, HttpStream, Pace};
-use crate::keys::{GrantRow, HeldKeys, ReleasedRow, Row};
+use crate::keys::HeldKeys;
 use crate::ledger::{Ledger, Run, TaskFault, TaskLife};
 use crate::links::Links;
 
@@ -267,42 +269,6 @@
     Ok(())
 }
 
-#[derive(Serialize)]
-#[serde(rename_all = "PascalCase")]
-struct Info<'a> {
-    service: &'a str,
-    version: &'static str,
-    zone: &'a str,
-    slots: u32,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "PascalCase")]
-struct Status {
-    state: &'static str,
-    call_seq: u64,
-    cold_left_s: f64,
-}
-
-/// `PUT /v1/instances/ID`.
-#[derive(Serialize)]
-#[serde(rename_all = "PascalCase")]
-struct HeartbeatBody<'a> {
-    address: &'a str,
-    info: Info<'a>,
-    status: Status,
-    holdings: Vec<Row>,
-    released: Vec<ReleasedRow>,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-struct HeartbeatAnswer {
-    beat_target: Option<String>,
-    holdings: Option<Vec<GrantRow>>,
-    hold_s: Option<f64>,
-}
-
 /// Beats of a task until it ends.
 struct Heartbeats {
     shared: Arc<Shared>,
