Soak: the largest size that the settings allow has addresses

tasks = 60 asked for 180 addresses, 15 of them beyond 127.x.y.255: 'failed to lookup address information'. Tasks share 160 addresses now, with ports of their own. the_largest_system_has_addresses failed before and passes.

--- a/crates/deployment/src/site.rs
+++ b/crates/deployment/src/site.rs
@@ -17,6 +17,8 @@
 const CORE_FROM: usize = 11;
 const EDGES_FROM: usize = 31;
 const TASKS_FROM: usize = 91;
+/// Addresses for tasks.
+const TASK_ADDRESSES: usize = 160;
 /// Seconds between two heartbeats of a task.
 pub const BEAT_S: f64 = 0.5;
 /// Ports of a system: control, directory, front, readiness, and two between assigners.
@@ -78,9 +80,9 @@
         }
     }
 
-    /// An address for a task, by its number.
+    /// An address for a task, by its number. Many tasks share addresses and take ports of their own.
     pub fn task(&self, n: usize) -> String {
-        self.ip(TASKS_FROM + n)
+        self.ip(TASKS_FROM + n % TASK_ADDRESSES)
     }
 
     /// Where a member takes calls.
--- a/crates/soak/tests/settings.rs
+++ b/crates/soak/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings files and the schedules that are drawn by them.
 
-use lynxmill_deployment::Machine;
+use lynxmill_deployment::{Machine, Site, Size};
 use lynxmill_soak::schedule::{Disruption, Planned, draw};
 use lynxmill_soak::settings::{SoakSettings, parse};
 use rstest::rstest;
@@ -71,3 +71,18 @@
     assert!(members.len() > 20);
     assert!(members.windows(2).all(|pair| pair[1] - pair[0] >= 9.0));
 }
+
+/// Guards against a size that the settings allow and for which there are no addresses.
+#[test]
+fn the_largest_system_has_addresses() {
+    let settings = parse("members = 9\nedges = 60\ntasks = 60\n").unwrap();
+    let size = Size {
+        members: settings.members.0,
+        edges: settings.edges.0,
+    };
+    let site = Site::free(size).unwrap();
+    let machines = size.machines().map(|machine| site.machine(machine));
+    let tasks = (0..settings.tasks.0 * 3).map(|n| site.task(n));
+    let parses = |address: String| address.parse::<std::net::Ipv4Addr>().is_ok();
+    assert!(machines.chain(tasks).all(parses));
+}
