Soak: rules find the tries of a request by its id, not among all tries

CONFIG, EVAC, DRAIN and REFUSED looked each run's try up among all tries, CONFIG once more for each change: for 98,381 tries the check took minutes.

--- a/crates/soak/src/rules/mod.rs
+++ b/crates/soak/src/rules/mod.rs
@@ -13,6 +13,8 @@
 mod twice;
 mod unasked;
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
 pub(crate) use refused::PROMISES;
@@ -92,19 +94,65 @@
     }
 }
 
+/// The records, and the tries of each request.
+struct Evidence<'a> {
+    records: &'a Records,
+    tries: BTreeMap<&'a str, Vec<&'a Try>>,
+}
+
+impl<'a> Evidence<'a> {
+    fn new(records: &'a Records) -> Self {
+        let mut tries: BTreeMap<&str, Vec<&Try>> = BTreeMap::new();
+        for sent in &records.tries {
+            tries.entry(&sent.id).or_default().push(sent);
+        }
+        Evidence { records, tries }
+    }
+
+    /// All tries of a request.
+    fn tries_of(&self, id: &str) -> &[&'a Try] {
+        self.tries.get(id).map_or(&[], Vec::as_slice)
+    }
+
+    /// The try that brought a run about: it was under way as the run began.
+    fn try_of(&self, run: &Run) -> Option<&'a Try> {
+        let tries = self.tries_of(&run.id).iter().copied();
+        tries
+            .filter(|sent| sent.sent <= run.begun)
+            .max_by(|a, b| a.sent.total_cmp(&b.sent))
+    }
+
+    /// Wanted runs, each with the try that brought it about, where the edge was in touch from the try to the run.
+    fn runs_in_touch(
+        &self,
+        bounds: &Bounds,
+        wanted: impl Fn(&Run) -> bool,
+    ) -> Vec<(&'a Run, &'a Try)> {
+        let runs = self.records.runs.values().flatten();
+        runs.filter(|run| wanted(run))
+            .filter_map(|run| Some((run, self.try_of(run)?)))
+            .filter(|(run, sent)| {
+                self.records
+                    .in_touch(sent.edge, sent.sent, run.begun, bounds.contact_s)
+            })
+            .collect()
+    }
+}
+
 /// All violations, by time.
 pub fn check(records: &Records, bounds: &Bounds) -> Vec<Violation> {
+    let evidence = Evidence::new(records);
     let mut all = [
         lost::check(records, bounds),
         twice::check(records),
         unasked::check(records),
         mixed::check(records),
-        refused::check(records),
+        refused::check(&evidence),
         denied::check(records, bounds),
         owner::check(records),
-        configuration::check(records, bounds),
-        evacuation::check(records, bounds),
-        drain::check(records, bounds),
+        configuration::check(&evidence, bounds),
+        evacuation::check(&evidence, bounds),
+        drain::check(&evidence, bounds),
         process::check(records),
         leak::check(records),
     ]
@@ -112,24 +160,3 @@
     all.sort_by(|a, b| a.at.total_cmp(&b.at));
     all
 }
-
-/// The try that brought a run about: it was under way as the run began.
-fn try_of<'a>(records: &'a Records, run: &Run) -> Option<&'a Try> {
-    let tries = records.tries.iter();
-    tries
-        .filter(|sent| sent.id == run.id && sent.sent <= run.begun)
-        .max_by(|a, b| a.sent.total_cmp(&b.sent))
-}
-
-/// All runs, each with the try that brought it about, where the edge was in touch from `from` to the run.
-fn runs_in_touch<'a>(
-    records: &'a Records,
-    bounds: &Bounds,
-    wanted: impl Fn(&Run) -> bool,
-) -> Vec<(&'a Run, &'a Try)> {
-    let runs = records.runs.values().flatten();
-    runs.filter(|run| wanted(run))
-        .filter_map(|run| Some((run, try_of(records, run)?)))
-        .filter(|(run, sent)| records.in_touch(sent.edge, sent.sent, run.begun, bounds.contact_s))
-        .collect()
-}
--- a/crates/soak/src/rules/refused.rs
+++ b/crates/soak/src/rules/refused.rs
@@ -1,12 +1,13 @@
 //! REFUSED: a request that is not repeatable is answered with 408, 421, 429 or 503, yet it has run, or it runs later.
 
-use super::{Rule, Violation};
-use crate::ledger::{Outcome, Records, Try};
+use super::{Evidence, Rule, Violation};
+use crate::ledger::{Outcome, Try};
 
 /// Statuses that promise that a request has not run and never will.
 pub(crate) const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
-pub(super) fn check(records: &Records) -> Vec<Violation> {
+pub(super) fn check(evidence: &Evidence<'_>) -> Vec<Violation> {
+    let records = evidence.records;
     let promised = records.tries.iter().filter(|sent| {
         let is_promise =
             matches!(&sent.outcome, Outcome::Answered { status, .. } if PROMISES.contains(status));
@@ -14,7 +15,7 @@
     });
     promised
         .filter_map(|sent| {
-            let until = next_try_at(records, sent).unwrap_or(f64::INFINITY);
+            let until = next_try_at(evidence, sent).unwrap_or(f64::INFINITY);
             let runs = records.runs_of(&sent.id);
             let run = runs
                 .iter()
@@ -26,10 +27,10 @@
 }
 
 /// From then on a run may belong to a later try.
-fn next_try_at(records: &Records, sent: &Try) -> Option<f64> {
-    let tries = records.tries.iter();
+fn next_try_at(evidence: &Evidence<'_>, sent: &Try) -> Option<f64> {
+    let tries = evidence.tries_of(&sent.id).iter();
     tries
-        .filter(|other| other.id == sent.id && other.sent > sent.sent)
+        .filter(|other| other.sent > sent.sent)
         .map(|other| other.sent)
         .min_by(f64::total_cmp)
 }
