An order that was overtaken on its way is not carried out, however far behind its connection ends

Operators saw a zone in use again after its evacuation was acknowledged: an earlier DELETE that a cut held up was carried out when it arrived, and the end of its connection came 126 ms later (167 requests in the zone; waits 0.1 s for that end). A change that was refused elsewhere came into force in the same way.

Cause: an order does not tell after which other orders it was sent, so a late one looks like a new one. Now the HTTP server knows for each call a change that was merged before the call was sent (when its connection was not yet established, or at the last answer on it); evacuations and refusals have numbers of changes. GET /v1/status tells EvacuatedZones, the log who asked for an evacuation.

--- a/crates/configuration/src/identity.rs
+++ b/crates/configuration/src/identity.rs
@@ -203,7 +203,7 @@
 /// The highest versions that either copy remembers, each copy's own among them. Of two contents of one
 /// version, which can only come from before identities were checked, the one with the larger digest counts.
 fn united_history(one: &Item, other: &Item) -> Vec<TakenVersion> {
-    if one.key.starts_with("e/") {
+    if !one.has_operator_version() {
         return Vec::new();
     }
     let mut all: BTreeMap<u64, u64> = BTreeMap::new();
--- a/crates/configuration/src/items.rs
+++ b/crates/configuration/src/items.rs
@@ -10,10 +10,10 @@
 use crate::validation::ValidationError;
 
 /// An item of the control state as it is kept and sent: `r/NAME`, `s/NAME`, `l/` (limits), `e/ZONE`
-/// (evacuations). `body` is the operator's JSON without `Version`, as it was sent.
+/// (evacuations), `x/refusals` (the last refusal). `body` is the operator's JSON without `Version`, as it was sent.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Item {
-    /// `r/NAME` (route), `s/NAME` (service), `l/` (limits) or `e/ZONE` (evacuation).
+    /// `r/NAME` (route), `s/NAME` (service), `l/` (limits), `e/ZONE` (evacuation) or [`REFUSALS_KEY`].
     #[prost(string, tag = "1")]
     pub key: String,
     /// The operator's version; items are merged by it.
@@ -37,12 +37,29 @@
     format!("e/{zone}")
 }
 
+/// The key of the item whose version is the number of the last change that was refused.
+pub const REFUSALS_KEY: &str = "x/refusals";
+
+/// The prefixes of items that the system gives versions to by itself.
+const OWN_PREFIXES: [&str; 2] = ["e/", "x/"];
+
+/// The item that says that a change was refused. It stands for nothing that is in force.
+pub fn refusal(number: u64) -> Item {
+    Item {
+        key: REFUSALS_KEY.to_owned(),
+        version: number,
+        dropped: true,
+        ..Item::default()
+    }
+}
+
 /// The item that empties a zone or takes it back, after one of this version.
 ///
 /// `POST` and `DELETE /v1/evacuation/ZONE` have no number on the wire, so a repeat can't be told from a new
 /// order. They are orders of state: the last one that reaches the register stands, and a `POST` that is sent
 /// again after the `DELETE` is a new order. To take it for a repeat would leave tasks in a zone that the
-/// operator was just told is being emptied; taken for new, the answer is true whatever was meant. Versions
+/// operator was just told is being emptied; taken for new, the answer is true whatever was meant. One that was sent
+/// before the order that stands was acknowledged never gets here. Versions
 /// are given here, one after another in the register, so evacuations need no history.
 pub fn evacuation(zone: &str, on: bool, after: u64) -> Item {
     Item {
@@ -60,6 +77,15 @@
     pub items: BTreeMap<String, Item>,
 }
 
+impl Item {
+    /// Whether an operator gives this item its version; if not, the system does.
+    pub fn has_operator_version(&self) -> bool {
+        !OWN_PREFIXES
+            .iter()
+            .any(|prefix| self.key.starts_with(prefix))
+    }
+}
+
 impl Configuration {
     /// Merges a copy of an item; whether it now stands instead of the one held. What the copy remembers of
     /// earlier versions is kept also when the copy itself is older.
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -13,7 +13,7 @@
 pub use change::ConfigurationChange;
 pub use hash::{finalize, fnv1a};
 pub use identity::{MAX_HISTORY, TakenVersion};
-pub use items::{Configuration, Item, evacuation, evacuation_key};
+pub use items::{Configuration, Item, REFUSALS_KEY, evacuation, evacuation_key, refusal};
 pub use resources::{Limits, Route, RouteKind, Service, Split};
 pub use routing_table::{MatchedRoute, RoutingTable};
 pub use settings::{Bounds, FaultTolerance, Listen, NodeSettings, ResourceLimits, parse};
--- a/crates/consensus/src/changes.rs
+++ b/crates/consensus/src/changes.rs
@@ -1,6 +1,6 @@
 //! Decides what becomes of an operator's change, given the value of the register of changes.
 
-use lynxmill_configuration::{Configuration, ConfigurationChange, ValidationError};
+use lynxmill_configuration::{Configuration, ConfigurationChange, Item, ValidationError, refusal};
 use lynxmill_protocol::{Change, PendingChanges};
 
 /// What becomes of a change.
@@ -35,6 +35,29 @@
         .filter(move |call| call.number > merged)
 }
 
+/// The newest copy of an item, with the pending changes merged.
+pub fn newest_item<'a>(
+    current: &'a Configuration,
+    pending: &'a PendingChanges,
+    key: &str,
+) -> Option<&'a Item> {
+    let pending_items = pending.changes.iter().flat_map(|change| &change.items);
+    let copies = pending_items.chain(current.items.get(key));
+    copies
+        .filter(|item| item.key == key)
+        .max_by_key(|item| item.version)
+}
+
+/// The pending changes with the record that an order was refused.
+pub fn with_refusal(mut pending: PendingChanges) -> PendingChanges {
+    pending.last_number += 1;
+    pending.changes.push(Change {
+        number: pending.last_number,
+        items: vec![refusal(pending.last_number)],
+    });
+    pending
+}
+
 /// Decides on a change. `current` is the configuration up to the change `merged`, `pending` the
 /// value of the register, `merged_by_majority` the last change that is merged on a majority;
 /// `build` makes the change from the newest configuration.
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use acceptor::{Acceptor, MEMBERSHIP_REGISTER, RECOVERY_DELAY, RegisterCopy};
 pub use ballot_round::{BallotRound, RoundOutcome};
-pub use changes::{Decision, is_behind, unmerged, validate};
+pub use changes::{Decision, is_behind, newest_item, unmerged, validate, with_refusal};
 pub use election::{ElectionStep, LeaseElection};
 pub use instance_registry::{InstanceRecord, InstanceRegistry};
 pub use lease::{HeldLease, LEASE_DURATION, LeaseGrants};
--- a/crates/control-node/src/event.rs
+++ b/crates/control-node/src/event.rs
@@ -87,6 +87,13 @@
         /// Whether the zone is emptied, or taken back.
         on: bool,
     },
+    /// An order was sent before a decision that it would undo: its caller is asked to send it again.
+    OrderOutdated {
+        /// What it asks for.
+        order: String,
+        /// The last change that was merged here before it was sent.
+        sent_after: u64,
+    },
     /// This node shuts down gracefully.
     Leaving,
     /// The grace is over, but others do not hold everything.
@@ -172,6 +179,10 @@
             Event::ChangeRefused(error) => write!(out, "a change was refused: {error}"),
             Event::Evacuation { zone, on: true } => write!(out, "zone {zone} is evacuated"),
             Event::Evacuation { zone, on: false } => write!(out, "zone {zone} is taken back"),
+            Event::OrderOutdated { order, sent_after } => write!(
+                out,
+                "an order {order}, sent after change {sent_after}, was overtaken: its caller is asked to send it again"
+            ),
             Event::Leaving => write!(out, "leaving"),
             Event::LeftIncomplete(what) => {
                 write!(out, "leaves at the end of its grace, but without {what}")
--- a/crates/control-node/src/lib.rs
+++ b/crates/control-node/src/lib.rs
@@ -28,6 +28,7 @@
 mod messages;
 mod node;
 mod options;
+mod order_age;
 mod orders;
 mod ownership;
 mod pending_requests;
--- a/crates/control-node/src/messages.rs
+++ b/crates/control-node/src/messages.rs
@@ -75,6 +75,8 @@
         call: CallId,
         /// What is asked for.
         request: ControlRequest,
+        /// The last change that was merged here at some moment before the caller sent this.
+        sent_after: u64,
     },
     /// The caller of an unanswered call has gone.
     Abandoned {
@@ -158,6 +160,8 @@
     Unavailable(Unavailable),
     /// The heartbeat was taken.
     Heartbeat(HeartbeatAnswer),
+    /// The order was sent before a decision that it would undo; a caller that still wants it sends it again.
+    Outdated,
     /// The node at this control address has to answer.
     Redirect(String),
     /// The newest configuration.
--- a/crates/control-node/src/node.rs
+++ b/crates/control-node/src/node.rs
@@ -101,6 +101,8 @@
     pub catching_up: Option<SnapshotProgress>,
     /// Sharded services whose lease it holds.
     pub held_leases: Vec<String>,
+    /// Zones that are evacuated, as far as it knows.
+    pub evacuated_zones: Vec<String>,
 }
 
 impl ControlNode {
@@ -178,7 +180,11 @@
                 envelope,
             } => self.handle_request(now, connection, envelope),
             Input::Response { from, response } => self.handle_response(now, &from, response),
-            Input::Call { call, request } => self.handle_call(now, call, request),
+            Input::Call {
+                call,
+                request,
+                sent_after,
+            } => self.handle_call(now, call, request, sent_after),
             Input::Abandoned { call } => self.abandon_order(call),
             Input::Edge { stream, message } => self.handle_edge_message(now, stream, message),
             Input::EdgeClosed { stream } => self.edge_closed(stream),
@@ -205,7 +211,13 @@
         self.advance_departure(now);
     }
 
-    fn handle_call(&mut self, now: Timestamp, call: CallId, request: ControlRequest) {
+    fn handle_call(
+        &mut self,
+        now: Timestamp,
+        call: CallId,
+        request: ControlRequest,
+        sent_after: u64,
+    ) {
         // An old order may have been refused elsewhere since, or the opposite may have been asked for.
         let orders = matches!(
             request,
@@ -216,8 +228,10 @@
             return self.answer(call, Answer::Unavailable(Unavailable::WasSuspended));
         }
         match request {
-            ControlRequest::Change(change) => self.order_change(now, call, change),
-            ControlRequest::Evacuate { zone, on } => self.order_evacuation(now, call, zone, on),
+            ControlRequest::Change(change) => self.order_change(now, call, change, sent_after),
+            ControlRequest::Evacuate { zone, on } => {
+                self.order_evacuation(now, call, zone, on, sent_after)
+            }
             ControlRequest::ReadBack => self.order_read_back(now, call),
             ControlRequest::Heartbeat(heartbeat) => self.instance_heartbeat(now, call, heartbeat),
             ControlRequest::SignOff(id) => self.instance_sign_off(now, call, &id),
@@ -418,6 +432,11 @@
         );
     }
 
+    /// The last change whose items are merged.
+    pub fn merged(&self) -> u64 {
+        self.merged
+    }
+
     /// The state of this node, for engineers on call.
     pub fn report(&self, now: Timestamp) -> NodeReport {
         NodeReport {
@@ -431,6 +450,7 @@
             pending_changes: self.pending_changes_size(),
             catching_up: self.catch_up.progress(),
             held_leases: self.held_leases(now),
+            evacuated_zones: self.configuration.evacuated().map(str::to_owned).collect(),
         }
     }
 
--- a/crates/control-node/src/orders.rs
+++ b/crates/control-node/src/orders.rs
@@ -2,12 +2,13 @@
 //! round of the register of changes together, and each is decided against the newest state with
 //! those before it.
 
+use std::fmt;
 use std::sync::Arc;
 
 use lynxmill_configuration::{
     Configuration, ConfigurationChange, Item, ValidationError, evacuation, evacuation_key,
 };
-use lynxmill_consensus::{BallotRound, Decision, is_behind, unmerged, validate};
+use lynxmill_consensus::{BallotRound, Decision, is_behind, unmerged, validate, with_refusal};
 use lynxmill_protocol::{ConfigurationUpdate, PeerRequest, PendingChanges, ToEdgeBody};
 use lynxmill_storage::{Batch, combined_digest};
 use lynxmill_time::{TimeDelta, Timestamp};
@@ -16,6 +17,7 @@
 use crate::event::Event;
 use crate::messages::{Answer, CallId, Unavailable};
 use crate::node::ControlNode;
+use crate::order_age::last_opposite_decision;
 use crate::proposals::{Choice, Purpose};
 use crate::storage::AfterStore;
 
@@ -35,8 +37,9 @@
 /// Between two checks whether something that was accepted here is not known to be chosen.
 const COMMIT_CHECK_INTERVAL: TimeDelta = TimeDelta::from_micros(1_000_000);
 
+/// What an order asks for.
 #[derive(Clone, Debug, PartialEq)]
-enum OrderKind {
+pub(crate) enum OrderKind {
     Change(ConfigurationChange),
     Evacuation {
         zone: String,
@@ -47,17 +50,28 @@
     Synchronize,
 }
 
+impl fmt::Display for OrderKind {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OrderKind::Change(change) => write!(out, "a change of {} items", change.items.len()),
+            OrderKind::Evacuation { zone, on: true } => write!(out, "to evacuate zone {zone}"),
+            OrderKind::Evacuation { zone, on: false } => write!(out, "to take zone {zone} back"),
+            OrderKind::ReadBack => write!(out, "a read-back"),
+            OrderKind::Synchronize => write!(out, "a comparison with a majority"),
+        }
+    }
+}
+
 impl OrderKind {
-    /// The change that the order makes to the newest state.
-    fn change_for(&self, newest: &Configuration) -> ConfigurationChange {
+    /// The change that the order makes to the newest state, as a change after the number `last_number`. One for an
+    /// evacuation that stands already renews it: orders that were sent before this one must not undo it.
+    fn change_for(&self, newest: &Configuration, last_number: u64) -> ConfigurationChange {
         match self {
             OrderKind::Change(change) => change.clone(),
             OrderKind::Evacuation { zone, on } => {
-                let stands = newest.evacuated().any(|z| z == zone);
-                let after = newest.version(&evacuation_key(zone));
-                let item = (stands != *on).then(|| evacuation(zone, *on, after));
+                let after = newest.version(&evacuation_key(zone)).max(last_number);
                 ConfigurationChange {
-                    items: item.into_iter().collect(),
+                    items: vec![evacuation(zone, *on, after)],
                 }
             }
             OrderKind::ReadBack | OrderKind::Synchronize => ConfigurationChange::default(),
@@ -72,12 +86,16 @@
     Deferred,
     Accepted,
     Refused(ValidationError),
+    /// It was sent before a decision that it would undo.
+    Outdated,
 }
 
 #[derive(Debug)]
 struct Order {
     call: Option<CallId>,
     kind: OrderKind,
+    /// The last change that was merged here before the order was sent.
+    sent_after: u64,
     deadline: Timestamp,
     verdict: Verdict,
 }
@@ -94,13 +112,15 @@
         now: Timestamp,
         call: CallId,
         change: ConfigurationChange,
+        sent_after: u64,
     ) {
         let patience = if change.items.len() > LARGE_CHANGE_ITEMS {
             LARGE_ORDER_TIMEOUT
         } else {
             ORDER_TIMEOUT
         };
-        self.enqueue_order(now, call, OrderKind::Change(change), patience);
+        let kind = OrderKind::Change(change);
+        self.enqueue_order(now, call, kind, sent_after, patience);
     }
 
     pub(crate) fn order_evacuation(
@@ -109,16 +129,25 @@
         call: CallId,
         zone: String,
         on: bool,
+        sent_after: u64,
     ) {
         self.notice_evacuation(now, &zone, on);
-        self.enqueue_order(now, call, OrderKind::Evacuation { zone, on }, ORDER_TIMEOUT);
+        let kind = OrderKind::Evacuation { zone, on };
+        self.enqueue_order(now, call, kind, sent_after, ORDER_TIMEOUT);
     }
 
     pub(crate) fn order_read_back(&mut self, now: Timestamp, call: CallId) {
-        self.enqueue_order(now, call, OrderKind::ReadBack, ORDER_TIMEOUT);
+        self.enqueue_order(now, call, OrderKind::ReadBack, self.merged, ORDER_TIMEOUT);
     }
 
-    fn enqueue_order(&mut self, now: Timestamp, call: CallId, kind: OrderKind, timeout: TimeDelta) {
+    fn enqueue_order(
+        &mut self,
+        now: Timestamp,
+        call: CallId,
+        kind: OrderKind,
+        sent_after: u64,
+        timeout: TimeDelta,
+    ) {
         if self.departure.is_some() {
             return self.answer(call, Answer::Unavailable(Unavailable::Leaving));
         }
@@ -134,6 +163,7 @@
         let order = Order {
             call: Some(call),
             kind,
+            sent_after,
             deadline: now + patience,
             verdict: Verdict::Deferred,
         };
@@ -203,13 +233,18 @@
             return Choice::End;
         }
         let pending = self.judge_orders(pending, round.merged_by_majority().min(self.merged));
-        let all_refused = self
+        let all_outdated = self
             .orders
             .waiting
             .iter()
-            .all(|o| matches!(o.verdict, Verdict::Refused(_)));
-        // A refusal counts only by what has surely been agreed; else that is agreed first.
-        if all_refused && (round.is_chosen() || round.accepted_value().is_none()) {
+            .all(|order| order.verdict == Verdict::Outdated);
+        // A decision counts only by what has surely been agreed; else that is agreed first.
+        if all_outdated && (round.is_chosen() || round.accepted_value().is_none()) {
+            // An order that is sent again is sent after all that it was judged by.
+            let agreed = round
+                .accepted_value()
+                .and_then(|value| PendingChanges::decode(value).ok());
+            self.learn(now, &agreed.unwrap_or_default());
             self.answer_orders(now);
             return Choice::End;
         }
@@ -227,7 +262,9 @@
                 order.verdict = Verdict::Deferred;
                 continue;
             }
-            let make = |newest: &Configuration| order.kind.change_for(newest);
+            let opposite = last_opposite_decision(&order.kind, &self.configuration, &pending);
+            let last_number = pending.last_number;
+            let make = |newest: &Configuration| order.kind.change_for(newest, last_number);
             let decision = validate(
                 &self.configuration,
                 self.merged,
@@ -236,11 +273,16 @@
                 make,
             );
             order.verdict = match decision {
+                Decision::Propose(_) if order.sent_after < opposite => Verdict::Outdated,
                 Decision::Propose(next) | Decision::Unchanged(next) => {
                     pending = next;
                     Verdict::Accepted
                 }
-                Decision::Refuse(reason) => Verdict::Refused(reason),
+                // What was refused must not come into force by the same order when it arrives late.
+                Decision::Refuse(reason) => {
+                    pending = with_refusal(pending);
+                    Verdict::Refused(reason)
+                }
                 Decision::Behind => Verdict::Deferred,
             };
         }
@@ -277,6 +319,17 @@
                 .into_iter()
                 .for_each(|call| self.answer(call, Answer::Refused(reason.clone())));
         }
+        if order.verdict == Verdict::Outdated {
+            self.count("orders-outdated");
+            self.log(Event::OrderOutdated {
+                order: order.kind.to_string(),
+                sent_after: order.sent_after,
+            });
+            return order
+                .call
+                .into_iter()
+                .for_each(|call| self.answer(call, Answer::Outdated));
+        }
         let answer = match order.kind {
             OrderKind::ReadBack => Answer::Configuration(self.configuration.clone()),
             OrderKind::Change(_) => {
@@ -315,6 +368,7 @@
         let order = Order {
             call: None,
             kind: OrderKind::Synchronize,
+            sent_after: self.merged,
             deadline,
             verdict: Verdict::Deferred,
         };
--- a/crates/control-node/tests/mends.rs
+++ b/crates/control-node/tests/mends.rs
@@ -77,6 +77,7 @@
         );
         let change = ConfigurationChange::read(body.as_bytes()).expect("it can be read");
         self.step(Input::Call {
+            sent_after: 0,
             call: CallId(call),
             request: ControlRequest::Change(change),
         });
--- a/crates/control-plane/src/control.rs
+++ b/crates/control-plane/src/control.rs
@@ -18,11 +18,15 @@
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (request.method(), segments.as_slice()) {
         ("PUT", ["v1", "instances", id]) => instances::heartbeat(host, id, &request).await,
-        ("DELETE", ["v1", "instances", id]) => instances::sign_off(host, id).await,
+        ("DELETE", ["v1", "instances", id]) => instances::sign_off(host, id, &request).await,
         ("PATCH", ["v1", "configuration"]) => configuration::patch(host, &request).await,
-        ("GET", ["v1", "configuration"]) => configuration::read_back(host).await,
-        ("POST", ["v1", "evacuation", zone]) => configuration::evacuate(host, zone, true).await,
-        ("DELETE", ["v1", "evacuation", zone]) => configuration::evacuate(host, zone, false).await,
+        ("GET", ["v1", "configuration"]) => configuration::read_back(host, &request).await,
+        ("POST", ["v1", "evacuation", zone]) => {
+            configuration::evacuate(host, &request, zone, true).await
+        }
+        ("DELETE", ["v1", "evacuation", zone]) => {
+            configuration::evacuate(host, &request, zone, false).await
+        }
         ("GET", ["v1", "counters"]) => status::counters(host),
         ("GET", ["v1", "status"]) => status::status(host),
         _ => response::error(404, "there is no such call"),
--- a/crates/control-plane/src/control/configuration.rs
+++ b/crates/control-plane/src/control/configuration.rs
@@ -25,13 +25,13 @@
             return response::error(400, error);
         }
     };
-    let answer = order(host, ControlRequest::Change(change)).await;
-    done_or_refused(answer, 400)
+    order(host, request, ControlRequest::Change(change), 400).await
 }
 
 /// `GET /v1/configuration`: the newest configuration.
-pub(super) async fn read_back(host: &Arc<Host>) -> Response {
-    match host.call(ControlRequest::ReadBack).await {
+pub(super) async fn read_back(host: &Arc<Host>, request: &Request) -> Response {
+    let read_back = ControlRequest::ReadBack;
+    match host.call(read_back, request.sent_after()).await {
         Answer::Configuration(newest) => {
             let body = newest.read_back().to_string();
             response::json_text(body)
@@ -41,17 +41,36 @@
 }
 
 /// `POST` and `DELETE /v1/evacuation/ZONE`: empties a zone, or takes it back.
-pub(super) async fn evacuate(host: &Arc<Host>, zone: &str, on: bool) -> Response {
+pub(super) async fn evacuate(
+    host: &Arc<Host>,
+    request: &Request,
+    zone: &str,
+    on: bool,
+) -> Response {
     if !host.settings.zones.contains_key(zone) {
         return response::error(404, format!("zone {zone} is not known"));
     }
+    let what = if on { "be evacuated" } else { "be taken back" };
+    let (caller, sent_after) = (request.caller(), request.sent_after());
+    log::info!("{caller} asks that zone {zone} {what}, sent after change {sent_after}");
     let zone = zone.to_owned();
-    let answer = order(host, ControlRequest::Evacuate { zone, on }).await;
-    done_or_refused(answer, 409)
+    order(host, request, ControlRequest::Evacuate { zone, on }, 409).await
 }
 
-/// Carries out an order that its caller still waits for.
-async fn order(host: &Arc<Host>, request: ControlRequest) -> Answer {
+/// Carries out an order that its caller still waits for; `refusal` is the status of a refused one. One that was overtaken
+/// is to be sent again, here.
+async fn order(
+    host: &Arc<Host>,
+    request: &Request,
+    order: ControlRequest,
+    refusal: u16,
+) -> Response {
     sleep(ABANDONMENT_CHECK).await;
-    host.call(request).await
+    match host.call(order, request.sent_after()).await {
+        Answer::Outdated => {
+            let control = &host.settings.listen().control;
+            response::redirect(&format!("http://{control}{}", request.encoded_path()))
+        }
+        other => done_or_refused(other, refusal),
+    }
 }
--- a/crates/control-plane/src/control/instances.rs
+++ b/crates/control-plane/src/control/instances.rs
@@ -156,10 +156,16 @@
         Err(error) => return response::error(400, error),
     };
     let heartbeat = body.into_heartbeat(id);
-    respond(id, host.call(ControlRequest::Heartbeat(heartbeat)).await)
+    let sent_after = request.sent_after();
+    respond(
+        id,
+        host.call(ControlRequest::Heartbeat(heartbeat), sent_after)
+            .await,
+    )
 }
 
 /// `DELETE /v1/instances/ID`: a task signs off.
-pub(super) async fn sign_off(host: &Arc<Host>, id: &str) -> Response {
-    respond(id, host.call(ControlRequest::SignOff(id.to_owned())).await)
+pub(super) async fn sign_off(host: &Arc<Host>, id: &str, request: &Request) -> Response {
+    let sign_off = ControlRequest::SignOff(id.to_owned());
+    respond(id, host.call(sign_off, request.sent_after()).await)
 }
--- a/crates/control-plane/src/control/status.rs
+++ b/crates/control-plane/src/control/status.rs
@@ -38,6 +38,7 @@
     pending_bytes: usize,
     catching_up: Option<SnapshotStatus>,
     held_leases: Vec<String>,
+    evacuated_zones: Vec<String>,
 }
 
 impl From<NodeReport> for NodeStatus {
@@ -60,6 +61,7 @@
             pending_bytes: report.pending_changes.1,
             catching_up: progress,
             held_leases: report.held_leases,
+            evacuated_zones: report.evacuated_zones,
         }
     }
 }
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -13,7 +13,7 @@
     Unavailable,
 };
 use lynxmill_time::Timestamp;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
 use crate::connections::Connections;
@@ -38,6 +38,7 @@
     writes: WriteQueue,
     calls: Mutex<BTreeMap<CallId, oneshot::Sender<Answer>>>,
     last_number: AtomicU64,
+    merged: watch::Sender<u64>,
     left: AtomicBool,
     counters: Mutex<BTreeMap<&'static str, u64>>,
 }
@@ -56,11 +57,13 @@
     ) -> Self {
         let options = NodeOptions::new(&settings, life);
         let now = Timestamp::from_micros(born.elapsed().as_micros() as i64);
+        let node = ControlNode::new(now, options, stored);
         Host {
             peers: Peers::new(settings.internal_port() + 1),
             connections: Connections::default(),
             edges: EdgeStreams::default(),
-            node: Mutex::new(ControlNode::new(now, options, stored)),
+            merged: watch::Sender::new(node.merged()),
+            node: Mutex::new(node),
             calls: Mutex::new(BTreeMap::new()),
             last_number: AtomicU64::new(0),
             left: AtomicBool::new(false),
@@ -115,19 +118,46 @@
     pub(crate) fn step(self: &Arc<Self>, input: Input) {
         let mut node = lock(&self.node);
         let effects = node.step(self.now(), input);
+        self.tell_merged(&node);
         effects
             .into_iter()
             .for_each(|effect| self.carry_out(effect));
     }
 
+    /// The last change that is merged here, as it rises.
+    pub(crate) fn merged_changes(&self) -> watch::Receiver<u64> {
+        self.merged.subscribe()
+    }
+
+    /// Before the answers that follow from it: a caller's next call is known to be sent after it.
+    fn tell_merged(&self, node: &ControlNode) {
+        self.merged.send_if_modified(|merged| {
+            let rises = node.merged() > *merged;
+            *merged = node.merged().max(*merged);
+            rises
+        });
+    }
+
     /// Gives the node a call; false if it is an order that has waited for too long.
-    fn begin(self: &Arc<Self>, call: CallId, request: ControlRequest, arrived: Instant) -> bool {
+    fn begin(
+        self: &Arc<Self>,
+        call: CallId,
+        request: ControlRequest,
+        sent_after: u64,
+        arrived: Instant,
+    ) -> bool {
         let mut node = lock(&self.node);
         if is_order(&request) && arrived.elapsed() > LONGEST_WAIT {
             self.count("orders-too-late");
             return false;
         }
-        let effects = node.step(self.now(), Input::Call { call, request });
+        let input = Input::Call {
+            call,
+            request,
+            sent_after,
+        };
+        let effects = node.step(self.now(), input);
+        self.tell_merged(&node);
         effects
             .into_iter()
             .for_each(|effect| self.carry_out(effect));
@@ -158,8 +188,9 @@
 
     /// A call of a task or an operator, and its answer. An order that waited here for long is not begun: its
     /// caller may have asked another node meanwhile, and acted on what that one answered. An order whose future is
-    /// dropped is abandoned unless it has been proposed.
-    pub(crate) async fn call(self: &Arc<Self>, request: ControlRequest) -> Answer {
+    /// dropped is abandoned unless it has been proposed. `sent_after` is the last change that was merged here at some
+    /// moment before the caller sent it.
+    pub(crate) async fn call(self: &Arc<Self>, request: ControlRequest, sent_after: u64) -> Answer {
         let arrived = Instant::now();
         let call = CallId(self.next_number());
         let (answer, answered) = oneshot::channel();
@@ -168,7 +199,7 @@
             host: self.clone(),
             call,
         };
-        if !self.begin(call, request, arrived) {
+        if !self.begin(call, request, sent_after, arrived) {
             return Answer::Unavailable(Unavailable::NoMajority);
         }
         match timeout(LONGEST_CALL, answered).await {
--- a/crates/control-plane/src/http.rs
+++ b/crates/control-plane/src/http.rs
@@ -21,7 +21,8 @@
     body_time: Duration::from_secs(10),
 };
 
-/// Answers calls on an address in a thread that ends once `ends` is true and all callers have their answers.
+/// Answers calls on an address in a thread that ends once `ends` is true and all callers have their answers. Each call
+/// tells the last change that was merged before it was sent.
 pub(crate) fn serve<H, F>(
     name: &'static str,
     host: &Arc<Host>,
@@ -41,9 +42,10 @@
         .build()
         .map_err(listen)?;
     let host = host.clone();
+    let merged = host.merged_changes();
     spawn(name, move || {
         let handle = move |request| handle(host.clone(), request);
-        if let Err(error) = runtime.block_on(server.serve(handle, ends)) {
+        if let Err(error) = runtime.block_on(server.serve_versioned(handle, merged, ends)) {
             log::error!("{name}: {error}");
         }
     })
--- a/crates/deployment/src/client.rs
+++ b/crates/deployment/src/client.rs
@@ -6,6 +6,10 @@
 use ureq::http;
 
 const PATIENCE: Duration = Duration::from_secs(3);
+/// Callers of control addresses follow so many redirects.
+const MAX_REDIRECTS: usize = 2;
+/// The status of a redirect that keeps method and body.
+pub const REDIRECT: u16 = 307;
 
 /// An answer, read whole.
 #[derive(Debug)]
@@ -37,6 +41,13 @@
     }
 }
 
+/// The address and the path of a `Location`, as `http://10.0.0.4:8080/path`.
+pub fn location_parts(location: &str) -> Option<(&str, &str)> {
+    let rest = location.strip_prefix("http://")?;
+    let path_at = rest.find('/')?;
+    Some(rest.split_at(path_at))
+}
+
 /// Makes calls, each within this time.
 pub fn agent(patience: Duration) -> ureq::Agent {
     let config = ureq::Agent::config_builder()
@@ -93,6 +104,31 @@
     call(agent, request)
 }
 
+/// A call of JSON to a control address, which follows redirects as callers do.
+///
+/// # Errors
+///
+/// If no whole answer comes.
+pub fn by_following(
+    agent: &ureq::Agent,
+    method: &str,
+    address: &str,
+    path: &str,
+    body: &[u8],
+) -> Result<Answer, String> {
+    let mut answer = by(agent, method, address, path, body.to_vec())?;
+    for _ in 0..MAX_REDIRECTS {
+        if answer.status != REDIRECT {
+            break;
+        }
+        let Some((address, path)) = location_parts(answer.header("Location")) else {
+            break;
+        };
+        answer = by(agent, method, address, path, body.to_vec())?;
+    }
+    Ok(answer)
+}
+
 /// Reads a page.
 ///
 /// # Errors
@@ -102,17 +138,17 @@
     by(&agent(PATIENCE), "GET", address, path, Vec::new())
 }
 
-/// Sends a configuration to a control address.
+/// Sends a configuration to a control address, and follows redirects.
 ///
 /// # Errors
 ///
 /// If no whole answer comes.
 pub fn patch(address: &str, change: &Value) -> Result<Answer, String> {
-    by(
+    by_following(
         &agent(PATIENCE),
         "PATCH",
         address,
         "/v1/configuration",
-        change.to_string().into_bytes(),
+        change.to_string().as_bytes(),
     )
 }
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod caller_stream;
+mod connection;
 mod request;
 pub mod response;
 mod server;
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -10,13 +10,15 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::body::{self, BodyMemory, Reservation};
 use crate::caller_stream::CallerStream;
+use crate::connection::Connection;
 use crate::request::Request;
 use crate::response::Response;
 
@@ -52,6 +54,8 @@
     handle: H,
     limits: Limits,
     body_memory: Arc<BodyMemory>,
+    versions: watch::Receiver<u64>,
+    ends: watch::Receiver<bool>,
 }
 
 impl HttpServer {
@@ -88,43 +92,137 @@
     /// # Errors
     ///
     /// The system's, if the runtime can't wait for the listener.
-    pub async fn serve<H, F>(self, handle: H, mut ends: watch::Receiver<bool>) -> io::Result<()>
+    pub async fn serve<H, F>(self, handle: H, ends: watch::Receiver<bool>) -> io::Result<()>
+    where
+        H: Fn(Request) -> F + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        let (_unversioned, versions) = watch::channel(0);
+        self.serve_versioned(handle, versions, ends).await
+    }
+
+    /// As [`serve`](Self::serve), with the version of the state that the calls are about, which only rises. Each request
+    /// tells by [`Request::sent_after`] a version that had been reached before its caller sent it: a request that the
+    /// network held up tells an old one.
+    ///
+    /// # Errors
+    ///
+    /// The system's, if the runtime can't wait for the listener.
+    pub async fn serve_versioned<H, F>(
+        self,
+        handle: H,
+        mut versions: watch::Receiver<u64>,
+        mut ends: watch::Receiver<bool>,
+    ) -> io::Result<()>
     where
         H: Fn(Request) -> F + Send + Sync + 'static,
         F: Future<Output = Response> + Send + 'static,
     {
-        let listener = TcpListener::from_std(self.listener)?;
-        let most = self.limits.connections;
         let shared = Arc::new(Shared {
             handle,
             limits: self.limits,
             body_memory: Arc::default(),
+            versions: versions.clone(),
+            ends: ends.clone(),
         });
-        let mut connections = JoinSet::new();
+        let listener = TcpListener::from_std(self.listener)?;
+        let mut connections = Connections::new(shared, listener);
+        versions.mark_changed();
         loop {
+            let has_room = connections.has_room();
             tokio::select! {
-                accepted = listener.accept(), if connections.len() < most => match accepted {
-                    Ok((stream, _)) => {
-                        connections.spawn(serve_connection(shared.clone(), stream, ends.clone()));
-                    }
+                accepted = connections.listener.accept(), if has_room => match accepted {
+                    Ok((stream, caller)) => connections.serve(stream, caller),
                     Err(error) => {
                         log::warn!("a caller can't be taken: {error}");
                         sleep(ACCEPT_RETRY).await;
                     }
                 },
-                Some(_) = connections.join_next() => {}
+                Some(_) = connections.open.join_next() => {}
+                Ok(()) = versions.changed() => {
+                    let reached = *versions.borrow_and_update();
+                    connections.state_reached(reached);
+                }
                 () = ended(&mut ends) => break,
             }
         }
-        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-            connections.spawn(serve_connection(shared.clone(), stream, ends.clone()));
-        }
-        drop(listener);
-        while connections.join_next().await.is_some() {}
+        connections.finish().await;
         Ok(())
     }
 }
 
+/// The connections that a server has taken, and what is known of those that it will take.
+struct Connections<H> {
+    shared: Arc<Shared<H>>,
+    listener: TcpListener,
+    open: JoinSet<()>,
+    /// Connections that are taken from now on were established after the state had reached this version.
+    established_after: u64,
+}
+
+impl<H, F> Connections<H>
+where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    fn new(shared: Arc<Shared<H>>, listener: TcpListener) -> Self {
+        Connections {
+            shared,
+            listener,
+            open: JoinSet::new(),
+            established_after: 0,
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        self.open.len() < self.shared.limits.connections
+    }
+
+    fn serve(&mut self, stream: TcpStream, caller: SocketAddr) {
+        let versions = self.shared.versions.clone();
+        let connection = Arc::new(Connection::new(caller, versions, self.established_after));
+        self.open
+            .spawn(serve_connection(self.shared.clone(), stream, connection));
+    }
+
+    /// The state has reached a version. Connections that wait to be taken may have been established before; those that
+    /// come after them were not.
+    fn state_reached(&mut self, version: u64) {
+        while self.has_room() {
+            match accept_waiting(&self.listener) {
+                Ok(Some((stream, caller))) => self.serve(stream, caller),
+                Ok(None) => {
+                    self.established_after = version;
+                    return;
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Takes those that wait, no others, and serves all to their ends.
+    async fn finish(mut self) {
+        while let Ok(Some((stream, caller))) = accept_waiting(&self.listener) {
+            self.serve(stream, caller);
+        }
+        drop(self.listener);
+        while self.open.join_next().await.is_some() {}
+    }
+}
+
+/// Takes a connection that waits; none if there is none. It asks the system, not the runtime, which may not have heard of
+/// one that waits.
+fn accept_waiting(listener: &TcpListener) -> io::Result<Option<(TcpStream, SocketAddr)>> {
+    let (socket, caller) = match SockRef::from(listener).accept() {
+        Ok(accepted) => accepted,
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+        Err(error) => return Err(error),
+    };
+    socket.set_nonblocking(true)?;
+    let caller = caller.as_socket().ok_or(io::ErrorKind::Unsupported)?;
+    Ok(Some((TcpStream::from_std(socket.into())?, caller)))
+}
+
 /// Waits until `ends` is true; never returns if that can't come any more.
 async fn ended(ends: &mut watch::Receiver<bool>) {
     if ends.wait_for(|ended| *ended).await.is_err() {
@@ -132,18 +230,16 @@
     }
 }
 
-async fn serve_connection<H, F>(
-    shared: Arc<Shared<H>>,
-    stream: TcpStream,
-    mut ends: watch::Receiver<bool>,
-) where
+async fn serve_connection<H, F>(shared: Arc<Shared<H>>, stream: TcpStream, caller: Arc<Connection>)
+where
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     // Without it answers wait for the caller's acknowledgements; a caller that has gone has none.
     let _ = stream.set_nodelay(true);
     let idle_time = shared.limits.idle_time;
-    let service = service_fn(move |request| answer(shared.clone(), request));
+    let mut ends = shared.ends.clone();
+    let service = service_fn(move |request| answer(shared.clone(), caller.clone(), request));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -167,6 +263,7 @@
 
 async fn answer<H, F>(
     shared: Arc<Shared<H>>,
+    connection: Arc<Connection>,
     request: hyper::Request<Incoming>,
 ) -> Result<Response, Infallible>
 where
@@ -175,8 +272,13 @@
 {
     let (head, incoming) = request.into_parts();
     let mut reservation = Reservation::new(shared.body_memory.clone());
-    match body::read(incoming, &shared.limits, &mut reservation).await {
-        Ok(body) => Ok((shared.handle)(Request::new(head, body, reservation)).await),
-        Err(error) => Ok(error.response()),
-    }
+    let response = match body::read(incoming, &shared.limits, &mut reservation).await {
+        Ok(body) => {
+            let request = Request::new(head, body, &connection, reservation);
+            (shared.handle)(request).await
+        }
+        Err(error) => error.response(),
+    };
+    connection.answers();
+    Ok(response)
 }
--- a/crates/operator/src/explore.rs
+++ b/crates/operator/src/explore.rs
@@ -52,6 +52,7 @@
             sabotage,
             digest: options.digest,
             sign_offs_first: true,
+            late_orders: true,
         },
         clock_faults: !options.steady_clocks,
         most_found: MOST_FOUND,
--- a/crates/operator/src/task.rs
+++ b/crates/operator/src/task.rs
@@ -355,7 +355,7 @@
 
 /// The control address that a 307 names.
 fn redirected_to(answer: &client::Answer) -> Option<String> {
-    let location = (answer.status == 307).then(|| answer.header("Location"))?;
-    let (authority, _) = location.strip_prefix("http://")?.split_once('/')?;
-    Some(authority.to_owned())
+    let location = (answer.status == client::REDIRECT).then(|| answer.header("Location"))?;
+    let (address, _) = client::location_parts(location)?;
+    Some(address.to_owned())
 }
--- a/crates/simulator/src/digest.rs
+++ b/crates/simulator/src/digest.rs
@@ -104,6 +104,7 @@
                 self.number(6);
                 self.messages(&configuration.items.values().cloned().collect::<Vec<_>>());
             }
+            Answer::Outdated => self.number(7),
         }
     }
 
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -38,6 +38,7 @@
 mod machine;
 mod network;
 mod operator;
+mod operator_connections;
 mod random;
 mod run;
 mod sabotage;
--- a/crates/simulator/tests/points.rs
+++ b/crates/simulator/tests/points.rs
@@ -173,3 +173,25 @@
         most_found: 3,
     });
 }
+
+/// Orders that a cut held up for however long, and that arrive after their callers have gone elsewhere: none undoes an
+/// evacuation that was asked for and acknowledged after it, and none brings in force what was refused meanwhile.
+#[rstest]
+#[case::callers_cut_off(30_000, &[FaultKind::CutCallers])]
+#[case::while_members_come_and_go(31_000, &[FaultKind::CutCallers, FaultKind::Kill, FaultKind::Partition])]
+#[case::while_members_are_replaced(32_000, &[FaultKind::CutCallers, FaultKind::ReplacePlanned, FaultKind::WipeDisk])]
+fn orders_that_arrive_late(#[case] first: u64, #[case] kinds: &[FaultKind]) {
+    let options = RunOptions {
+        late_orders: true,
+        ..RunOptions::default()
+    };
+    hold_all(&Exploration {
+        first,
+        seeds: 200,
+        jobs: JOBS,
+        kinds: kinds.to_vec(),
+        options,
+        clock_faults: false,
+        most_found: 3,
+    });
+}
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lynxmill_deployment::client::{REDIRECT, location_parts};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
@@ -157,6 +158,14 @@
     pub body: Vec<u8>,
 }
 
+impl Answer {
+    /// The address and the path at which the call is to be made again.
+    pub(crate) fn redirect(&self) -> Option<(&str, &str)> {
+        let location = (self.status == REDIRECT).then(|| self.head.header("location"))?;
+        location_parts(location?)
+    }
+}
+
 /// Calls of members on a connection that is kept between them.
 #[derive(Debug)]
 pub(crate) struct Caller {
--- a/crates/soak/src/operators.rs
+++ b/crates/soak/src/operators.rs
@@ -20,6 +20,8 @@
 /// A call is made at another member after so long.
 const PATIENCE: Duration = Duration::from_secs(1);
 const LARGE_PATIENCE: Duration = Duration::from_secs(3);
+/// An order follows so many redirects.
+const MAX_REDIRECTS: usize = 2;
 const AGAIN_AFTER: Duration = Duration::from_millis(250);
 /// Orders that are no changes are sent again for so long.
 const EVACUATION_PATIENCE_S: f64 = 5.0;
@@ -106,10 +108,15 @@
         body: &str,
     ) -> Option<Answer> {
         let control = &self.controls[place % self.controls.len()];
-        caller
-            .call(control, method, path, body, PATIENCE)
-            .await
-            .ok()
+        let mut answer = caller.call(control, method, path, body, PATIENCE).await;
+        for _ in 0..MAX_REDIRECTS {
+            let answered = answer.ok()?;
+            let Some((address, path)) = answered.redirect() else {
+                return Some(answered);
+            };
+            answer = caller.call(address, method, path, body, PATIENCE).await;
+        }
+        answer.ok()
     }
 
     /// Moves the route to the other service, until it is acknowledged.
--- a/crates/soak/src/tasks.rs
+++ b/crates/soak/src/tasks.rs
@@ -407,8 +407,8 @@
             self.failed();
             return false;
         };
-        if answer.status == 307 {
-            self.target = redirected_to(&answer.head);
+        if let Some((address, _)) = answer.redirect() {
+            self.target = Some(address.to_owned());
             return false;
         }
         if !(200..300).contains(&answer.status) {
@@ -439,12 +439,3 @@
         rows
     }
 }
-
-/// The control address that a 307 names.
-fn redirected_to(head: &Head) -> Option<String> {
-    let (authority, _) = head
-        .header("location")?
-        .strip_prefix("http://")?
-        .split_once('/')?;
-    Some(authority.to_owned())
-}
