Control plane: a connection of an edge or a member takes one descriptor, not three

At 740 edges their streams took over half of MaxFds: a member with 72 sockets had 224 descriptors, as each outbox cloned the socket twice (once for its thread, once to close it).

--- a/crates/control-node/src/contact.rs
+++ b/crates/control-node/src/contact.rs
@@ -44,6 +44,12 @@
 }
 
 impl ControlNode {
+    /// Whether another member has answered a heartbeat that was sent less than a lease ago.
+    pub(crate) fn answers_lately(&self, now: Timestamp, ip: &str) -> bool {
+        let last = self.contact.round_trips.get(ip);
+        last.is_some_and(|sent_at| now - *sent_at < CONTACT_LEASE)
+    }
+
     /// Whether a majority has answered lately: what this node holds is not older than the lease.
     pub(crate) fn in_contact(&self, now: Timestamp) -> bool {
         let members = &self.acceptor.members;
@@ -58,9 +64,7 @@
                 .statuses
                 .get(*ip)
                 .is_none_or(|peer| !peer.status.catching_up);
-            let trip = self.contact.round_trips.get(*ip);
-            **ip == self.options.ip
-                || voter && trip.is_some_and(|sent_at| now - *sent_at < CONTACT_LEASE)
+            **ip == self.options.ip || voter && self.answers_lately(now, ip)
         };
         members.ips.iter().filter(lately).count() >= majority(members)
     }
@@ -76,8 +80,7 @@
                 .statuses
                 .get(*ip)
                 .is_none_or(|peer| !peer.status.catching_up && !peer.status.leaving);
-            let trip = self.contact.round_trips.get(*ip);
-            votes && trip.is_some_and(|sent_at| now - *sent_at < CONTACT_LEASE)
+            votes && self.answers_lately(now, ip)
         };
         members.ips.iter().filter(stays).count() >= majority(members)
     }
@@ -85,9 +88,8 @@
     /// Whether a majority of the members has lately answered this node, which need not be one of them:
     /// without that a newcomer could not copy what its seat needs.
     pub(crate) fn reaches_majority(&self, now: Timestamp) -> bool {
-        let trip = |ip: &&String| self.contact.round_trips.get(*ip);
-        let lately = |ip: &&String| trip(ip).is_some_and(|request| now - *request < CONTACT_LEASE);
         let members = &self.acceptor.members;
+        let lately = |ip: &&String| self.answers_lately(now, ip);
         members.ips.iter().filter(lately).count() >= majority(members)
     }
 
--- a/crates/control-node/src/instances.rs
+++ b/crates/control-node/src/instances.rs
@@ -5,11 +5,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lynxmill_consensus::InstanceRegistry;
-use lynxmill_protocol::{InstanceReport, PeerRequest, Task, TaskState, TaskUpdate, ToEdgeBody};
+use lynxmill_protocol::{
+    HeartbeatLoad, InstanceReport, PeerRequest, Task, TaskState, TaskUpdate, ToEdgeBody,
+};
 use lynxmill_storage::Batch;
 use lynxmill_time::{TimeDelta, Timestamp};
 
 use crate::event::Event;
+use crate::heartbeat_balance::{COUNTED_HEARTBEATS, HeartbeatBalancer, HeartbeatTarget};
 use crate::messages::{Answer, CallId, HeartbeatAnswer, InstanceHeartbeat, Unavailable};
 use crate::node::ControlNode;
 use crate::pending_requests::Awaited;
@@ -47,6 +50,7 @@
 #[derive(Debug)]
 pub(crate) struct Instances {
     pub registry: InstanceRegistry,
+    pub balancer: HeartbeatBalancer,
     replications: BTreeMap<u64, Replication>,
     last_number: u64,
     last_report: Timestamp,
@@ -59,6 +63,7 @@
     pub(crate) fn new(registry: InstanceRegistry) -> Self {
         Instances {
             registry,
+            balancer: HeartbeatBalancer::default(),
             replications: BTreeMap::new(),
             last_number: 0,
             last_report: Timestamp::default(),
@@ -127,7 +132,7 @@
         let answer = if sharded {
             self.grant(now, heartbeat)
         } else {
-            Some(HeartbeatAnswer::default())
+            Some(self.balance_heartbeats(now, &task.id))
         };
         match answer {
             // An answer without holdings renews nothing: the task asks the owner at once, not with its next
@@ -148,6 +153,67 @@
         }
     }
 
+    /// The answer to a heartbeat that any member may get.
+    fn balance_heartbeats(&mut self, now: Timestamp, id: &str) -> HeartbeatAnswer {
+        if !self.instances.balancer.has_surplus() {
+            return HeartbeatAnswer::default();
+        }
+        let draws = [self.random_fraction(), self.random_fraction()];
+        let beat_target = self.instances.balancer.redirect(now, id, draws);
+        if beat_target.is_some() {
+            self.count("heartbeats-moved");
+        }
+        HeartbeatAnswer {
+            beat_target,
+            holdings: None,
+        }
+    }
+
+    /// Counts the tasks that send their heartbeats here, and compares that with the other members.
+    fn compare_heartbeat_loads(&mut self, now: Timestamp) {
+        if !self.instances.registry.is_complete(now) {
+            return;
+        }
+        let interval = TimeDelta::from_secs(self.options.heartbeat_interval_s);
+        let counted = interval.times(COUNTED_HEARTBEATS);
+        let owned = self.owned_services(now);
+        let sharded = self.sharded_services.clone();
+        let mut load = HeartbeatLoad::default();
+        for known in self.instances.registry.all() {
+            let Some(last) = known.last_heartbeat.filter(|last| now - *last < counted) else {
+                continue;
+            };
+            let service = &known.task.service;
+            if owned.contains(service) {
+                load.pinned += 1;
+            } else if !sharded.iter().any(|sharded| sharded.name == *service)
+                && !self.instances.balancer.has_moved(&known.task.id, last)
+            {
+                load.movable += 1;
+            }
+        }
+        let others = self.heartbeat_targets(now);
+        self.instances
+            .balancer
+            .compare(now, interval, load, &others);
+    }
+
+    /// The other members that answer, and stay.
+    fn heartbeat_targets(&self, now: Timestamp) -> Vec<HeartbeatTarget> {
+        let others = self.other_members();
+        let in_touch = others.iter().filter(|ip| self.answers_lately(now, ip));
+        in_touch
+            .filter_map(|ip| self.statuses.get(ip))
+            .filter(|peer| !peer.status.leaving && !peer.status.catching_up)
+            .filter_map(|peer| {
+                Some(HeartbeatTarget {
+                    control_address: peer.status.control_address.clone(),
+                    load: peer.status.heartbeats?,
+                })
+            })
+            .collect()
+    }
+
     pub(crate) fn instance_sign_off(&mut self, now: Timestamp, call: CallId, id: &str) {
         // One that has not been heard of here may be known elsewhere: its name alone is told.
         let unknown = || Task {
@@ -377,6 +443,7 @@
                 ..Batch::default()
             });
         }
+        self.compare_heartbeat_loads(now);
         self.send_heartbeat_report(last);
         let fallen = self.instances.registry.take_timed_out(now);
         for task in &fallen {
--- a/crates/control-node/src/lib.rs
+++ b/crates/control-node/src/lib.rs
@@ -12,6 +12,7 @@
 //! | change of the members, promotion of learners | `membership` |
 //! | snapshots, copies of registers, repair of missing changes | `catch_up` |
 //! | heartbeats, drains and sign-offs of tasks | `instances` |
+//! | which member tasks send their heartbeats to | `heartbeat_balance` |
 //! | joins of edges | `edges` |
 //! | ownership of shards, grants | `ownership` |
 //! | graceful shutdown | `departure` |
@@ -23,6 +24,7 @@
 mod edges;
 mod evacuation_notices;
 mod event;
+mod heartbeat_balance;
 mod instances;
 mod membership;
 mod messages;
@@ -38,6 +40,9 @@
 pub use catch_up::SnapshotProgress;
 pub use contact::{CONTACT_LEASE, HEARTBEAT_INTERVAL};
 pub use event::Event;
+pub use heartbeat_balance::{
+    COUNTED_HEARTBEATS, HeartbeatBalancer, HeartbeatTarget, MAX_MOVED_SHARE,
+};
 pub use messages::{
     Answer, CallId, ConnectionId, ControlRequest, Effect, GrantedHoldings, HeartbeatAnswer, Input,
     InstanceHeartbeat, StreamId, Unavailable,
--- a/crates/control-node/src/node.rs
+++ b/crates/control-node/src/node.rs
@@ -420,6 +420,7 @@
             tasks_digest: self.instances.registry.digest(),
             items_digest: self.items_digest,
             learner_ready: self.is_ready_learner(now),
+            heartbeats: self.instances.balancer.load(),
         }
     }
 
--- a/crates/control-node/src/orders.rs
+++ b/crates/control-node/src/orders.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use lynxmill_configuration::{
-    Configuration, ConfigurationChange, Item, ValidationError, evacuation, evacuation_key,
+    Configuration, ConfigurationChange, Item, REFUSALS_KEY, ValidationError, evacuation,
+    evacuation_key,
 };
 use lynxmill_consensus::{BallotRound, Decision, is_behind, unmerged, validate, with_refusal};
 use lynxmill_protocol::{ConfigurationUpdate, PeerRequest, PendingChanges, ToEdgeBody};
@@ -460,7 +461,7 @@
             if before.as_ref() != Some(merged) {
                 changed.push(merged.clone());
             }
-            if stands {
+            if stands && item.key != REFUSALS_KEY {
                 anew.push(merged.without_history());
             }
         }
--- a/crates/control-plane/src/connections.rs
+++ b/crates/control-plane/src/connections.rs
@@ -22,6 +22,11 @@
 }
 
 impl Connections {
+    /// Connections of other members that are open.
+    pub(crate) fn count(&self) -> usize {
+        lock(&self.open).len()
+    }
+
     pub(crate) fn send(&self, connection: ConnectionId, response: &ResponseEnvelope) {
         if let Some(outbox) = lock(&self.open).get(&connection) {
             outbox.send(Arc::new(encode_frame(response)));
@@ -43,9 +48,10 @@
 fn visit(host: &Arc<Host>, stream: TcpStream) -> std::io::Result<()> {
     tune(&stream);
     let connection = ConnectionId(host.next_number());
-    let outbox = Outbox::new(&stream, "to-member", BACKLOG)?;
+    let stream = Arc::new(stream);
+    let outbox = Outbox::new(stream.clone(), "to-member", BACKLOG)?;
     lock(&host.connections.open).insert(connection, outbox);
-    let ended = read_requests(host, connection, stream);
+    let ended = read_requests(host, connection, &stream);
     if let Some(outbox) = lock(&host.connections.open).remove(&connection) {
         outbox.close();
     }
@@ -57,7 +63,7 @@
 fn read_requests(
     host: &Arc<Host>,
     connection: ConnectionId,
-    mut stream: TcpStream,
+    mut stream: &TcpStream,
 ) -> std::io::Result<()> {
     let (mut frames, mut piece) = (FrameDecoder::default(), vec![0u8; 16 << 10]);
     loop {
--- a/crates/control-plane/src/edge_streams.rs
+++ b/crates/control-plane/src/edge_streams.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Streams that are open.
+    pub(crate) fn count(&self) -> usize {
+        lock(&self.open).len()
+    }
+
     pub(crate) fn bytes_sent(&self) -> BTreeMap<&'static str, u64> {
         lock(&self.sent).clone()
     }
@@ -109,7 +114,8 @@
     let _ = stream.set_read_timeout(Some(SILENT));
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(WRITE));
     let id = StreamId(host.next_number());
-    let outbox = Outbox::new(&stream, "to-edge", BACKLOG)?;
+    let stream = Arc::new(stream);
+    let outbox = Outbox::new(stream.clone(), "to-edge", BACKLOG)?;
     let edge = EdgeOutbox {
         outbox,
         reads_compressed: false,
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -12,6 +12,7 @@
     Answer, CallId, ControlNode, ControlRequest, Effect, Event, Input, NodeOptions, StoredState,
     Unavailable,
 };
+use lynxmill_http_server::OpenConnections;
 use lynxmill_time::Timestamp;
 use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
@@ -41,6 +42,7 @@
     merged: watch::Sender<u64>,
     left: AtomicBool,
     counters: Mutex<BTreeMap<&'static str, u64>>,
+    open_connections: Mutex<BTreeMap<&'static str, OpenConnections>>,
 }
 
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -68,6 +70,7 @@
             last_number: AtomicU64::new(0),
             left: AtomicBool::new(false),
             counters: Mutex::new(BTreeMap::new()),
+            open_connections: Mutex::new(BTreeMap::new()),
             settings,
             born,
             writes,
@@ -91,9 +94,35 @@
         let mut all = self.with_node(|_, node| node.counters().clone());
         all.extend(lock(&self.counters).iter().map(|(what, n)| (*what, *n)));
         all.extend(self.edges.bytes_sent());
+        all.extend(self.open_connections());
         all
     }
 
+    /// From now on the connections of a server are counted, under this name.
+    pub(crate) fn count_connections(&self, server: &'static str, open: OpenConnections) {
+        lock(&self.open_connections).insert(server, open);
+    }
+
+    /// Connections that are open now, by kind.
+    fn open_connections(&self) -> BTreeMap<&'static str, u64> {
+        let servers = lock(&self.open_connections);
+        let count = |server| {
+            servers
+                .get(server)
+                .map_or(0, |open: &OpenConnections| open.count())
+        };
+        let counts = [
+            ("connections-control", count("control")),
+            ("connections-directory", count("directory")),
+            ("connections-edges", self.edges.count()),
+            ("connections-members", self.connections.count()),
+        ];
+        counts
+            .into_iter()
+            .map(|(kind, count)| (kind, count as u64))
+            .collect()
+    }
+
     /// One line with all that was counted.
     pub(crate) fn log_counters(&self) {
         let all: Vec<String> = self
--- a/crates/control-plane/src/http.rs
+++ b/crates/control-plane/src/http.rs
@@ -15,11 +15,15 @@
 /// What callers of one server may take up. Every task of a deployment may keep a connection to one member.
 const LIMITS: Limits = Limits {
     connections: 16_384,
-    idle_time: Duration::from_secs(60),
+    idle_time: MIN_IDLE_TIME,
     body_bytes: 16 << 20,
     all_bodies_bytes: 48 << 20,
     body_time: Duration::from_secs(10),
 };
+/// Tasks keep the connection on which they send their heartbeats. One that was quiet for so many of them has gone elsewhere.
+const IDLE_HEARTBEATS: f64 = 8.0;
+/// Operators keep their connections for at least so long.
+const MIN_IDLE_TIME: Duration = Duration::from_secs(10);
 
 /// Answers calls on an address in a thread that ends once `ends` is true and all callers have their answers. Each call
 /// tells the last change that was merged before it was sent.
@@ -35,7 +39,13 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let listen = |error: std::io::Error| ServeError::Listen(address.to_owned(), error.into());
-    let server = HttpServer::bind(address, LIMITS).map_err(listen)?;
+    let idle_time = Duration::from_secs_f64(host.settings.beat_interval_s * IDLE_HEARTBEATS);
+    let limits = Limits {
+        idle_time: idle_time.max(MIN_IDLE_TIME),
+        ..LIMITS
+    };
+    let server = HttpServer::bind(address, limits).map_err(listen)?;
+    host.count_connections(name, server.open_connections());
     let runtime = Builder::new_current_thread()
         .enable_io()
         .enable_time()
--- a/crates/control-plane/src/outbox.rs
+++ b/crates/control-plane/src/outbox.rs
@@ -15,16 +15,17 @@
 pub(crate) struct Outbox {
     queue: Sender<Bytes>,
     waiting: Arc<AtomicUsize>,
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     /// Bytes that may wait before the connection is closed.
     most: usize,
 }
 
 impl Outbox {
-    pub(crate) fn new(stream: &TcpStream, name: &str, most: usize) -> std::io::Result<Self> {
+    /// The connection has one descriptor, whoever else reads from it.
+    pub(crate) fn new(stream: Arc<TcpStream>, name: &str, most: usize) -> std::io::Result<Self> {
         let (queue, queued) = channel();
         let waiting = Arc::new(AtomicUsize::new(0));
-        let (other, counted) = (stream.try_clone()?, waiting.clone());
+        let (other, counted) = (stream.clone(), waiting.clone());
         let thread = std::thread::Builder::new()
             .name(name.to_owned())
             .stack_size(STACK);
@@ -32,7 +33,7 @@
         Ok(Outbox {
             queue,
             waiting,
-            stream: stream.try_clone()?,
+            stream,
             most,
         })
     }
@@ -49,7 +50,7 @@
     }
 }
 
-fn write(mut stream: TcpStream, queued: &Receiver<Bytes>, waiting: &AtomicUsize) {
+fn write(stream: Arc<TcpStream>, queued: &Receiver<Bytes>, waiting: &AtomicUsize) {
     while let Ok(first) = queued.recv() {
         let mut bytes = first.to_vec();
         while bytes.len() < WRITE_TOGETHER
@@ -58,7 +59,7 @@
             bytes.extend_from_slice(&more);
         }
         waiting.fetch_sub(bytes.len(), Ordering::Relaxed);
-        if stream.write_all(&bytes).is_err() {
+        if (&*stream).write_all(&bytes).is_err() {
             break;
         }
     }
--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -80,9 +80,10 @@
     loop {
         if let Ok(stream) = TcpStream::connect_timeout(&address, CONNECT) {
             tune(&stream);
-            if let Ok(outbox) = Outbox::new(&stream, "to-peer", BACKLOG) {
+            let stream = Arc::new(stream);
+            if let Ok(outbox) = Outbox::new(stream.clone(), "to-peer", BACKLOG) {
                 *lock(&peer.outbox) = Some(outbox);
-                read_responses(host, ip, stream);
+                read_responses(host, ip, &stream);
                 *lock(&peer.outbox) = None;
             }
         }
@@ -90,7 +91,7 @@
     }
 }
 
-fn read_responses(host: &Arc<Host>, ip: &str, mut stream: TcpStream) {
+fn read_responses(host: &Arc<Host>, ip: &str, mut stream: &TcpStream) {
     let (mut frames, mut piece) = (FrameDecoder::default(), vec![0u8; 16 << 10]);
     'connection: while let Ok(got) = stream.read(&mut piece) {
         if got == 0 {
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -14,4 +14,4 @@
 pub use body::BodyError;
 pub use request::Request;
 pub use response::Response;
-pub use server::{HttpServer, Limits};
+pub use server::{HttpServer, Limits, OpenConnections};
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -42,11 +43,27 @@
     pub body_time: Duration,
 }
 
+/// How many connections a server has open.
+#[derive(Clone, Debug, Default)]
+pub struct OpenConnections(Arc<AtomicUsize>);
+
+impl OpenConnections {
+    /// Their number.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, count: usize) {
+        self.0.store(count, Ordering::Relaxed);
+    }
+}
+
 /// A server that listens.
 #[derive(Debug)]
 pub struct HttpServer {
     listener: std::net::TcpListener,
     limits: Limits,
+    open_connections: OpenConnections,
 }
 
 /// What all connections of a server share.
@@ -74,7 +91,11 @@
         socket.bind(&address.into())?;
         socket.listen(BACKLOG)?;
         let listener = socket.into();
-        Ok(HttpServer { listener, limits })
+        Ok(HttpServer {
+            listener,
+            limits,
+            open_connections: OpenConnections::default(),
+        })
     }
 
     /// The address that it listens on.
@@ -86,6 +107,11 @@
         self.listener.local_addr()
     }
 
+    /// How many connections it has open, while it serves.
+    pub fn open_connections(&self) -> OpenConnections {
+        self.open_connections.clone()
+    }
+
     /// Answers calls by `handle` until `ends` is true and the last caller has its answer. A call whose caller closes its
     /// connection before the answer is dropped.
     ///
@@ -126,7 +152,7 @@
             ends: ends.clone(),
         });
         let listener = TcpListener::from_std(self.listener)?;
-        let mut connections = Connections::new(shared, listener);
+        let mut connections = Connections::new(shared, listener, self.open_connections);
         versions.mark_changed();
         loop {
             let has_room = connections.has_room();
@@ -138,7 +164,7 @@
                         sleep(ACCEPT_RETRY).await;
                     }
                 },
-                Some(_) = connections.open.join_next() => {}
+                Some(_) = connections.open.join_next() => connections.count(),
                 Ok(()) = versions.changed() => {
                     let reached = *versions.borrow_and_update();
                     connections.state_reached(reached);
@@ -156,6 +182,7 @@
     shared: Arc<Shared<H>>,
     listener: TcpListener,
     open: JoinSet<()>,
+    open_connections: OpenConnections,
     /// Connections that are taken from now on were established after the state had reached this version.
     established_after: u64,
 }
@@ -165,11 +192,16 @@
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    fn new(shared: Arc<Shared<H>>, listener: TcpListener) -> Self {
+    fn new(
+        shared: Arc<Shared<H>>,
+        listener: TcpListener,
+        open_connections: OpenConnections,
+    ) -> Self {
         Connections {
             shared,
             listener,
             open: JoinSet::new(),
+            open_connections,
             established_after: 0,
         }
     }
@@ -183,6 +215,11 @@
         let connection = Arc::new(Connection::new(caller, versions, self.established_after));
         self.open
             .spawn(serve_connection(self.shared.clone(), stream, connection));
+        self.count();
+    }
+
+    fn count(&self) {
+        self.open_connections.set(self.open.len());
     }
 
     /// The state has reached a version. Connections that wait to be taken may have been established before; those that
--- a/crates/http-server/tests/server.rs
+++ b/crates/http-server/tests/server.rs
@@ -210,3 +210,21 @@
     drop(slow);
     server.thread.join().expect("it ends");
 }
+
+/// A caller that has gone elsewhere and left its connection open does not keep it.
+#[test]
+fn an_idle_connection_is_closed() {
+    let idle_time = Duration::from_millis(300);
+    let server = started(Limits {
+        idle_time,
+        ..limits()
+    });
+    let mut kept = server.send("GET /none HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert!(head(&mut kept).starts_with("HTTP/1.1 404"));
+    let began = Instant::now();
+    let mut rest = Vec::new();
+    kept.read_to_end(&mut rest).expect("its end");
+    assert!(rest.is_empty(), "{rest:?}");
+    assert!(began.elapsed() >= idle_time / 2, "{:?}", began.elapsed());
+    assert!(began.elapsed() < PATIENCE / 2, "{:?}", began.elapsed());
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,8 +14,8 @@
 };
 pub use frame::{FrameDecoder, FrameError, MAX_FRAME_BYTES, encode_frame};
 pub use peer::{
-    Accept, Accepted, Ballot, Change, InstanceReport, LeaseRequest, MemberStatus, Membership,
-    PeerRequest, PeerResponse, PendingChanges, Prepare, Promise, PromoteRequest, Register,
-    RegisterVersion, RegistersChunk, RegistersRequest, RequestEnvelope, ResponseEnvelope,
+    Accept, Accepted, Ballot, Change, HeartbeatLoad, InstanceReport, LeaseRequest, MemberStatus,
+    Membership, PeerRequest, PeerResponse, PendingChanges, Prepare, Promise, PromoteRequest,
+    Register, RegisterVersion, RegistersChunk, RegistersRequest, RequestEnvelope, ResponseEnvelope,
     ShardTable, Slice, SnapshotChunk, SnapshotRequest,
 };
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -229,6 +229,20 @@
     /// The sender is a learner that has read all items and can be promoted.
     #[prost(bool, tag = "10")]
     pub learner_ready: bool,
+    /// Tasks that send their heartbeats to the sender; none from versions that do not count them.
+    #[prost(message, optional, tag = "11")]
+    pub heartbeats: Option<HeartbeatLoad>,
+}
+
+/// Tasks that send their heartbeats to a member.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct HeartbeatLoad {
+    /// Those that may send them to another member as well.
+    #[prost(uint32, tag = "1")]
+    pub movable: u32,
+    /// Those whose shards the member owns.
+    #[prost(uint32, tag = "2")]
+    pub pinned: u32,
 }
 
 /// Changed tasks, and heartbeats that the sender received lately.
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -105,6 +105,7 @@
         tasks_digest: 1 << 60,
         items_digest: 5,
         learner_ready: true,
+        heartbeats: None,
     }
 }
 
