--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -162,6 +162,8 @@
     pub at: f64,
     /// Open descriptors.
     pub descriptors: usize,
+    /// Those of them that are connections of tasks and operators.
+    pub callers: usize,
     /// Resident memory in MB.
     pub resident_mb: f64,
 }
@@ -197,6 +199,26 @@
         self.machines.entry(machine).or_default().push((at, event));
     }
 
+    /// What the last process of each machine used when it was last measured.
+    pub fn last_usage(&self) -> BTreeMap<Machine, Usage> {
+        let mut last: BTreeMap<Machine, Usage> = BTreeMap::new();
+        for ((machine, _), usages) in &self.usage {
+            for usage in usages {
+                let known = last.entry(*machine).or_insert(*usage);
+                if usage.at > known.at {
+                    *known = *usage;
+                }
+            }
+        }
+        last
+    }
+
+    /// Tasks whose processes run at a moment.
+    pub fn running_tasks(&self, at: f64) -> usize {
+        let runs = |life: &&TaskLife| life.ended.is_none_or(|ended| ended > at);
+        self.tasks.values().filter(runs).count()
+    }
+
     /// Runs of one request.
     pub fn runs_of(&self, id: &str) -> &[Run] {
         self.runs.get(id).map_or(&[], Vec::as_slice)
--- a/crates/soak/src/operators.rs
+++ b/crates/soak/src/operators.rs
@@ -200,6 +200,22 @@
         }
     }
 
+    /// Connections of callers that each member counts; 0 for one that does not answer.
+    pub(crate) async fn callers_by_member(&self) -> Vec<usize> {
+        let mut counts = Vec::new();
+        for control in &self.controls {
+            let mut caller = Caller::new(self.links.clone());
+            let path = "/v1/counters";
+            let answer = caller.call(control, "GET", path, "", LARGE_PATIENCE).await;
+            let counters = answer
+                .ok()
+                .and_then(|answer| serde_json::from_slice::<Value>(&answer.body).ok());
+            let count = counters.and_then(|counters| counters["connections-control"].as_u64());
+            counts.push(count.unwrap_or_default() as usize);
+        }
+        counts
+    }
+
     /// The version of the moving route that a member reads back.
     pub(crate) async fn read_back(&self) -> Option<u64> {
         let mut caller = Caller::new(self.links.clone());
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -142,14 +142,18 @@
         }
     }
 
-    /// Notes what all processes use.
-    pub(crate) fn measure(&self) {
+    /// Notes what all processes use; `callers` are the connections of tasks and operators at each member.
+    pub(crate) fn measure(&self, callers: &[usize]) {
         let at = self.ledger.now();
         for machine in self.size.machines() {
             let Some(id) = self.system().process_id(machine) else {
                 continue;
             };
-            if let Some(usage) = usage_of(id, at) {
+            let callers = match machine {
+                Machine::Member(n) => callers.get(n).copied().unwrap_or_default(),
+                Machine::Edge(_) => 0,
+            };
+            if let Some(usage) = usage_of(id, at, callers) {
                 let mut records = self.ledger.records();
                 records.usage.entry((machine, id)).or_default().push(usage);
             }
@@ -157,7 +161,7 @@
     }
 }
 
-fn usage_of(process: u32, at: f64) -> Option<Usage> {
+fn usage_of(process: u32, at: f64, callers: usize) -> Option<Usage> {
     let folder = Path::new("/proc").join(process.to_string());
     let descriptors = std::fs::read_dir(folder.join("fd")).ok()?.count();
     let statm = std::fs::read_to_string(folder.join("statm")).ok()?;
@@ -165,6 +169,7 @@
     Some(Usage {
         at,
         descriptors,
+        callers,
         resident_mb: pages * PAGE_BYTES / BYTES_IN_MB,
     })
 }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use hdrhistogram::Histogram;
+use lynxmill_deployment::Machine;
 use serde::Serialize;
 
 use crate::ledger::{Outcome, Records, Try};
@@ -79,6 +80,8 @@
     pub evacuations: (usize, usize),
     /// Tasks that have lived.
     pub tasks: usize,
+    /// Connections of callers at each member at the end.
+    pub callers_by_member: Vec<usize>,
     /// Latencies by kind of request.
     pub latencies: BTreeMap<&'static str, Latencies>,
     /// Latencies by kind of request and second.
@@ -93,6 +96,14 @@
     pub timelines: Vec<String>,
 }
 
+fn callers_by_member(records: &Records) -> Vec<usize> {
+    let members = records
+        .last_usage()
+        .into_iter()
+        .filter(|(machine, _)| matches!(machine, Machine::Member(_)));
+    members.map(|(_, usage)| usage.callers).collect()
+}
+
 impl Report {
     /// Sums the records up.
     pub fn new(
@@ -117,6 +128,7 @@
             changes: (acknowledged.count(), records.changes.len()),
             evacuations: (evacuated.count(), records.evacuations.len()),
             tasks: records.tasks.len(),
+            callers_by_member: callers_by_member(records),
             latencies: latencies(records),
             seconds_by_kind: seconds_by_kind(records),
             first_request_s: records.tries.iter().map(|t| t.sent).fold(seconds, f64::min),
@@ -180,6 +192,16 @@
                 "  {kind:8} {count:6} answers, p50 {p50_ms:.1} ms, p99 {p99_ms:.1} ms, longest {max_ms:.1} ms"
             )?;
         }
+        let callers: Vec<String> = self
+            .callers_by_member
+            .iter()
+            .map(usize::to_string)
+            .collect();
+        writeln!(
+            out,
+            "  connections of callers at members at the end: {}",
+            callers.join(", ")
+        )?;
         for (rule, count) in self.broken() {
             writeln!(out, "  {rule:?} was broken {count} times")?;
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -77,7 +77,7 @@
     keep: bool,
 ) -> Result<Report, SoakError> {
     let mut soak = Soak::start(settings, programs, keep).await?;
-    soak.processes.measure();
+    soak.measure().await;
     let world = Arc::new(ClientWorld {
         ledger: soak.ledger.clone(),
         fronts: soak.processes.system().fronts(),
@@ -276,10 +276,16 @@
             }
             sleep(READ_BACK_PAUSE).await;
         }
-        self.processes.measure();
+        self.measure().await;
         self.end_all_tasks().await
     }
 
+    /// Notes what all processes use.
+    async fn measure(&self) {
+        let callers = self.operator.callers_by_member().await;
+        self.processes.measure(&callers);
+    }
+
     async fn end_all_tasks(&mut self) -> Result<(), SoakError> {
         let tasks: Vec<TaskHandle> = self.tasks.iter_mut().filter_map(Option::take).collect();
         for task in tasks {
--- a/crates/soak/tests/rules.rs
+++ b/crates/soak/tests/rules.rs
@@ -336,13 +336,54 @@
     let first = Usage {
         at: 0.0,
         descriptors: 40,
+        callers: 0,
         resident_mb: 20.0,
     };
     let last = Usage {
         at: 60.0,
         descriptors,
+        callers: 0,
         resident_mb,
     };
     records.usage.insert((EDGE, 1), vec![first, last]);
     assert_eq!(broken(&records), rules);
 }
+
+/// Tasks go from one member to another; connections that stay behind them do not pass.
+#[rstest]
+#[case::moved(10, 110, 40, &[])]
+#[case::a_little_more(24, 110, 72, &[])]
+#[case::left_behind(25, 110, 40, &[Rule::Leak])]
+#[case::not_of_callers(10, 90, 73, &[Rule::Leak])]
+fn connections_of_callers_are_as_many_as_tasks(
+    #[case] at_the_first: usize,
+    #[case] at_the_second: usize,
+    #[case] others: usize,
+    #[case] rules: &[Rule],
+) {
+    let mut records = records(Vec::new(), Vec::new());
+    for number in 0..100 {
+        let life = TaskLife {
+            service: "mill",
+            zone: "north",
+            leave_acknowledged: None,
+            ended: None,
+        };
+        records.tasks.insert(format!("i-{number}"), life);
+    }
+    let usage = |at, others, callers| Usage {
+        at,
+        descriptors: others + callers,
+        callers,
+        resident_mb: 20.0,
+    };
+    let members = [
+        (Machine::Member(0), 80, at_the_first),
+        (Machine::Member(1), 20, at_the_second),
+    ];
+    for (member, before, after) in members {
+        let usage = vec![usage(0.0, 40, before), usage(60.0, others, after)];
+        records.usage.insert((member, 1), usage);
+    }
+    assert_eq!(broken(&records), rules);
+}
