Edges and the core serve peers by one stream, which cuts callers off that take nothing of an answer

ClientStream and CallerStream were twins but for what the edge is told of written bytes and stalls (docs/design: 'the two twins'). ServerStream in lingering-close serves both; who wants to know how far answers are written gives it an observer. So a member, too, cuts off a caller that takes nothing of its answer for the time a connection may be idle: a_caller_that_never_reads_is_cut_off hung before.

--- a/crates/edge-proxy/src/connections.rs
+++ b/crates/edge-proxy/src/connections.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::rc::Rc;
 
+use lynxmill_lingering_close::WriteObserver;
 use tokio::sync::Notify;
 
 use crate::app::App;
@@ -95,31 +96,33 @@
         }
     }
 
-    /// The socket has taken some bytes.
-    pub(crate) fn wrote(&self, bytes: usize) {
-        self.written_bytes
-            .set(self.written_bytes.get() + bytes as u64);
+    fn answer_ended(&self) {
+        self.held.borrow_mut().clear();
+        if self.answer_begins_at.take().is_some() {
+            let unwritten = &self.app.connections.unwritten_answers;
+            unwritten.set(unwritten.get() - 1);
+        }
     }
+}
 
-    /// Its client has taken nothing of an answer for too long.
-    pub(crate) fn client_stalled(&self) {
-        self.app.count("client-stalled");
+/// The socket of a client's connection tells how far its answers are written.
+pub(crate) struct WrittenAnswers(pub Rc<OpenConnection>);
+
+impl WriteObserver for WrittenAnswers {
+    fn wrote(&self, bytes: usize) {
+        let written = &self.0.written_bytes;
+        written.set(written.get() + bytes as u64);
     }
 
-    /// The socket has taken all bytes that there are.
-    pub(crate) fn flushed(&self) {
-        let begins_at = self.answer_begins_at.get();
-        if begins_at.is_some_and(|begins_at| self.written_bytes.get() > begins_at) {
-            self.answer_ended();
+    fn flushed(&self) {
+        let begins_at = self.0.answer_begins_at.get();
+        if begins_at.is_some_and(|begins_at| self.0.written_bytes.get() > begins_at) {
+            self.0.answer_ended();
         }
     }
 
-    fn answer_ended(&self) {
-        self.held.borrow_mut().clear();
-        if self.answer_begins_at.take().is_some() {
-            let unwritten = &self.app.connections.unwritten_answers;
-            unwritten.set(unwritten.get() - 1);
-        }
+    fn stalled(&self) {
+        self.0.app.count("client-stalled");
     }
 }
 
--- a/crates/edge-proxy/src/downstream.rs
+++ b/crates/edge-proxy/src/downstream.rs
@@ -8,14 +8,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use lynxmill_lingering_close::ServerStream;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use crate::app::App;
-use crate::client_stream::ClientStream;
-use crate::connections::OpenConnection;
+use crate::connections::{OpenConnection, WrittenAnswers};
 use crate::request;
 
 /// After a failure to take a connection: descriptors may be free again.
@@ -63,7 +63,8 @@
         .timer(TokioTimer::new())
         .max_buf_size(longest)
         .header_read_timeout(Duration::from_secs_f64(header_s.max(idle_s)));
-    let stream = ClientStream::new(stream, open.clone(), Duration::from_secs_f64(idle_s));
+    let observer = WrittenAnswers(open.clone());
+    let stream = ServerStream::new(stream, observer, Duration::from_secs_f64(idle_s));
     let taken_last = *ends.borrow();
     builder.keep_alive(!taken_last);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/crates/edge-proxy/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod app;
 mod attempts;
 mod body;
-mod client_stream;
 pub mod connections;
 pub mod downstream;
 mod headers;
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -5,7 +5,6 @@
 //! the last byte.
 
 mod body;
-mod caller_stream;
 mod connection;
 mod request;
 pub mod response;
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use lynxmill_lingering_close::{ServerStream, WriteObserver};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -18,7 +19,6 @@
 use tokio::time::sleep;
 
 use crate::body::{self, BodyMemory, Reservation};
-use crate::caller_stream::CallerStream;
 use crate::connection::Connection;
 use crate::request::Request;
 use crate::response::Response;
@@ -33,7 +33,7 @@
 pub struct Limits {
     /// Connections that are open; further ones wait to be taken.
     pub connections: usize,
-    /// How long a head may take, and a connection may be idle.
+    /// How long a head may take, a connection may be idle, and a caller may take nothing of an answer.
     pub idle_time: Duration,
     /// Bytes of one body.
     pub body_bytes: usize,
@@ -267,6 +267,19 @@
     }
 }
 
+/// Nobody asks how far answers are written.
+struct Unobserved;
+
+impl WriteObserver for Unobserved {
+    fn wrote(&self, _bytes: usize) {}
+
+    fn flushed(&self) {}
+
+    fn stalled(&self) {
+        log::info!("a caller that takes nothing of its answer is cut off");
+    }
+}
+
 async fn serve_connection<H, F>(shared: Arc<Shared<H>>, stream: TcpStream, caller: Arc<Connection>)
 where
     H: Fn(Request) -> F + Send + Sync + 'static,
@@ -283,7 +296,8 @@
         .header_read_timeout(idle_time);
     let taken_last = *ends.borrow();
     builder.keep_alive(!taken_last);
-    let stream = TokioIo::new(CallerStream::new(stream));
+    let stream = ServerStream::new(stream, Unobserved, idle_time);
+    let stream = TokioIo::new(stream);
     let connection = builder.serve_connection(stream, service);
     tokio::pin!(connection);
     let result = tokio::select! {
--- a/crates/http-server/tests/server.rs
+++ b/crates/http-server/tests/server.rs
@@ -8,7 +8,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use lynxmill_http_server::{HttpServer, Limits, Request, Response, response};
+use lynxmill_http_server::{HttpServer, Limits, OpenConnections, Request, Response, response};
 use rstest::rstest;
 use tokio::sync::watch;
 
@@ -36,6 +36,7 @@
     end: watch::Sender<bool>,
     thread: JoinHandle<()>,
     begun: Arc<AtomicUsize>,
+    open: OpenConnections,
     dropped: Arc<AtomicUsize>,
 }
 
@@ -65,6 +66,7 @@
 fn started(limits: Limits) -> Running {
     let server = HttpServer::bind("127.0.0.1:0", limits).expect("a port");
     let address = server.local_address().expect("an address");
+    let open = server.open_connections();
     let (end, ends) = watch::channel(false);
     let begun = Arc::new(AtomicUsize::new(0));
     let dropped = Arc::new(AtomicUsize::new(0));
@@ -84,6 +86,7 @@
         end,
         thread,
         begun,
+        open,
         dropped,
     }
 }
@@ -228,3 +231,20 @@
     assert!(began.elapsed() >= idle_time / 2, "{:?}", began.elapsed());
     assert!(began.elapsed() < PATIENCE / 2, "{:?}", began.elapsed());
 }
+
+/// A caller that takes nothing of a long answer does not hold it for ever.
+#[test]
+fn a_caller_that_never_reads_is_cut_off() {
+    let server = started(Limits {
+        idle_time: Duration::from_millis(300),
+        ..limits()
+    });
+    let stalled = server.send("GET /long HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_for(&server.begun, 1);
+    let until = Instant::now() + PATIENCE;
+    while server.open.count() > 0 {
+        assert!(Instant::now() < until, "it holds its answer");
+        std::thread::sleep(POLL);
+    }
+    drop(stalled);
+}
--- a/crates/lingering-close/src/lib.rs
+++ b/crates/lingering-close/src/lib.rs
@@ -3,6 +3,8 @@
 //! A socket that is closed while its peer still sends is reset, and what the peer has not got by then is lost. So only
 //! the sending side is closed at first, and what comes is dropped until the peer closes too (RFC 9112, section 9.6).
 
+mod stream;
+
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -13,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
+pub use stream::{ServerStream, WriteObserver};
+
 /// Bytes that are read and dropped at a time.
 const DISCARD_BYTES: usize = 4 << 10;
 
--- a/crates/edge-proxy/src/client_stream.rs
+++ b/crates/lingering-close/src/stream.rs
@@ -1,48 +1,55 @@
-//! The socket of a client's connection, which tells how far its answers are written and closes without losing any.
+//! The socket of a peer as an HTTP server uses it: it closes without losing an answer, and cuts a peer off that takes
+//! nothing of one.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use lynxmill_lingering_close::LingeringClose;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
-use crate::connections::OpenConnection;
+use crate::LingeringClose;
 
-/// How long a client may take to close its side after its last answer.
+/// How long a peer may take to close its side after its last answer.
 const LINGER: Duration = Duration::from_secs(2);
 
-/// A client's socket. The HTTP library flushes it only when it holds no more bytes itself.
-pub(crate) struct ClientStream {
+/// Is told how far the answers on a connection are written.
+pub trait WriteObserver {
+    /// The socket has taken some bytes.
+    fn wrote(&self, bytes: usize);
+    /// The socket has taken all bytes that there are.
+    fn flushed(&self);
+    /// The peer has taken nothing of an answer for too long.
+    fn stalled(&self);
+}
+
+/// A server's side of one connection. The HTTP library flushes it only when it holds no more bytes itself.
+#[derive(Debug)]
+pub struct ServerStream<O> {
     stream: TcpStream,
-    connection: Rc<OpenConnection>,
+    observer: O,
     closing: LingeringClose,
-    /// How long the client may take none of an answer.
+    /// How long the peer may take none of an answer.
     longest_stall: Duration,
-    /// Runs while the client takes none.
+    /// Runs while the peer takes none.
     stalled: Option<Pin<Box<Sleep>>>,
 }
 
-impl ClientStream {
-    pub(crate) fn new(
-        stream: TcpStream,
-        connection: Rc<OpenConnection>,
-        longest_stall: Duration,
-    ) -> Self {
-        ClientStream {
+impl<O: WriteObserver> ServerStream<O> {
+    /// A peer that takes nothing of an answer for `longest_stall` is cut off.
+    pub fn new(stream: TcpStream, observer: O, longest_stall: Duration) -> Self {
+        ServerStream {
             stream,
-            connection,
+            observer,
             closing: LingeringClose::new(LINGER),
             longest_stall,
             stalled: None,
         }
     }
 
-    /// Notes how much the client's socket took; a client that takes nothing for too long is cut off.
+    /// Notes how much the socket took.
     fn poll_wrote(
         &mut self,
         written: Poll<io::Result<usize>>,
@@ -53,7 +60,7 @@
         };
         self.stalled = None;
         if let Ok(bytes) = &written {
-            self.connection.wrote(*bytes);
+            self.observer.wrote(*bytes);
             self.closing.wrote();
         }
         Poll::Ready(written)
@@ -63,12 +70,12 @@
         let longest = self.longest_stall;
         let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(longest)));
         ready!(stalled.as_mut().poll(context));
-        self.connection.client_stalled();
+        self.observer.stalled();
         Poll::Ready(io::ErrorKind::TimedOut.into())
     }
 }
 
-impl AsyncRead for ClientStream {
+impl<O: WriteObserver + Unpin> AsyncRead for ServerStream<O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -78,7 +85,7 @@
     }
 }
 
-impl AsyncWrite for ClientStream {
+impl<O: WriteObserver + Unpin> AsyncWrite for ServerStream<O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -103,7 +110,7 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        self.connection.flushed();
+        self.observer.flushed();
         Poll::Ready(Ok(()))
     }
 
