Edge: an answer without a length that says it ends with its connection is passed on

Cause: the guard against heads that have lost their framing refused all of them ('unframed'). One that says Connection: close has told its end.

--- a/crates/edge-proxy/src/upstream.rs
+++ b/crates/edge-proxy/src/upstream.rs
@@ -181,11 +181,13 @@
     }
 }
 
-/// Whether an answer tells its own end: of one that ends with its connection, a part looks like the whole.
+/// Whether an answer tells its own end: by a length, in chunks, or by saying that it ends with its connection. Of one that
+/// says nothing, a part looks like the whole.
 fn has_framing(response: &Response<Incoming>) -> bool {
     let coding = text(response.headers(), "transfer-encoding").map(str::to_ascii_lowercase);
     response.body().size_hint().exact().is_some()
         || coding.is_some_and(|v| v.trim().ends_with("chunked"))
+        || closes_connection(response.headers())
 }
 
 /// Whether an answer is to this request: it echoes its id, and no other.
--- a/crates/edge-proxy/tests/upstream/main.rs
+++ b/crates/edge-proxy/tests/upstream/main.rs
@@ -655,3 +655,37 @@
         });
     }
 }
+
+/// Guards against tasks whose answers have no length and end with their connections: none was passed on. One whose connection
+/// is reset may be a part.
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection() {
+    play(|_| async move {
+        for end in [End::Close, End::Reset] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let edge = Edge::new(&listener);
+            let task = spawn_local(async move {
+                let mut wire = accept(&listener).await;
+                let request = wire.next().await.unwrap();
+                let attempt = request.header("lynxmill-attempt-id").to_owned();
+                let body = own_body(&attempt);
+                let bytes = format!(
+                    "HTTP/1.1 200 OK\r\nLynxmill-Attempt-Id: {attempt}\r\nConnection: close\r\n\r\n{body}"
+                );
+                wire.stream.write_all(bytes.as_bytes()).await.unwrap();
+                // Read before the end comes.
+                tokio::time::sleep(TIME / 10).await;
+                end.of(wire);
+            });
+            let came = edge.own("a").await;
+            match end {
+                End::Close => assert!(came.is_ok(), "{came:?}"),
+                End::Reset => assert!(
+                    matches!(came, Err(UpstreamError::MayHaveRun(_))),
+                    "{came:?}"
+                ),
+            }
+            task.abort();
+        }
+    });
+}
