Tests of the edge: listen on ports that nobody else is given, and show the edge's log

Two of some 50 runs of tests/shutdown.rs beside a large soak failed: once 'never ready', once no connection to an edge that had been ready.

--- a/crates/edge-proxy/tests/world/mod.rs
+++ b/crates/edge-proxy/tests/world/mod.rs
@@ -3,9 +3,11 @@
 #![allow(dead_code)]
 
 use std::collections::BTreeMap;
+use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -26,6 +28,27 @@
  "Services":[{"Name":"s","HealthPath":"/health","MaxConns":100,"Version":"1"}],
  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutS":3,"IdleTimeoutS":15,"Version":"1"}}}"#;
 
+/// What the proxy logs, in its folder.
+const LOG_FILE: &str = "log";
+
+/// Ports that the system gives to nobody by itself: from this one on, so many.
+const LOWEST_PORT: u32 = 10_000;
+const PORTS: u32 = 10_000;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// An address that a process started here can listen on. Nobody who lets the system choose a port gets it meanwhile.
+fn reserved_address() -> String {
+    loop {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = LOWEST_PORT + (std::process::id() * 37 + number) % PORTS;
+        let address = format!("127.0.0.1:{port}");
+        if TcpListener::bind(&address).is_ok() {
+            return address;
+        }
+    }
+}
+
 fn free() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
@@ -252,7 +275,7 @@
                 std::thread::spawn(move || std::io::copy(&mut stream, &mut std::io::sink()));
             }
         });
-        let [front, ready] = [free(), free()].map(|l| l.local_addr().unwrap().to_string());
+        let [front, ready] = [reserved_address(), reserved_address()];
         let folder = std::env::temp_dir().join(format!("edge-proxy-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let file = folder.join("local.yaml");
@@ -266,10 +289,10 @@
         let process = Command::new(env!("CARGO_BIN_EXE_lynxmill-edge-proxy"))
             .arg("--settings")
             .arg(&file)
-            .stderr(Stdio::null())
+            .stderr(File::create(folder.join(LOG_FILE)).unwrap())
             .spawn()
             .unwrap();
-        let world = World {
+        let mut world = World {
             process,
             front,
             arrivals,
@@ -278,12 +301,19 @@
         };
         let until = Instant::now() + Duration::from_secs(20);
         while !world.is_ready() {
-            assert!(Instant::now() < until, "never ready");
+            let ended = world.process.try_wait().unwrap();
+            assert!(ended.is_none(), "it ended: {}", world.log());
+            assert!(Instant::now() < until, "never ready: {}", world.log());
             std::thread::yield_now();
         }
         world
     }
 
+    /// What the proxy has logged.
+    fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join(LOG_FILE)).unwrap_or_default()
+    }
+
     /// Whether clients may be sent to the proxy.
     pub(crate) fn is_ready(&self) -> bool {
         let question = b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
