--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -25,6 +25,10 @@
 /// The share of pauses that leave a connection unused for long.
 const IDLE_SHARE: f64 = 0.08;
 const LEAVES_SHARE: f64 = 0.04;
+/// The share of requests that may have another behind them, and have.
+const PIPELINED_SHARE: f64 = 0.08;
+/// Bytes of an answer to a pipelined request, at most.
+const MAX_PIPELINED_ANSWER: usize = 20_000;
 const SLOW_SENDER_SHARE: f64 = 0.06;
 /// The share of connections that go to a client's own edge.
 const OWN_EDGE_SHARE: f64 = 0.8;
@@ -163,6 +167,13 @@
         )
     }
 
+    /// Whether another may be sent behind it before its answer: it may be repeated, and neither body nor answer is long.
+    fn may_be_pipelined(&self) -> bool {
+        self.kind.repeatable
+            && self.kind.body_bytes == 0
+            && self.answer_bytes <= MAX_PIPELINED_ANSWER
+    }
+
     /// Whether it may be sent again after such an end.
     fn may_go_again(&self, outcome: &Outcome) -> bool {
         let again = match outcome {
@@ -286,6 +297,10 @@
                 None => self.next_request(),
             };
             request.tries += 1;
+            if request.may_be_pipelined() && self.random.unit() < PIPELINED_SHARE {
+                stream = self.send_two(edge, open, &request).await;
+                continue;
+            }
             let result = self.send(edge, open, &request).await;
             stream = result.stream;
             if request.may_go_again(&result.outcome) {
@@ -315,6 +330,51 @@
                 .await
                 .unwrap_or_else(|_| TryResult::ended(Outcome::TimedOut)),
         };
+        self.note(edge, request, (sent, sent_whole), &result.outcome);
+        result
+    }
+
+    /// Sends a request and another behind it, and reads both answers; neither is sent again. The connection, if it can be
+    /// used again.
+    async fn send_two(
+        &mut self,
+        edge: usize,
+        mut stream: HttpStream,
+        first: &Request,
+    ) -> Option<HttpStream> {
+        let second = loop {
+            let drawn = self.next_request();
+            if drawn.may_be_pipelined() {
+                break drawn;
+            }
+        };
+        let sent = self.world.ledger.now();
+        let heads = first.head(self.world.host) + &second.head(self.world.host);
+        let written = stream.write(heads.as_bytes()).await;
+        let times = (sent, self.world.ledger.now());
+        let mut open = written.is_ok().then_some(stream);
+        for request in [first, &second] {
+            let result = match open.take() {
+                Some(stream) => timeout(DEADLINE, read(stream, request, Pace::FAST))
+                    .await
+                    .unwrap_or_else(|_| TryResult::ended(Outcome::TimedOut)),
+                // The edge need not have read a request behind an answer that closes, or is cut.
+                None => TryResult::ended(Outcome::NotSent),
+            };
+            self.note(edge, request, times, &result.outcome);
+            open = result.stream;
+        }
+        open
+    }
+
+    /// Writes a try down that has ended now.
+    fn note(
+        &self,
+        edge: usize,
+        request: &Request,
+        (sent, sent_whole): (f64, f64),
+        outcome: &Outcome,
+    ) {
         let ended = self.world.ledger.now();
         self.world.ledger.records().tries.push(Try {
             id: request.id.clone(),
@@ -324,9 +384,8 @@
             sent,
             sent_whole,
             ended,
-            outcome: result.outcome.clone(),
+            outcome: outcome.clone(),
         });
-        result
     }
 
     async fn write(
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -105,6 +105,11 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Ends the own side of the connection.
+    pub(crate) async fn end(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await
+    }
+
     /// The next head; none if the connection has ended before it.
     pub(crate) async fn read_head(&mut self) -> io::Result<Option<Head>> {
         loop {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -59,6 +59,12 @@
     Cut,
     /// It answers after half a second more.
     Late,
+    /// It sends the whole answer twice.
+    Twice,
+    /// It answers 503 though it has run, and does not say that it has not.
+    RefusedAfterRun,
+    /// Its answer has no length and ends with the connection.
+    WithoutLength,
 }
 
 /// A request that a task has run.
--- a/crates/soak/src/links.rs
+++ b/crates/soak/src/links.rs
@@ -19,6 +19,8 @@
 struct LinkState {
     /// Nothing passes, ends of connections neither.
     held: bool,
+    /// How far the end of a connection is behind the bytes that were held up before it.
+    ends_behind: Duration,
     /// How often all connections were reset.
     resets: u64,
 }
@@ -63,10 +65,15 @@
         self.begins.get(member).map_or(member, String::as_str)
     }
 
-    /// Holds everything back for a time; then it arrives, in order and with the ends of connections.
-    pub(crate) async fn hold(self: Arc<Self>, member: usize, lasts: Duration) {
+    /// Holds everything back for a time; then it arrives, in order, the ends of connections so far behind.
+    pub(crate) async fn hold(
+        self: Arc<Self>,
+        member: usize,
+        lasts: Duration,
+        ends_behind: Duration,
+    ) {
         let state = &self.links[member].state;
-        state.send_modify(|state| state.held = true);
+        state.send_modify(|state| (state.held, state.ends_behind) = (true, ends_behind));
         sleep(lasts).await;
         state.send_modify(|state| state.held = false);
     }
@@ -127,7 +134,12 @@
     let mut piece = vec![0u8; PIECE_BYTES];
     loop {
         let bytes = from.read(&mut piece).await?;
+        let was_held = states.borrow().held;
         passes(&mut states).await;
+        if bytes == 0 && was_held {
+            let ends_behind = states.borrow().ends_behind;
+            sleep(ends_behind).await;
+        }
         if bytes == 0 {
             return to.shutdown().await;
         }
--- a/crates/soak/src/operators.rs
+++ b/crates/soak/src/operators.rs
@@ -31,8 +31,10 @@
     ledger: Arc<Ledger>,
     controls: Vec<String>,
     links: Arc<Links>,
-    /// One change at a time, so that the order of versions is the order of sending.
-    changes: Mutex<()>,
+    /// One change at a time, so that the order of versions is the order of sending. Its connection is kept.
+    changes: Mutex<Caller>,
+    /// One evacuation at a time, on a connection that is kept.
+    evacuations: Mutex<Caller>,
 }
 
 fn version_text(version: u64) -> String {
@@ -94,8 +96,9 @@
         Operator {
             ledger,
             controls,
+            changes: Mutex::new(Caller::new(links.clone())),
+            evacuations: Mutex::new(Caller::new(links.clone())),
             links,
-            changes: Mutex::new(()),
         }
     }
 
@@ -121,7 +124,7 @@
 
     /// Moves the route to the other service, until it is acknowledged.
     pub(crate) async fn change(&self, first_member: usize) {
-        let _one_at_a_time = self.changes.lock().await;
+        let mut caller = self.changes.lock().await;
         let sent = self.ledger.now();
         let (place, version) = {
             let mut records = self.ledger.records();
@@ -135,7 +138,6 @@
             (records.changes.len() - 1, version)
         };
         let body = json!({"Upsert": {"Routes": [moving_route(version)]}}).to_string();
-        let mut caller = Caller::new(self.links.clone());
         for member in first_member.. {
             let path = "/v1/configuration";
             let answer = self.order(&mut caller, member, "PATCH", path, &body).await;
@@ -151,7 +153,7 @@
     async fn evacuation_order(&self, first_member: usize, method: &str, zone: &str) -> bool {
         let path = format!("/v1/evacuation/{zone}");
         let began = self.ledger.now();
-        let mut caller = Caller::new(self.links.clone());
+        let mut caller = self.evacuations.lock().await;
         for member in first_member.. {
             let answer = self.order(&mut caller, member, method, &path, "").await;
             if answer.is_some_and(|answer| (200..300).contains(&answer.status)) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -223,11 +223,12 @@
                     Ok(())
                 });
             }
-            Disruption::HoldCalls(held, lasts_s) => {
+            Disruption::HoldCalls(held, lasts_s, behind_s) => {
                 let lasts = Duration::from_secs_f64(lasts_s);
+                let ends_behind = Duration::from_secs_f64(behind_s);
                 let links = self.links.clone();
                 self.disruptions.spawn(async move {
-                    links.hold(held, lasts).await;
+                    links.hold(held, lasts, ends_behind).await;
                     Ok(())
                 });
             }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -22,6 +22,9 @@
 /// How long a zone stays evacuated, at least and at most. Longer than an evacuation takes to be in force.
 const EVACUATION_S: (f64, f64) = (6.0, 9.0);
 
+/// A round trip, a lost segment, several.
+const ENDS_BEHIND_S: [f64; 4] = [0.0, 0.126, 0.3, 0.6];
+
 /// What happens to the system.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub enum Disruption {
@@ -43,8 +46,9 @@
     Configure,
     /// A zone, by its number, is evacuated for so many seconds, so often in a row.
     Evacuate(usize, f64, usize),
-    /// The way from callers to a member, by its number, holds everything back for so many seconds.
-    HoldCalls(usize, f64),
+    /// The way from callers to a member, by its number, holds everything back for so many seconds; the ends of
+    /// connections come so many seconds behind their last bytes.
+    HoldCalls(usize, f64, f64),
     /// All connections of callers to a member, by its number, are reset.
     ResetCalls(usize),
 }
@@ -68,9 +72,12 @@
                 let zone = ZONES[*zone];
                 write!(out, "{zone} is evacuated for {s:.2} s, {times} times")
             }
-            Disruption::HoldCalls(member, s) => {
+            Disruption::HoldCalls(member, s, behind_s) => {
                 let member = Machine::Member(*member);
-                write!(out, "calls to {member} are held up for {s:.2} s")
+                write!(
+                    out,
+                    "calls to {member} are held up for {s:.2} s, their ends {behind_s:.2} s behind"
+                )
             }
             Disruption::ResetCalls(member) => {
                 write!(out, "calls to {} are reset", Machine::Member(*member))
@@ -128,7 +135,9 @@
             Disruption::Evacuate(zone, between(r, EVACUATION_S), 1 + below(r, 2))
         }),
         (doses.calls_hold, &|r| {
-            Disruption::HoldCalls(below(r, members), between(r, HOLD_S))
+            let member = below(r, members);
+            let behind_s = ENDS_BEHIND_S[below(r, ENDS_BEHIND_S.len())];
+            Disruption::HoldCalls(member, between(r, HOLD_S), behind_s)
         }),
         (doses.calls_reset, &|r| {
             Disruption::ResetCalls(below(r, members))
--- a/crates/soak/src/tasks.rs
+++ b/crates/soak/src/tasks.rs
@@ -1,4 +1,4 @@
-//! Scripted tasks: they answer, are late or break off, beat, hold keys, drain, sign off first, or crash.
+//! Scripted tasks: they answer, are late or break off, answer twice, without a length or with a refusal after they ran, beat, hold keys, drain, sign off first, or crash.
 
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -11,7 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::http::{Caller, Head, HttpStream, Pace};
 use crate::keys::HeldKeys;
@@ -31,6 +31,9 @@
 /// How late a late answer is.
 const LATE: Duration = Duration::from_millis(500);
 const SLOTS: u32 = 16;
+/// One of so many tasks closes connections that rest.
+const CLOSES_ONE_IN: u8 = 3;
+const IDLE_TIME: Duration = Duration::from_secs(2);
 const SHARDED_SERVICE: &str = "sorter";
 
 static LIVES: AtomicU64 = AtomicU64::new(1);
@@ -161,12 +164,30 @@
     {
         0..2 => TaskFault::Cut,
         2..5 => TaskFault::Late,
+        5..7 => TaskFault::Twice,
+        7..9 => TaskFault::RefusedAfterRun,
+        9..10 => TaskFault::WithoutLength,
         _ => TaskFault::None,
     }
 }
 
+/// How long connections may rest at this task, by its id; some close none.
+fn idle_time(id: &str) -> Option<Duration> {
+    let last = id.bytes().last().unwrap_or_default();
+    last.is_multiple_of(CLOSES_ONE_IN).then_some(IDLE_TIME)
+}
+
+/// The next head; none if the connection has ended, or has rested for too long.
+async fn next_head(stream: &mut HttpStream, idle: Option<Duration>) -> io::Result<Option<Head>> {
+    match idle {
+        Some(idle) => timeout(idle, stream.read_head()).await.unwrap_or(Ok(None)),
+        None => stream.read_head().await,
+    }
+}
+
 async fn serve(shared: Arc<Shared>, mut stream: HttpStream) -> io::Result<()> {
-    while let Some(head) = stream.read_head().await? {
+    let idle = idle_time(&shared.id);
+    while let Some(head) = next_head(&mut stream, idle).await? {
         let arrived = shared.ledger.now();
         let body = stream.read_body(&head, Pace::FAST).await?;
         if head.word(1) == "/health" {
@@ -250,13 +271,7 @@
         .header("soak-answer")
         .and_then(|bytes| bytes.parse().ok())
         .unwrap_or(0);
-    let mut answer = format!(
-        "HTTP/1.1 200 OK\r\nLynxmill-Attempt-Id: {id}\r\nLynxmill-Server-Seal: {}.{id}\r\n\
-         Lynxmill-Instance-Load: 1,0,{SLOTS}\r\nContent-Length: {bytes}\r\n\r\n",
-        shared.id
-    )
-    .into_bytes();
-    answer.extend(body_of(id, bytes));
+    let answer = answer(shared, id, bytes, fault);
     if fault == TaskFault::Cut {
         stream.write(&answer[..answer.len() / 2]).await?;
         return Err(io::ErrorKind::ConnectionAborted.into());
@@ -266,7 +281,35 @@
     if let Some(run) = shared.ledger.records().runs.get_mut(&known_as) {
         run[place].ended = Some(now);
     }
-    Ok(())
+    match fault {
+        // The same once more, in the place of the next answer.
+        TaskFault::Twice => stream.write(&answer).await,
+        TaskFault::WithoutLength => stream.end().await,
+        _ => Ok(()),
+    }
+}
+
+/// The bytes of an answer.
+fn answer(shared: &Shared, id: &str, bytes: usize, fault: TaskFault) -> Vec<u8> {
+    let (status, bytes) = match fault {
+        TaskFault::RefusedAfterRun => ("503 Service Unavailable", 0),
+        _ => ("200 OK", bytes),
+    };
+    let length = match fault {
+        TaskFault::WithoutLength => "Connection: close".to_owned(),
+        _ => format!("Content-Length: {bytes}"),
+    };
+    let keep_alive = idle_time(&shared.id).map_or(String::new(), |idle| {
+        format!("Keep-Alive: timeout={}\r\n", idle.as_secs())
+    });
+    let mut answer = format!(
+        "HTTP/1.1 {status}\r\nLynxmill-Attempt-Id: {id}\r\nLynxmill-Server-Seal: {}.{id}\r\n\
+         Lynxmill-Instance-Load: 1,0,{SLOTS}\r\n{keep_alive}{length}\r\n\r\n",
+        shared.id
+    )
+    .into_bytes();
+    answer.extend(body_of(id, bytes));
+    answer
 }
 
 /// Beats of a task until it ends.
