--- a/crates/control-node/tests/harness/mod.rs
+++ b/crates/control-node/tests/harness/mod.rs
@@ -314,9 +314,19 @@
 
     /// Sends a call; its number.
     pub(crate) fn send_call(&mut self, number: usize, request: ControlRequest) -> CallId {
+        let sent_after = self.machines[&number].node.merged();
+        self.send_call_after(number, request, sent_after)
+    }
+
+    /// Sends a call of which the node knows only that it was sent after an earlier change; its number.
+    pub(crate) fn send_call_after(
+        &mut self,
+        number: usize,
+        request: ControlRequest,
+        sent_after: u64,
+    ) -> CallId {
         self.last += 1;
         let call = CallId(self.last);
-        let sent_after = self.machines[&number].node.merged();
         self.step(
             number,
             Input::Call {
@@ -335,6 +345,15 @@
     /// A call, and its answer within three seconds.
     pub(crate) fn call(&mut self, number: usize, request: ControlRequest) -> Option<Answer> {
         let call = self.send_call(number, request);
+        self.answer_within_three_seconds(number, call)
+    }
+
+    /// The answer to a call within three seconds.
+    pub(crate) fn answer_within_three_seconds(
+        &mut self,
+        number: usize,
+        call: CallId,
+    ) -> Option<Answer> {
         for _ in 0..120 {
             if let Some(answer) = self.answer(number, call) {
                 return Some(answer);
