--- a/crates/consensus/src/instance_registry.rs
+++ b/crates/consensus/src/instance_registry.rs
@@ -110,6 +110,12 @@
         before != (known.task.state, known.task.timed_out) || warm_up_longer
     }
 
+    /// Whether some task of this version of a service is known.
+    pub fn has_version(&self, service: &str, version: &str) -> bool {
+        let mut all = self.tasks.values();
+        all.any(|known| known.task.service == service && known.task.version == version)
+    }
+
     /// A heartbeat of the task arrived at this member.
     pub fn heartbeat_received(&mut self, now: Timestamp, id: &str) {
         if let Some(known) = self.tasks.get_mut(id) {
--- a/crates/control-node/src/event.rs
+++ b/crates/control-node/src/event.rs
@@ -78,6 +78,13 @@
         /// The sharded service.
         service: String,
     },
+    /// The first task of a version of a service was heard of.
+    VersionSeen {
+        /// The service.
+        service: String,
+        /// The version of its software.
+        version: String,
+    },
     /// A change breaks a rule; the text names item and rule.
     ChangeRefused(String),
     /// A zone is evacuated, or taken back.
@@ -176,6 +183,9 @@
             Event::InstanceTimedOut { id, service } => {
                 write!(out, "task {id} of {service} has timed out")
             }
+            Event::VersionSeen { service, version } => {
+                write!(out, "first task of {service} in version {version}")
+            }
             Event::ChangeRefused(error) => write!(out, "a change was refused: {error}"),
             Event::Evacuation { zone, on: true } => write!(out, "zone {zone} is evacuated"),
             Event::Evacuation { zone, on: false } => write!(out, "zone {zone} is taken back"),
--- a/crates/control-node/src/instances.rs
+++ b/crates/control-node/src/instances.rs
@@ -84,6 +84,7 @@
         let task = heartbeat.task.clone();
         let known = self.instances.registry.get(&task.id);
         let late = known.is_some_and(|known| known.task.call_seq > task.call_seq);
+        self.log_new_version(&task);
         let is_news = self.instances.registry.update(now, &task);
         if is_news {
             self.send_task_update(now, vec![task.clone()]);
@@ -114,6 +115,18 @@
         self.answer_heartbeat(now, call, &heartbeat);
     }
 
+    /// A line for the first task of each version of a service.
+    fn log_new_version(&mut self, task: &Task) {
+        let registry = &self.instances.registry;
+        let is_new = registry.get(&task.id).is_none() && !task.version.is_empty();
+        if is_new && !registry.has_version(&task.service, &task.version) {
+            self.log(Event::VersionSeen {
+                service: task.service.clone(),
+                version: task.version.clone(),
+            });
+        }
+    }
+
     fn answer_heartbeat(&mut self, now: Timestamp, call: CallId, heartbeat: &InstanceHeartbeat) {
         let task = &heartbeat.task;
         if !self.in_contact(now) {
@@ -367,6 +380,10 @@
         now: Timestamp,
         report: &InstanceReport,
     ) -> bool {
+        report
+            .tasks
+            .iter()
+            .for_each(|task| self.log_new_version(task));
         let registry = &mut self.instances.registry;
         let mut changed: Vec<Task> = Vec::new();
         let mut ended: Vec<Task> = Vec::new();
--- a/crates/control-plane/src/control.rs
+++ b/crates/control-plane/src/control.rs
@@ -29,6 +29,14 @@
         }
         ("GET", ["v1", "counters"]) => status::counters(host),
         ("GET", ["v1", "status"]) => status::status(host),
-        _ => response::error(404, "there is no such call"),
+        _ => unknown_call(host, &request),
     }
 }
+
+/// A call that this version does not serve: its caller may speak for a later one.
+fn unknown_call(host: &Arc<Host>, request: &Request) -> Response {
+    let (caller, method, path) = (request.caller(), request.method(), request.path());
+    host.count("calls-unknown");
+    log::warn!("{caller} makes a call that is not served: {method} {path}");
+    response::error(404, "there is no such call")
+}
