Rollouts of service versions as items: orders, decisions, what a version may be sent

An item v/SERVICE holds a service's rollouts, versioned by the system like evacuations, so that orders and decisions are kept, merged, repaired and read back as all else is. Disk tools know the item. Nothing makes one yet.

--- a/crates/configuration/src/items.rs
+++ b/crates/configuration/src/items.rs
@@ -7,13 +7,15 @@
 use crate::change::{ConfigurationChange, LISTS};
 use crate::identity::TakenVersion;
 use crate::resources::{Limits, Route, Service};
+use crate::rollouts::ROLLOUTS_PREFIX;
 use crate::validation::ValidationError;
 
 /// An item of the control state as it is kept and sent: `r/NAME`, `s/NAME`, `l/` (limits), `e/ZONE`
-/// (evacuations), `x/refusals` (the last refusal). `body` is the operator's JSON without `Version`, as it was sent.
+/// (evacuations), `v/SERVICE` (rollouts), `x/refusals` (the last refusal). `body` is the operator's JSON without `Version`, as it was sent.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Item {
-    /// `r/NAME` (route), `s/NAME` (service), `l/` (limits), `e/ZONE` (evacuation) or [`REFUSALS_KEY`].
+    /// `r/NAME` (route), `s/NAME` (service), `l/` (limits), `e/ZONE` (evacuation), `v/SERVICE` (rollouts) or
+    /// [`REFUSALS_KEY`].
     #[prost(string, tag = "1")]
     pub key: String,
     /// The operator's version; items are merged by it.
@@ -41,7 +43,7 @@
 pub const REFUSALS_KEY: &str = "x/refusals";
 
 /// The prefixes of items that the system gives versions to by itself.
-const OWN_PREFIXES: [&str; 2] = ["e/", "x/"];
+const OWN_PREFIXES: [&str; 3] = ["e/", "x/", ROLLOUTS_PREFIX];
 
 /// The item that says that a change was refused. It stands for nothing that is in force.
 pub fn refusal(number: u64) -> Item {
@@ -125,7 +127,7 @@
         self.items.get(key).map_or(0, |item| item.version)
     }
 
-    fn present(&self, prefix: &str) -> impl Iterator<Item = &Item> {
+    pub(crate) fn present(&self, prefix: &str) -> impl Iterator<Item = &Item> {
         let of = self
             .items
             .range(prefix.to_owned()..)
--- a/crates/configuration/src/routing_table.rs
+++ b/crates/configuration/src/routing_table.rs
@@ -5,6 +5,7 @@
 
 use crate::items::Configuration;
 use crate::resources::{Limits, Route, Service};
+use crate::rollouts::{ServiceRollouts, VersionAccess};
 
 /// Routes and services by what a request is matched with.
 #[derive(Clone, Debug, Default)]
@@ -14,6 +15,8 @@
     /// What clients may send.
     pub limits: Limits,
     evacuated: Vec<String>,
+    /// Rollouts by service, with the versions of their items.
+    rollouts: BTreeMap<String, (u64, ServiceRollouts)>,
 }
 
 /// The route of a request.
@@ -40,6 +43,10 @@
                 .collect(),
             limits: of.limits(),
             evacuated: of.evacuated().map(str::to_owned).collect(),
+            rollouts: of
+                .all_rollouts()
+                .map(|(service, version, rollouts)| (service.to_owned(), (version, rollouts)))
+                .collect(),
         }
     }
 
@@ -71,6 +78,18 @@
         self.hosts.values().flatten()
     }
 
+    /// Services with rollouts, the versions of their items, and the rollouts.
+    pub fn rollouts(&self) -> impl Iterator<Item = (&str, u64, &ServiceRollouts)> {
+        let all = self.rollouts.iter();
+        all.map(|(service, (version, rollouts))| (service.as_str(), *version, rollouts))
+    }
+
+    /// What a version of a service may be sent.
+    pub fn version_access(&self, service: &str, version: &str) -> VersionAccess {
+        let rollouts = self.rollouts.get(service);
+        rollouts.map_or(VersionAccess::Released, |(_, all)| all.access(version))
+    }
+
     /// Whether a zone is evacuated.
     pub fn evacuated(&self, zone: &str) -> bool {
         self.evacuated.iter().any(|z| z == zone)
--- a/crates/configuration/src/settings.rs
+++ b/crates/configuration/src/settings.rs
@@ -108,6 +108,12 @@
     #[prost(double, tag = "15")]
     #[serde(rename = "ttl_max_s")]
     pub ttl_max_s: f64,
+    /// The share of a service's requests that a bad version may get between its order and its term.
+    #[prost(double, tag = "16")]
+    pub exposure_share: f64,
+    /// Requests beyond that share.
+    #[prost(double, tag = "17")]
+    pub exposure_slack: f64,
 }
 
 /// The settings file of a process.
--- a/crates/configuration/src/validation.rs
+++ b/crates/configuration/src/validation.rs
@@ -44,6 +44,12 @@
     /// Two operators chose the same number: only the one whose content was agreed first is confirmed.
     #[error("{0}: version {1:08x} is taken by other content")]
     VersionTaken(String, u64),
+    /// A rollout names a service that is not known.
+    #[error("service {0} is not known")]
+    UnknownRolloutService(String),
+    /// The version is brought in already, with another term.
+    #[error("service {0}: version {1} is brought in already, with another DurationS")]
+    RolloutUnderWay(String, String),
 }
 
 /// Checks a route by itself, without the items around it.
--- a/crates/deployment/src/site.rs
+++ b/crates/deployment/src/site.rs
@@ -188,6 +188,8 @@
                 evacuate_s: 5.0,
                 max_hold_s: 10.0,
                 thaw_s: 0.3,
+                exposure_share: 0.1,
+                exposure_slack: 50.0,
                 ttl_max_s: 5.0,
             }),
             node_name: name,
--- a/crates/storage/src/inspect/merge.rs
+++ b/crates/storage/src/inspect/merge.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lynxmill_configuration::{Configuration, ConfigurationChange, Item};
+use lynxmill_configuration::{Configuration, ConfigurationChange, Item, ROLLOUTS_PREFIX};
 use lynxmill_protocol::{Ballot, Membership, PendingChanges, Register, ShardTable, Slice, Task};
 use prost::Message;
 
@@ -274,14 +274,12 @@
         }
     }
 
-    /// Evacuations are versioned by the system itself: edges may hold versions that were lost.
-    pub(super) fn raise_evacuations(&mut self) -> Result<(), RecoveryError> {
-        let evacuations = self
-            .configuration
-            .items
-            .values_mut()
-            .filter(|item| item.key.starts_with("e/"));
-        for item in evacuations {
+    /// Evacuations and rollouts are versioned by the system itself: edges may hold versions that were lost.
+    pub(super) fn raise_own_items(&mut self) -> Result<(), RecoveryError> {
+        let own_items = self.configuration.items.values_mut();
+        let own_items = own_items
+            .filter(|item| item.key.starts_with("e/") || item.key.starts_with(ROLLOUTS_PREFIX));
+        for item in own_items {
             item.version = raised(item.version, FENCE_STEP)?;
         }
         Ok(())
--- a/crates/storage/src/inspect/recovery.rs
+++ b/crates/storage/src/inspect/recovery.rs
@@ -141,7 +141,7 @@
     recovery.merge_items();
     recovery.merge_changes();
     recovery.check_configuration();
-    recovery.raise_evacuations()?;
+    recovery.raise_own_items()?;
     recovery.write_changes_register()?;
     recovery.merge_shard_tables()?;
     recovery.write_membership(request)?;
--- a/crates/storage/src/inspect/verify.rs
+++ b/crates/storage/src/inspect/verify.rs
@@ -4,7 +4,8 @@
 use std::net::Ipv4Addr;
 
 use lynxmill_configuration::{
-    Configuration, ConfigurationChange, Item, Limits, REFUSALS_KEY, Route, Service,
+    Configuration, ConfigurationChange, Item, Limits, REFUSALS_KEY, ROLLOUTS_PREFIX, Route,
+    Service, ServiceRollouts,
 };
 use lynxmill_protocol::TaskState;
 
@@ -92,6 +93,9 @@
         "r/" => serde_json::from_str::<Route>(&item.body).map(|route| route.name),
         "s/" => serde_json::from_str::<Service>(&item.body).map(|service| service.name),
         "l/" => serde_json::from_str::<Limits>(&item.body).map(|_| name.to_owned()),
+        ROLLOUTS_PREFIX => {
+            serde_json::from_str::<ServiceRollouts>(&item.body).map(|_| name.to_owned())
+        }
         _ => return None,
     };
     match read {
@@ -104,12 +108,12 @@
 fn item_faults(item: &ItemExport) -> Vec<String> {
     let key = item.key.as_str();
     let mut faults = Vec::new();
-    let is_of_operators = ["r/", "s/", "l/", "e/"]
+    let is_of_operators = ["r/", "s/", "l/", "e/", ROLLOUTS_PREFIX]
         .iter()
         .any(|prefix| key.starts_with(prefix));
     if !is_of_operators && key != REFUSALS_KEY {
         faults.push(format!(
-            "item {key}: neither route, service, limits nor evacuation"
+            "item {key}: neither route, service, limits, evacuation nor rollouts"
         ));
     }
     if key.starts_with("e/") && item.version == 0 {
--- a/crates/storage/tests/inspect.rs
+++ b/crates/storage/tests/inspect.rs
@@ -357,7 +357,7 @@
 fn each_fault_of_items_tasks_and_slices_is_one_line() {
     told(
         |batch| batch.items[0].key = "x/north".to_owned(),
-        "fault: item x/north: neither route, service, limits nor evacuation",
+        "fault: item x/north: neither route, service, limits, evacuation nor rollouts",
     );
     told(
         |batch| batch.items[0].version = 0,
