Edges send a version that is brought in its share and no more, and report how that ends

Each request for a service earns its new version a fraction of one, by the share that was agreed on; nothing is sent that was not earned, so no edge needs to know of another for the sum to hold. Its tasks are used in one order, as many as the share is of them, so that each bears what it will bear in the end. An edge that hears no member for 2.6 s sends nothing to it. Outcomes by route and version go to every member with the reports, twice a second while a rollout is in progress.

--- a/crates/capacity-bench/src/slices.rs
+++ b/crates/capacity-bench/src/slices.rs
@@ -130,6 +130,7 @@
         requests: 2,
     };
     LoadReport {
+        rollouts: Vec::new(),
         interval_ms: 1_000,
         tasks: (0..rows).map(task).collect(),
         slices: (0..rows).map(slice).collect(),
--- a/crates/edge-proxy/src/attempts.rs
+++ b/crates/edge-proxy/src/attempts.rs
@@ -8,7 +8,9 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use lynxmill_configuration::{MatchedRoute, Service};
-use lynxmill_load_balancing::{AttemptResult, Attempts, Candidates, RetryDecision, Selection};
+use lynxmill_load_balancing::{
+    AttemptResult, Attempts, Candidates, Outcome, RetryDecision, Selection,
+};
 use lynxmill_time::{TimeDelta, Timestamp};
 use tokio::time::timeout_at;
 
@@ -228,6 +230,9 @@
         }
         self.attempts.may_have_run = true;
         self.attempts.sent(id);
+        if error != UpstreamError::NoMemory {
+            self.record_outcome(id, Outcome::Failed);
+        }
         match error {
             UpstreamError::TimedOut | UpstreamError::NoMemory => {
                 Some(local_response(504, reason, None))
@@ -236,6 +241,11 @@
         }
     }
 
+    fn record_outcome(&self, id: &str, outcome: Outcome) {
+        let mut load_balancer = self.app.load_balancer.borrow_mut();
+        load_balancer.record_outcome(self.app.now(), id, &self.route.name, outcome);
+    }
+
     fn attempt_answered(
         &mut self,
         in_flight: InFlightAttempt<'_>,
@@ -258,10 +268,17 @@
             self.attempts.sent(id);
             return None;
         }
-        in_flight.ended(AttemptResult::Answered(self.app.elapsed(sent)), load);
+        let latency = self.app.elapsed(sent);
+        in_flight.ended(AttemptResult::Answered(latency), load);
         self.attempts.may_have_run = true;
         let failed = answer.status.is_server_error();
         let spoilt = was_not_executed(&answer);
+        let outcome = if failed || spoilt {
+            Outcome::Failed
+        } else {
+            Outcome::Succeeded(latency)
+        };
+        self.record_outcome(id, outcome);
         if spoilt && !self.route.is_idempotent() {
             self.app.count("spoilt");
             return Some(local_response(502, "spoilt", None));
--- a/crates/edge-proxy/src/reports.rs
+++ b/crates/edge-proxy/src/reports.rs
@@ -34,13 +34,14 @@
         if sent == Some(*number) {
             return None;
         }
-        // Who has custody of nothing gets it empty: that the edge is there.
+        // Who has custody of nothing gets no loads: that the edge is there, and how rollouts do.
         let custodian = self.shard_owners.values().any(|of| of == member);
         Some(if custodian {
             report.clone()
         } else {
             LoadReport {
                 interval_ms: report.interval_ms,
+                rollouts: report.rollouts.clone(),
                 ..LoadReport::default()
             }
         })
--- a/crates/edge-proxy/src/streams.rs
+++ b/crates/edge-proxy/src/streams.rs
@@ -20,6 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Reports go out this often, each is answered; a stream silent for so long is a dead one.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
+/// The same while a rollout is in progress, which is judged by reports.
+const ROLLOUT_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 const STREAM_TIMEOUT: Duration = Duration::from_millis(2600);
 
 fn encode(edge: FromEdgeBody) -> Vec<u8> {
@@ -31,12 +33,10 @@
     let mut load_balancer = app.load_balancer.borrow_mut();
     // A member that has just started tells what it knew before.
     let first = app.welcomed_by.borrow_mut().remove(member);
-    for task in &tasks.tasks {
-        if first && !tasks.is_complete {
-            load_balancer.recall_task(now, member, task);
-        } else {
-            load_balancer.update_task(now, member, task);
-        }
+    if first && !tasks.is_complete {
+        load_balancer.recall_tasks(now, member, &tasks.tasks);
+    } else {
+        load_balancer.update_tasks(now, member, &tasks.tasks);
     }
     let mut known = app.tasks_by_member.borrow_mut();
     if tasks.is_complete {
@@ -135,6 +135,7 @@
             front: settings.listen().front,
             incarnation: app.incarnation,
             reads_compressed: true,
+            knows_versions: true,
         }
     };
     app.welcomed_by.borrow_mut().insert(member.to_owned());
@@ -159,6 +160,7 @@
                 Err(error) => break Err(error),
                 Ok(got) => {
                     last_message = Instant::now();
+                    app.load_balancer.borrow_mut().member_heard(app.now());
                     frames.push(&piece[..got]);
                     loop {
                         let message = match frames.next_message::<ToEdge>() {
@@ -200,7 +202,12 @@
 
 /// The report that is due to a member, if one is.
 fn due_report(app: &Rc<App>, member: &str) -> Option<lynxmill_protocol::LoadReport> {
-    app.reports.borrow_mut().due(app, member, REPORT_INTERVAL)
+    let interval = if app.load_balancer.borrow().has_rollouts() {
+        ROLLOUT_REPORT_INTERVAL
+    } else {
+        REPORT_INTERVAL
+    };
+    app.reports.borrow_mut().due(app, member, interval)
 }
 
 async fn follow_member(
--- a/crates/load-balancing/src/lib.rs
+++ b/crates/load-balancing/src/lib.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod load_balancer;
 mod retry_budget;
+mod rollouts;
 mod selection;
 mod shard_map;
 mod slow_start;
@@ -11,5 +12,6 @@
 pub use attempts::{Attempts, RetryDecision};
 pub use load_balancer::{AttemptResult, LoadBalancer, Locality};
 pub use retry_budget::RetryBudget;
+pub use rollouts::Outcome;
 pub use selection::{Candidates, Selection};
 pub use shard_map::{ShardMap, ShardOwner};
--- a/crates/load-balancing/src/load_balancer.rs
+++ b/crates/load-balancing/src/load_balancer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use lynxmill_configuration::{Bounds, RoutingTable, Service};
+use lynxmill_configuration::{Bounds, RoutingTable, Service, VersionAccess};
 use lynxmill_protocol::{
     EdgeInfo, EdgeList, EvacuationNotice, LoadReport, ShardTableUpdate, SliceObservation, Task,
     TaskObservation, TaskState,
@@ -10,6 +10,7 @@
 use lynxmill_time::{TimeDelta, Timestamp};
 
 use crate::retry_budget::RetryBudget;
+use crate::rollouts::RolloutTraffic;
 use crate::shard_map::{ShardMap, ShardOwner};
 use crate::slow_start::{RateWindow, rate_share};
 
@@ -74,6 +75,8 @@
 pub struct Endpoint {
     /// The task as last described.
     pub task: Task,
+    /// What its version may be sent.
+    pub(crate) access: VersionAccess,
     /// Members that have described it: whether it has timed out there, and since which of its
     /// calls.
     described_by: BTreeMap<String, (bool, u64)>,
@@ -130,6 +133,10 @@
         self.mean_latency.unwrap_or(DEFAULT_LATENCY_S)
     }
 
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
     /// Whether it has failed lately.
     pub fn is_ejected(&self, now: Timestamp) -> bool {
         now < self.ejected_until
@@ -158,9 +165,12 @@
     pub locality: Locality,
     bounds: Bounds,
     heartbeat_interval: TimeDelta,
-    routes: RoutingTable,
-    endpoints: BTreeMap<String, Endpoint>,
-    services: BTreeMap<String, Vec<String>>,
+    pub(crate) routes: RoutingTable,
+    pub(crate) endpoints: BTreeMap<String, Endpoint>,
+    pub(crate) services: BTreeMap<String, Vec<String>>,
+    pub(crate) rollouts: Vec<RolloutTraffic>,
+    /// When a message of any member last came.
+    pub(crate) last_heard: Timestamp,
     shards: BTreeMap<String, ShardMap>,
     edges: Vec<EdgeInfo>,
     /// Zones whose evacuation or its end was asked for lately, and until when that counts.
@@ -180,6 +190,8 @@
             routes: RoutingTable::default(),
             endpoints: BTreeMap::new(),
             services: BTreeMap::new(),
+            rollouts: Vec::new(),
+            last_heard: now,
             shards: BTreeMap::new(),
             edges: Vec::new(),
             requested_evacuations: BTreeMap::new(),
@@ -197,6 +209,7 @@
     /// Replaces the routing table.
     pub fn set_routes(&mut self, routes: RoutingTable) {
         self.routes = routes;
+        self.refresh_rollouts();
     }
 
     /// An evacuation was asked for: until the notice ends, each task of the zone gets no more than a cold one
@@ -244,7 +257,9 @@
     /// Whether a task may be sent a request now, as far as its state and its zone go.
     pub fn may_send(&self, now: Timestamp, id: &str) -> bool {
         self.endpoint(id).is_some_and(|endpoint| {
-            endpoint.is_usable(now) && !self.routes.evacuated(&endpoint.task.zone)
+            endpoint.is_usable(now)
+                && endpoint.access != VersionAccess::Denied
+                && !self.routes.evacuated(&endpoint.task.zone)
         })
     }
 
@@ -261,6 +276,14 @@
             + self.heartbeat_interval.times(WARM_UP_MARGIN_HEARTBEATS)
     }
 
+    /// A member has described tasks.
+    pub fn update_tasks(&mut self, now: Timestamp, member: &str, tasks: &[Task]) {
+        for task in tasks {
+            self.update_task(now, member, task);
+        }
+        self.refresh_tasks_in_use();
+    }
+
     /// A member has described a task.
     pub fn update_task(&mut self, now: Timestamp, member: &str, task: &Task) {
         let warm_up_until = self.warm_up_until(now, task);
@@ -270,6 +293,7 @@
                     BTreeMap::from([(member.to_owned(), (task.timed_out, task.call_seq))]);
                 let endpoint = Endpoint {
                     task: task.clone(),
+                    access: self.routes.version_access(&task.service, &task.version),
                     described_by,
                     warm_up_until,
                     ..Endpoint::default()
@@ -309,6 +333,14 @@
         }
     }
 
+    /// The same for several tasks.
+    pub fn recall_tasks(&mut self, now: Timestamp, member: &str, tasks: &[Task]) {
+        for task in tasks {
+            self.recall_task(now, member, task);
+        }
+        self.refresh_tasks_in_use();
+    }
+
     /// A member's stream has ended: what had timed out there may have been heard of since.
     pub fn member_lost(&mut self, member: &str) {
         for endpoint in self.endpoints.values_mut() {
@@ -325,6 +357,7 @@
         for ids in self.services.values_mut() {
             ids.retain(|id| tasks.contains_key(id));
         }
+        self.refresh_tasks_in_use();
     }
 
     /// Replaces the list of edges.
@@ -406,6 +439,7 @@
             .entry(service.to_owned())
             .or_insert_with(|| RetryBudget::new(slack, edges));
         budget.request(ratio, slack, edges);
+        self.earn_rollout_credit(service);
     }
 
     /// Takes a retry from the service's budget; whether there was one.
@@ -421,6 +455,7 @@
             endpoint.in_flight += 1;
             endpoint.rate.record(now);
         }
+        self.spend_rollout_credit(id);
     }
 
     /// Whether a task's service is known not to be sharded: then another task can only answer
@@ -515,6 +550,7 @@
             interval_ms,
             tasks,
             slices: demand.into_iter().map(slice).collect(),
+            rollouts: self.observe_rollouts(),
         }
     }
 }
--- a/crates/load-balancing/src/selection.rs
+++ b/crates/load-balancing/src/selection.rs
@@ -1,7 +1,7 @@
 //! Which task a request goes to: the one where it would be done first, as far as this edge can
 //! tell, with the bytes between zones and regions counted as time.
 
-use lynxmill_configuration::Service;
+use lynxmill_configuration::{Service, VersionAccess};
 use lynxmill_time::{TimeDelta, Timestamp};
 
 use crate::load_balancer::{Endpoint, LoadBalancer, Locality};
@@ -47,6 +47,7 @@
         let place: &Locality = &self.locality;
         let region = place.region_of(&endpoint.task.zone);
         endpoint.is_usable(now)
+            && endpoint.access != VersionAccess::Denied
             && !self.routes().evacuated(&endpoint.task.zone)
             && (candidates.homes.is_empty() || candidates.homes.iter().any(|home| home == region))
             && !candidates.excluded.contains(&endpoint.task.id)
@@ -81,7 +82,56 @@
         if candidates.service.sharded {
             return self.select_owner(now, candidates);
         }
-        let ids = self.endpoints_of(&candidates.service.name);
+        let preferred = self.rank_new_version(now, candidates, random);
+        if let Some(id) = self.first_with_capacity(now, preferred, candidates.service) {
+            return Selection::Task(id);
+        }
+        let ranked = self.rank_released(now, candidates, random);
+        let first = self.first_with_capacity(now, ranked, candidates.service);
+        first.map_or(Selection::None, Selection::Task)
+    }
+
+    /// The tasks of a version that is brought in, if it has earned the request, the best first.
+    fn rank_new_version(
+        &self,
+        now: Timestamp,
+        candidates: &Candidates,
+        random: f64,
+    ) -> Vec<String> {
+        let Some(in_use) = self.rollout_candidates(now, candidates) else {
+            return Vec::new();
+        };
+        self.rank(now, in_use.iter(), candidates, random)
+    }
+
+    /// The tasks of versions that are released, the best first.
+    fn rank_released(&self, now: Timestamp, candidates: &Candidates, random: f64) -> Vec<String> {
+        let is_released = |id: &&String| {
+            let endpoint = self.endpoint(id);
+            endpoint.is_some_and(|endpoint| endpoint.access == VersionAccess::Released)
+        };
+        let ids = self.endpoints_of(&candidates.service.name).iter();
+        self.rank(now, ids.filter(is_released), candidates, random)
+    }
+
+    fn first_with_capacity(
+        &mut self,
+        now: Timestamp,
+        ranked: Vec<String>,
+        service: &Service,
+    ) -> Option<String> {
+        let mut ranked = ranked.into_iter();
+        ranked.find(|id| self.has_warm_up_capacity(now, id, service))
+    }
+
+    /// Those of these tasks that may be sent the request, the cheapest first; `random` breaks ties.
+    fn rank<'a>(
+        &self,
+        now: Timestamp,
+        ids: impl Iterator<Item = &'a String>,
+        candidates: &Candidates,
+        random: f64,
+    ) -> Vec<String> {
         let mut best: Vec<(f64, &str)> = Vec::new();
         for id in ids {
             let Some(endpoint) = self
@@ -101,13 +151,7 @@
             let by = (random * equal as f64) as usize % equal;
             best[..equal].rotate_left(by);
         }
-        let ranked: Vec<String> = best.into_iter().map(|(_, id)| id.to_owned()).collect();
-        for id in ranked {
-            if self.has_warm_up_capacity(now, &id, candidates.service) {
-                return Selection::Task(id);
-            }
-        }
-        Selection::None
+        best.into_iter().map(|(_, id)| id.to_owned()).collect()
     }
 
     fn select_owner(&mut self, now: Timestamp, candidates: &Candidates) -> Selection {
--- a/crates/placement/tests/split.rs
+++ b/crates/placement/tests/split.rs
@@ -128,6 +128,7 @@
                     requests: 100,
                 }];
                 self.plan.report(&LoadReport {
+                    rollouts: Vec::new(),
                     interval_ms: 1000,
                     tasks: ids.iter().map(seen).collect(),
                     slices,
--- a/crates/placement/tests/world/mod.rs
+++ b/crates/placement/tests/world/mod.rs
@@ -558,6 +558,7 @@
             };
             let slices = self.register.slices.iter().map(slice).collect();
             custodian.plan.report(&LoadReport {
+                rollouts: Vec::new(),
                 interval_ms: 1000,
                 tasks,
                 slices,
--- a/crates/protocol/src/edge.rs
+++ b/crates/protocol/src/edge.rs
@@ -92,6 +92,9 @@
     /// It reads compressed messages.
     #[prost(bool, tag = "6")]
     pub reads_compressed: bool,
+    /// It keeps versions of services apart; others are not told of tasks whose version is not released.
+    #[prost(bool, tag = "7")]
+    pub knows_versions: bool,
 }
 
 /// Tells whether an edge is ready for clients.
@@ -150,6 +153,63 @@
     pub requests: u32,
 }
 
+/// How requests of one route ended at tasks of a rollout's version, or at those of the versions before it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct OutcomeCounts {
+    /// The name of the route.
+    #[prost(string, tag = "1")]
+    pub route: String,
+    /// At tasks of the version that is brought in.
+    #[prost(bool, tag = "2")]
+    pub is_target: bool,
+    /// Requests that tasks may have run.
+    #[prost(uint32, tag = "3")]
+    pub ended: u32,
+    /// Those without a good answer.
+    #[prost(uint32, tag = "4")]
+    pub failed: u32,
+    /// Good answers of tasks that do not warm up, by latency: see [`latency_bucket`].
+    #[prost(uint32, repeated, tag = "5")]
+    pub latencies: Vec<u32>,
+}
+
+/// What an edge observed of a rollout since it heard of it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RolloutObservation {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The number of the change that ordered the rollout.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// The version of the rollouts' item that is in force at the edge.
+    #[prost(uint64, tag = "3")]
+    pub item_version: u64,
+    /// Requests of clients for the service.
+    #[prost(uint64, tag = "4")]
+    pub requests: u64,
+    /// Requests that were sent to the version that is brought in.
+    #[prost(uint64, tag = "5")]
+    pub target_requests: u64,
+    /// Requests under way at tasks of other versions.
+    #[prost(uint32, tag = "6")]
+    pub others_in_flight: u32,
+    /// How requests ended, by route and version.
+    #[prost(message, repeated, tag = "7")]
+    pub outcomes: Vec<OutcomeCounts>,
+}
+
+/// Buckets of [`OutcomeCounts::latencies`].
+pub const LATENCY_BUCKETS: usize = 26;
+/// Latencies below this are in the first bucket, in seconds.
+const FIRST_LATENCY_S: f64 = 0.004;
+
+/// The bucket of a latency in seconds. Two buckets are a factor of two apart.
+pub fn latency_bucket(latency_s: f64) -> usize {
+    let half_octaves = (latency_s / FIRST_LATENCY_S).max(1.0).log2() * 2.0;
+    (half_octaves as usize).min(LATENCY_BUCKETS - 1)
+}
+
 /// What an edge observed, sent about once a second.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LoadReport {
@@ -162,6 +222,9 @@
     /// One entry for each slice that requests were sent to.
     #[prost(message, repeated, tag = "3")]
     pub slices: Vec<SliceObservation>,
+    /// One entry for each rollout in progress, counted since the edge heard of it.
+    #[prost(message, repeated, tag = "4")]
+    pub rollouts: Vec<RolloutObservation>,
 }
 
 /// A message from an edge.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,9 +8,10 @@
 
 pub use edge::{
     ConfigurationUpdate, EdgeInfo, EdgeList, EdgeReadiness, EdgeWelcome, EvacuationNotice,
-    FromEdge, FromEdgeBody, Hello, LoadReport, ReportAcknowledgement, ShardEntry, ShardTableUpdate,
-    SliceObservation, TableAcknowledgement, Task, TaskObservation, TaskState, TaskUpdate, ToEdge,
-    ToEdgeBody,
+    FromEdge, FromEdgeBody, Hello, LATENCY_BUCKETS, LoadReport, OutcomeCounts,
+    ReportAcknowledgement, RolloutObservation, ShardEntry, ShardTableUpdate, SliceObservation,
+    TableAcknowledgement, Task, TaskObservation, TaskState, TaskUpdate, ToEdge, ToEdgeBody,
+    latency_bucket,
 };
 pub use frame::{FrameDecoder, FrameError, MAX_FRAME_BYTES, encode_frame};
 pub use peer::{
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -228,6 +228,7 @@
         front: text("10.2.0.1:80"),
         incarnation: 9,
         reads_compressed: false,
+        knows_versions: false,
     };
     let seen = TaskObservation {
         id: text("i-1"),
@@ -258,6 +259,7 @@
         (
             "report",
             FromEdgeBody::LoadReport(LoadReport {
+                rollouts: Vec::new(),
                 interval_ms: 1000,
                 tasks: vec![seen],
                 slices,
--- a/crates/simulator/src/edge.rs
+++ b/crates/simulator/src/edge.rs
@@ -168,6 +168,7 @@
             front: "10.1.0.35:8144".to_owned(),
             incarnation: self.incarnation,
             reads_compressed: false,
+            knows_versions: true,
         };
         let say = |message| EdgeAction::Say {
             machine,
