--- /dev/null
+++ b/crates/rollout/src/controller.rs
@@ -0,0 +1,242 @@
+//! What becomes of a rollout in progress, by its evidence, its schedule and its term.
+
+use std::fmt;
+
+use lynxmill_configuration::{Rollout, RolloutDecision};
+use lynxmill_protocol::RolloutObservation;
+use lynxmill_time::{TimeDelta, Timestamp};
+
+use crate::evidence::Evidence;
+use crate::judge::{BadVersion, Judge, Verdict};
+use crate::schedule::{ExposureBounds, Schedule};
+
+/// The least time at one share: reports of it have to come in.
+const MIN_STEP: TimeDelta = TimeDelta::from_micros(1_000_000);
+/// Requests at the new version that a first verdict takes.
+const MIN_EVIDENCE: u64 = 40;
+/// Tasks of the new version that a share needs, as a part of those before it.
+const MIN_CAPACITY: f64 = 0.6;
+/// Once all requests go to the new version, how long requests at the others are waited for.
+const DRAIN_TIMEOUT: TimeDelta = TimeDelta::from_micros(3_000_000);
+/// So long before its term a rollout comes to its end, whatever that is.
+const LAST_CALL: TimeDelta = TimeDelta::from_micros(800_000);
+
+/// An edge that has a stream to this member.
+#[derive(Clone, Debug)]
+pub struct EdgeState {
+    /// `NodeName`.
+    pub name: String,
+    /// The incarnation of its process.
+    pub incarnation: u64,
+    /// It keeps versions apart.
+    pub knows_versions: bool,
+}
+
+/// What a rollout is judged by besides its evidence.
+#[derive(Clone, Debug, Default)]
+pub struct Surroundings {
+    /// Edges that have a stream to this member.
+    pub edges: Vec<EdgeState>,
+    /// An edge's stream has ended lately: it may still send to other versions.
+    pub edge_lost_lately: bool,
+    /// Tasks of the new version that are ready.
+    pub target_tasks: usize,
+    /// Tasks of the other versions that are ready.
+    pub other_tasks: usize,
+    /// An earlier rollout of the service is in progress: this one stays in its trial.
+    pub waits_for_earlier: bool,
+    /// The version of the rollouts' item.
+    pub item_version: u64,
+}
+
+/// Why something was decided.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reason {
+    /// The rollout begins.
+    Trial,
+    /// Nothing speaks against the version; so many requests ended there.
+    Sound(u64),
+    /// The version is worse than those before it.
+    Bad(BadVersion),
+    /// No verdict by the term.
+    TermReached,
+    /// No edge in touch sends to the other versions, and nothing runs there.
+    TakenOver,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Reason::Trial => write!(out, "the trial begins"),
+            Reason::Sound(ended) => write!(out, "sound after {ended} requests"),
+            Reason::Bad(BadVersion {
+                route,
+                target,
+                base,
+            }) => write!(
+                out,
+                "bad on {route}: {} of {} requests, {} of {} before",
+                target.1, target.0, base.1, base.0
+            ),
+            Reason::TermReached => write!(out, "no verdict by its term"),
+            Reason::TakenOver => write!(out, "the version has taken over"),
+        }
+    }
+}
+
+/// A decision that is due.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decided {
+    /// What is decided.
+    pub decision: RolloutDecision,
+    /// Why.
+    pub reason: Reason,
+    /// Time since the order.
+    pub elapsed: TimeDelta,
+}
+
+/// One rollout in progress, as a member follows it.
+#[derive(Clone, Debug)]
+pub struct RolloutController {
+    schedule: Schedule,
+    ordered_at: Timestamp,
+    share: f64,
+    share_since: Timestamp,
+    evidence: Evidence,
+    judge: Judge,
+}
+
+impl RolloutController {
+    /// Follows a rollout that this member has just heard of.
+    pub fn new(now: Timestamp, rollout: &Rollout, bounds: ExposureBounds) -> Self {
+        RolloutController {
+            schedule: Schedule::new(millis(rollout.duration_ms), bounds),
+            ordered_at: before(now, rollout.elapsed_ms),
+            share: rollout.share,
+            share_since: now,
+            evidence: Evidence::default(),
+            judge: Judge::default(),
+        }
+    }
+
+    /// An edge reports.
+    pub fn observe(&mut self, edge: &str, incarnation: u64, observation: RolloutObservation) {
+        self.evidence.observe(edge, incarnation, observation);
+    }
+
+    /// What was reported so far.
+    pub fn evidence(&self) -> &Evidence {
+        &self.evidence
+    }
+
+    /// What is to be decided now; the same again until it is agreed on.
+    pub fn step(
+        &mut self,
+        now: Timestamp,
+        rollout: &Rollout,
+        surroundings: &Surroundings,
+    ) -> Option<Decided> {
+        self.follow(now, rollout);
+        let elapsed = now - self.ordered_at;
+        let lately = self.evidence.take_unjudged();
+        let is_alone = self.share >= 1.0;
+        let totals = &self.evidence.totals;
+        let verdict = self.judge.judge(now, &lately, totals, is_alone);
+        let decided = |decision, reason| {
+            Some(Decided {
+                decision,
+                reason,
+                elapsed,
+            })
+        };
+        if let Verdict::Bad(bad) = verdict {
+            return decided(RolloutDecision::Revert, Reason::Bad(bad));
+        }
+        let is_last_call = elapsed + LAST_CALL >= self.schedule.duration();
+        if self.share >= 1.0 {
+            let may_complete = surroundings.edges.iter().all(|edge| edge.knows_versions);
+            if may_complete && (is_last_call || self.has_taken_over(now, surroundings)) {
+                return decided(RolloutDecision::Complete, Reason::TakenOver);
+            }
+        }
+        if is_last_call && self.share < 1.0 || elapsed >= self.schedule.duration() {
+            return decided(RolloutDecision::Revert, Reason::TermReached);
+        }
+        if self.share <= 0.0 {
+            let trial = self.schedule.trial_share();
+            return decided(RolloutDecision::Share(trial), Reason::Trial);
+        }
+        let next = self.next_share(now, elapsed, &verdict, surroundings)?;
+        let reason = Reason::Sound(self.evidence.target_ended());
+        decided(RolloutDecision::Share(next), reason)
+    }
+
+    fn follow(&mut self, now: Timestamp, rollout: &Rollout) {
+        // What another member had measured may be longer than what this one did.
+        self.ordered_at = self.ordered_at.min(before(now, rollout.elapsed_ms));
+        if self.share != rollout.share {
+            (self.share, self.share_since) = (rollout.share, now);
+        }
+    }
+
+    /// The share that the version may rise to now.
+    fn next_share(
+        &self,
+        now: Timestamp,
+        elapsed: TimeDelta,
+        verdict: &Verdict,
+        surroundings: &Surroundings,
+    ) -> Option<f64> {
+        if self.share >= 1.0 || surroundings.waits_for_earlier || *verdict != Verdict::Sound {
+            return None;
+        }
+        let (next, begins) = self.schedule.next_step(self.share);
+        let is_due = elapsed >= begins && now - self.share_since >= MIN_STEP;
+        let has_evidence = self.evidence.target_ended() >= MIN_EVIDENCE;
+        let needed = surroundings.other_tasks as f64 * next * MIN_CAPACITY;
+        let has_capacity = surroundings.target_tasks as f64 >= needed;
+        let evidence = &self.evidence;
+        let keeps_bound = next >= 1.0
+            || self.schedule.keeps_bound(
+                next,
+                evidence.requests,
+                evidence.target_requests,
+                elapsed,
+            );
+        (is_due && has_evidence && has_capacity && keeps_bound).then_some(next)
+    }
+
+    /// Whether no edge in touch sends to other versions, and nothing runs there, or has for too long.
+    fn has_taken_over(&self, now: Timestamp, surroundings: &Surroundings) -> bool {
+        let since = now - self.share_since;
+        if since < MIN_STEP {
+            return false;
+        }
+        let in_force = |edge: &EdgeState| {
+            let last = self.evidence.last_of(&edge.name, edge.incarnation);
+            last.filter(|report| report.item_version >= surroundings.item_version)
+        };
+        let reports: Vec<Option<&RolloutObservation>> =
+            surroundings.edges.iter().map(in_force).collect();
+        let all_know = !surroundings.edge_lost_lately && reports.iter().all(Option::is_some);
+        let in_flight: u32 = reports
+            .into_iter()
+            .flatten()
+            .map(|r| r.others_in_flight)
+            .sum();
+        all_know && (in_flight == 0 || since >= DRAIN_TIMEOUT)
+    }
+}
+
+/// The moment so many milliseconds before another.
+fn before(now: Timestamp, ms: u64) -> Timestamp {
+    Timestamp::from_micros(now.micros() - millis(ms).micros())
+}
+
+fn millis(ms: u64) -> TimeDelta {
+    TimeDelta::from_micros(
+        i64::try_from(ms)
+            .unwrap_or(i64::MAX / 1000)
+            .saturating_mul(1000),
+    )
+}
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,16 @@
+//! Rollouts of service versions as a state machine without I/O or clock: what edges observed of a new version
+//! ([`Evidence`]), whether it is worse than those before it ([`Judge`]), and what follows from that and from the
+//! operator's term ([`RolloutController`]).
+//!
+//! Each member plays it by itself, from what all edges report to all members. What is decided is agreed on as a change,
+//! so that it does not matter which member decides, or whether several do.
+
+mod controller;
+mod evidence;
+mod judge;
+mod schedule;
+
+pub use controller::{Decided, EdgeState, Reason, RolloutController, Surroundings};
+pub use evidence::{Counts, Evidence, RouteOutcomes};
+pub use judge::{Judge, Verdict};
+pub use schedule::{ExposureBounds, Schedule};
