POST and GET /v1/rollouts: agreed on, judged by each member, carried out and undone

Cause: the call was not served (404), and nothing behind it was there. Orders go through the register of changes, as configurations do; decisions too, taken by whichever member is first, so that no member owns a rollout. An order that a later one of its service overtook on its way gets 307, by the rule for late orders. Tasks of versions that are not released get no keys, and edges of the program before are not told of them. At its term a version without a verdict is reverted.

a_rollout_order_is_acknowledged_and_read_back_at_every_member failed with 404 and passes.

--- a/crates/control-node/src/edges.rs
+++ b/crates/control-node/src/edges.rs
@@ -6,8 +6,8 @@
 
 use lynxmill_configuration::Item;
 use lynxmill_protocol::{
-    ConfigurationUpdate, EdgeInfo, EdgeList, EdgeWelcome, FromEdgeBody, Hello,
-    ReportAcknowledgement, TaskUpdate, ToEdgeBody,
+    ConfigurationUpdate, EdgeInfo, EdgeList, EdgeWelcome, FromEdgeBody, Hello, LoadReport,
+    ReportAcknowledgement, Task, TaskUpdate, ToEdgeBody,
 };
 use lynxmill_time::Timestamp;
 
@@ -51,6 +51,10 @@
             .collect()
     }
 
+    pub(crate) fn hellos(&self) -> impl Iterator<Item = &Hello> {
+        self.streams.values().map(|edge| &edge.hello)
+    }
+
     fn list(&self) -> EdgeList {
         let edge = |e: &EdgeStream| EdgeInfo {
             name: e.hello.name.clone(),
@@ -87,19 +91,25 @@
                     planner.edge_acknowledged(&name, answer.term, answer.sequence);
                 }
             }
-            FromEdgeBody::LoadReport(report) if self.edges.streams.contains_key(&stream) => {
-                self.ownership
-                    .planners_mut()
-                    .for_each(|planner| planner.report(&report));
-                self.send_edges(
-                    vec![stream],
-                    ToEdgeBody::ReportAcknowledgement(ReportAcknowledgement {}),
-                );
-            }
-            FromEdgeBody::LoadReport(_) => {}
+            FromEdgeBody::LoadReport(report) => self.handle_load_report(stream, report),
         }
     }
 
+    fn handle_load_report(&mut self, stream: StreamId, report: LoadReport) {
+        let Some(edge) = self.edges.streams.get(&stream) else {
+            return;
+        };
+        let (name, incarnation) = (edge.hello.name.clone(), edge.hello.incarnation);
+        self.ownership
+            .planners_mut()
+            .for_each(|planner| planner.report(&report));
+        self.observe_rollouts(&name, incarnation, report.rollouts);
+        self.send_edges(
+            vec![stream],
+            ToEdgeBody::ReportAcknowledgement(ReportAcknowledgement {}),
+        );
+    }
+
     /// An edge's first message: it gets all that it needs to begin with; an older stream of it is
     /// closed.
     fn edge_joined(&mut self, now: Timestamp, stream: StreamId, hello: Hello) {
@@ -125,8 +135,9 @@
         };
         self.send_edges(vec![stream], ToEdgeBody::EdgeWelcome(welcome));
         let registry = &self.instances.registry;
-        let tasks = registry.all().map(|known| known.as_of(now)).collect();
+        let tasks: Vec<Task> = registry.all().map(|known| known.as_of(now)).collect();
         let is_complete = registry.is_complete(now) && self.in_contact(now);
+        let tasks = self.tasks_for(&hello, tasks);
         self.send_edges(
             vec![stream],
             ToEdgeBody::TaskUpdate(TaskUpdate { tasks, is_complete }),
@@ -152,6 +163,40 @@
         self.serve_waiting_joins(now);
     }
 
+    /// Those of these tasks that an edge is told of. One that does not keep versions apart would send to all of them.
+    fn tasks_for(&self, hello: &Hello, mut tasks: Vec<Task>) -> Vec<Task> {
+        if !hello.knows_versions {
+            tasks.retain(|task| self.rollouts.is_released(task));
+        }
+        tasks
+    }
+
+    /// Tells all edges of tasks that have changed.
+    pub(crate) fn send_changed_tasks(&mut self, tasks: Vec<Task>) {
+        let (knowing, others): (Vec<_>, Vec<_>) = self
+            .edges
+            .streams
+            .iter()
+            .partition(|(_, edge)| edge.hello.knows_versions);
+        let ids = |streams: Vec<(&StreamId, &EdgeStream)>| -> Vec<StreamId> {
+            streams.into_iter().map(|(id, _)| *id).collect()
+        };
+        let (knowing, others) = (ids(knowing), ids(others));
+        let released: Vec<Task> = tasks
+            .iter()
+            .filter(|task| !others.is_empty() && self.rollouts.is_released(task))
+            .cloned()
+            .collect();
+        let update = |tasks| {
+            let is_complete = false;
+            ToEdgeBody::TaskUpdate(TaskUpdate { tasks, is_complete })
+        };
+        self.send_edges(knowing, update(tasks));
+        if !released.is_empty() {
+            self.send_edges(others, update(released));
+        }
+    }
+
     /// Edges that wait for the whole configuration get it, if this node may serve it.
     pub(crate) fn serve_waiting_joins(&mut self, now: Timestamp) {
         let waits = |edge: &EdgeStream| !edge.has_configuration;
@@ -185,10 +230,11 @@
         self.send_edges(waiting, ToEdgeBody::ConfigurationUpdate(update));
     }
 
-    pub(crate) fn edge_closed(&mut self, stream: StreamId) {
+    pub(crate) fn edge_closed(&mut self, now: Timestamp, stream: StreamId) {
         let Some(edge) = self.edges.streams.remove(&stream) else {
             return;
         };
+        self.rollouts.edge_lost(now);
         let name = edge.hello.name;
         self.ownership
             .planners_mut()
--- a/crates/control-node/src/event.rs
+++ b/crates/control-node/src/event.rs
@@ -85,6 +85,33 @@
         /// The version of its software.
         version: String,
     },
+    /// An operator's rollout was agreed on.
+    RolloutOrdered {
+        /// The service.
+        service: String,
+        /// The version that is brought in.
+        version: String,
+    },
+    /// This member has a decision on a rollout agreed on.
+    RolloutDecided {
+        /// The service.
+        service: String,
+        /// The version that is brought in.
+        version: String,
+        /// What is decided.
+        decision: String,
+        /// Why.
+        reason: String,
+    },
+    /// A decision on a rollout was agreed on.
+    RolloutAdvanced {
+        /// The service.
+        service: String,
+        /// The version that is brought in.
+        version: String,
+        /// What is in force.
+        decision: String,
+    },
     /// A change breaks a rule; the text names item and rule.
     ChangeRefused(String),
     /// A zone is evacuated, or taken back.
@@ -186,6 +213,23 @@
             Event::VersionSeen { service, version } => {
                 write!(out, "first task of {service} in version {version}")
             }
+            Event::RolloutOrdered { service, version } => {
+                write!(out, "version {version} of {service} is to be brought in")
+            }
+            Event::RolloutDecided {
+                service,
+                version,
+                decision,
+                reason,
+            } => write!(
+                out,
+                "rollout of {service} to {version}: decides on {decision}: {reason}"
+            ),
+            Event::RolloutAdvanced {
+                service,
+                version,
+                decision,
+            } => write!(out, "rollout of {service} to {version}: {decision}"),
             Event::ChangeRefused(error) => write!(out, "a change was refused: {error}"),
             Event::Evacuation { zone, on: true } => write!(out, "zone {zone} is evacuated"),
             Event::Evacuation { zone, on: false } => write!(out, "zone {zone} is taken back"),
--- a/crates/control-node/src/instances.rs
+++ b/crates/control-node/src/instances.rs
@@ -5,9 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lynxmill_consensus::InstanceRegistry;
-use lynxmill_protocol::{
-    HeartbeatLoad, InstanceReport, PeerRequest, Task, TaskState, TaskUpdate, ToEdgeBody,
-};
+use lynxmill_protocol::{HeartbeatLoad, InstanceReport, PeerRequest, Task, TaskState};
 use lynxmill_storage::Batch;
 use lynxmill_time::{TimeDelta, Timestamp};
 
@@ -515,13 +513,7 @@
         if tasks.is_empty() {
             return;
         }
-        self.send_edges(
-            self.edges.all(),
-            ToEdgeBody::TaskUpdate(TaskUpdate {
-                tasks,
-                is_complete: false,
-            }),
-        );
+        self.send_changed_tasks(tasks);
     }
 
     /// On disk as soon as it comes: after a start of everything tasks are known before their next heartbeats.
--- a/crates/control-node/src/lib.rs
+++ b/crates/control-node/src/lib.rs
@@ -13,6 +13,7 @@
 //! | snapshots, copies of registers, repair of missing changes | `catch_up` |
 //! | heartbeats, drains and sign-offs of tasks | `instances` |
 //! | which member tasks send their heartbeats to | `heartbeat_balance` |
+//! | rollouts of service versions | `rollouts` |
 //! | joins of edges | `edges` |
 //! | ownership of shards, grants | `ownership` |
 //! | graceful shutdown | `departure` |
@@ -35,6 +36,7 @@
 mod ownership;
 mod pending_requests;
 mod proposals;
+mod rollouts;
 mod storage;
 
 pub use catch_up::SnapshotProgress;
--- a/crates/control-node/src/messages.rs
+++ b/crates/control-node/src/messages.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use lynxmill_configuration::{Configuration, ConfigurationChange, ValidationError};
+use lynxmill_configuration::{Configuration, ConfigurationChange, RolloutOrder, ValidationError};
 use lynxmill_placement::{Grant, TaskHoldings};
 use lynxmill_protocol::{FromEdgeBody, RequestEnvelope, ResponseEnvelope, Task, ToEdgeBody};
 use lynxmill_storage::Batch;
@@ -42,6 +42,8 @@
         /// Whether the zone is emptied, or taken back.
         on: bool,
     },
+    /// Brings a new version of a service in.
+    Rollout(RolloutOrder),
     /// Asks for the newest configuration.
     ReadBack,
     /// A task's heartbeat.
@@ -50,6 +52,19 @@
     SignOff(String),
 }
 
+impl ControlRequest {
+    /// Whether it does harm where it is begun late: an old order may have been refused elsewhere since, or the opposite
+    /// may have been asked for.
+    pub fn is_order(&self) -> bool {
+        matches!(
+            self,
+            ControlRequest::Change(_)
+                | ControlRequest::Evacuate { .. }
+                | ControlRequest::Rollout(_)
+        )
+    }
+}
+
 /// Something that happened to a node.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
--- a/crates/control-node/src/node.rs
+++ b/crates/control-node/src/node.rs
@@ -29,6 +29,7 @@
 use crate::ownership::Ownership;
 use crate::pending_requests::{Awaited, PendingRequests};
 use crate::proposals::{BallotSource, Proposals};
+use crate::rollouts::Rollouts;
 use crate::storage::StorageQueue;
 
 /// Between two ticks.
@@ -63,6 +64,7 @@
     pub(crate) ballots: BallotSource,
     pub(crate) proposals: Proposals,
     pub(crate) orders: Orders,
+    pub(crate) rollouts: Rollouts,
     pub(crate) catch_up: CatchUp,
     pub(crate) instances: Instances,
     pub(crate) edges: Edges,
@@ -131,6 +133,7 @@
             membership: MembershipControl::default(),
             proposals: Proposals::default(),
             orders: Orders::default(),
+            rollouts: Rollouts::default(),
             catch_up: CatchUp::default(),
             instances: Instances::new(registry),
             edges: Edges::default(),
@@ -145,6 +148,7 @@
             options,
         };
         node.refresh_sharded_services();
+        node.refresh_rollouts();
         node.items_digest = combined_digest(&node.configuration);
         if founded {
             let members = Some(node.acceptor.members.clone());
@@ -187,7 +191,7 @@
             } => self.handle_call(now, call, request, sent_after),
             Input::Abandoned { call } => self.abandon_order(call),
             Input::Edge { stream, message } => self.handle_edge_message(now, stream, message),
-            Input::EdgeClosed { stream } => self.edge_closed(stream),
+            Input::EdgeClosed { stream } => self.edge_closed(now, stream),
             Input::Stored { ticket, failure } => self.stored(now, ticket, failure),
             Input::Seeds(seeds) => seeds.iter().for_each(|ip| self.connect(ip)),
             Input::Leave => self.leave(now),
@@ -206,6 +210,7 @@
         self.advance_membership(now);
         self.advance_instances(now);
         self.serve_waiting_joins(now);
+        self.advance_rollouts(now);
         self.advance_ownership(now);
         self.rewrite_after_failure(now);
         self.advance_departure(now);
@@ -218,12 +223,7 @@
         request: ControlRequest,
         sent_after: u64,
     ) {
-        // An old order may have been refused elsewhere since, or the opposite may have been asked for.
-        let orders = matches!(
-            request,
-            ControlRequest::Change(_) | ControlRequest::Evacuate { .. }
-        );
-        if orders && now < self.stale_calls_until {
+        if request.is_order() && now < self.stale_calls_until {
             self.count("orders-after-suspension");
             return self.answer(call, Answer::Unavailable(Unavailable::WasSuspended));
         }
@@ -232,6 +232,7 @@
             ControlRequest::Evacuate { zone, on } => {
                 self.order_evacuation(now, call, zone, on, sent_after)
             }
+            ControlRequest::Rollout(order) => self.order_rollout(now, call, order, sent_after),
             ControlRequest::ReadBack => self.order_read_back(now, call),
             ControlRequest::Heartbeat(heartbeat) => self.instance_heartbeat(now, call, heartbeat),
             ControlRequest::SignOff(id) => self.instance_sign_off(now, call, &id),
--- a/crates/control-node/src/orders.rs
+++ b/crates/control-node/src/orders.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use lynxmill_configuration::{
-    Configuration, ConfigurationChange, Item, REFUSALS_KEY, ValidationError, evacuation,
-    evacuation_key,
+    Configuration, ConfigurationChange, Item, REFUSALS_KEY, ROLLOUTS_PREFIX, RolloutOrder,
+    RolloutStep, ValidationError, evacuation, evacuation_key,
 };
 use lynxmill_consensus::{BallotRound, Decision, is_behind, unmerged, validate, with_refusal};
 use lynxmill_protocol::{ConfigurationUpdate, PeerRequest, PendingChanges, ToEdgeBody};
@@ -46,6 +46,9 @@
         zone: String,
         on: bool,
     },
+    Rollout(RolloutOrder),
+    /// A decision of this node on a rollout in progress; nobody waits for an answer.
+    RolloutStep(RolloutStep),
     ReadBack,
     /// Compares this node with a majority; nobody waits for an answer.
     Synchronize,
@@ -57,6 +60,15 @@
             OrderKind::Change(change) => write!(out, "a change of {} items", change.items.len()),
             OrderKind::Evacuation { zone, on: true } => write!(out, "to evacuate zone {zone}"),
             OrderKind::Evacuation { zone, on: false } => write!(out, "to take zone {zone} back"),
+            OrderKind::Rollout(order) => {
+                let RolloutOrder {
+                    service,
+                    target_version,
+                    ..
+                } = order;
+                write!(out, "to bring version {target_version} of {service} in")
+            }
+            OrderKind::RolloutStep(step) => write!(out, "a step of a rollout of {}", step.service),
             OrderKind::ReadBack => write!(out, "a read-back"),
             OrderKind::Synchronize => write!(out, "a comparison with a majority"),
         }
@@ -66,17 +78,28 @@
 impl OrderKind {
     /// The change that the order makes to the newest state, as a change after the number `last_number`. One for an
     /// evacuation that stands already renews it: orders that were sent before this one must not undo it.
-    fn change_for(&self, newest: &Configuration, last_number: u64) -> ConfigurationChange {
-        match self {
-            OrderKind::Change(change) => change.clone(),
+    fn change_for(
+        &self,
+        newest: &Configuration,
+        last_number: u64,
+    ) -> Result<ConfigurationChange, ValidationError> {
+        let items = match self {
+            OrderKind::Change(change) => return Ok(change.clone()),
             OrderKind::Evacuation { zone, on } => {
                 let after = newest.version(&evacuation_key(zone)).max(last_number);
-                ConfigurationChange {
-                    items: vec![evacuation(zone, *on, after)],
-                }
+                vec![evacuation(zone, *on, after)]
             }
-            OrderKind::ReadBack | OrderKind::Synchronize => ConfigurationChange::default(),
-        }
+            OrderKind::Rollout(order) => {
+                let item = newest.order_rollout(order, last_number)?;
+                item.into_iter().collect()
+            }
+            OrderKind::RolloutStep(step) => {
+                let item = newest.advance_rollout(step, last_number);
+                item.into_iter().collect()
+            }
+            OrderKind::ReadBack | OrderKind::Synchronize => Vec::new(),
+        };
+        Ok(ConfigurationChange { items })
     }
 }
 
@@ -137,6 +160,39 @@
         self.enqueue_order(now, call, kind, sent_after, ORDER_TIMEOUT);
     }
 
+    pub(crate) fn order_rollout(
+        &mut self,
+        now: Timestamp,
+        call: CallId,
+        mut order: RolloutOrder,
+        sent_after: u64,
+    ) {
+        order.base_versions = self.running_versions(now, &order);
+        let kind = OrderKind::Rollout(order);
+        self.enqueue_order(now, call, kind, sent_after, ORDER_TIMEOUT);
+    }
+
+    /// Has a decision of this node on a rollout agreed on; not if one on the same rollout waits already.
+    pub(crate) fn order_rollout_step(&mut self, now: Timestamp, step: RolloutStep) -> bool {
+        let waits = |order: &Order| match &order.kind {
+            OrderKind::RolloutStep(other) => other.number == step.number,
+            _ => false,
+        };
+        if self.orders.waiting.iter().any(waits) {
+            return false;
+        }
+        let order = Order {
+            call: None,
+            kind: OrderKind::RolloutStep(step),
+            sent_after: self.merged,
+            deadline: now + ORDER_TIMEOUT,
+            verdict: Verdict::Deferred,
+        };
+        self.orders.waiting.push(order);
+        self.propose_orders(now);
+        true
+    }
+
     pub(crate) fn order_read_back(&mut self, now: Timestamp, call: CallId) {
         self.enqueue_order(now, call, OrderKind::ReadBack, self.merged, ORDER_TIMEOUT);
     }
@@ -265,7 +321,14 @@
             }
             let opposite = last_opposite_decision(&order.kind, &self.configuration, &pending);
             let last_number = pending.last_number;
-            let make = |newest: &Configuration| order.kind.change_for(newest, last_number);
+            let mut invalid = None;
+            let make = |newest: &Configuration| {
+                let change = order.kind.change_for(newest, last_number);
+                change.unwrap_or_else(|reason| {
+                    invalid = Some(reason);
+                    ConfigurationChange::default()
+                })
+            };
             let decision = validate(
                 &self.configuration,
                 self.merged,
@@ -273,6 +336,7 @@
                 merged_by_majority,
                 make,
             );
+            let decision = invalid.map_or(decision, Decision::Refuse);
             order.verdict = match decision {
                 Decision::Propose(_) if order.sent_after < opposite => Verdict::Outdated,
                 Decision::Propose(next) | Decision::Unchanged(next) => {
@@ -341,6 +405,19 @@
                 self.log(Event::Evacuation { zone, on });
                 Answer::Done
             }
+            OrderKind::Rollout(RolloutOrder {
+                service,
+                target_version,
+                ..
+            }) => {
+                self.count("rollouts");
+                self.log(Event::RolloutOrdered {
+                    service,
+                    version: target_version,
+                });
+                Answer::Done
+            }
+            OrderKind::RolloutStep(_) => return,
             OrderKind::Synchronize => return self.synchronized(now),
         };
         order
@@ -423,6 +500,12 @@
         if changed.iter().any(|item| item.key.starts_with("s/")) {
             self.refresh_sharded_services();
         }
+        if changed
+            .iter()
+            .any(|item| item.key.starts_with(ROLLOUTS_PREFIX))
+        {
+            self.refresh_rollouts();
+        }
         if !changed.is_empty() {
             self.items_digest = combined_digest(&self.configuration);
         }
--- a/crates/control-node/src/ownership.rs
+++ b/crates/control-node/src/ownership.rs
@@ -139,7 +139,8 @@
             .instances
             .registry
             .all()
-            .filter(|known| owned.contains(&known.task.service));
+            .filter(|known| owned.contains(&known.task.service))
+            .filter(|known| self.rollouts.is_released(&known.task));
         let tasks: Vec<Task> = all.map(|known| known.as_of(now)).collect();
         let evacuated: Vec<String> = self.configuration.evacuated().map(str::to_owned).collect();
         owned
--- a/crates/control-node/tests/harness/mod.rs
+++ b/crates/control-node/tests/harness/mod.rs
@@ -381,6 +381,12 @@
         stream
     }
 
+    /// All that an edge has got on a stream.
+    pub(crate) fn edge_messages(&self, number: usize, stream: StreamId) -> &[ToEdgeBody] {
+        let messages = self.machines[&number].edge_messages.get(&stream);
+        messages.map_or(&[], Vec::as_slice)
+    }
+
     /// The whole configuration that an edge has got on a stream.
     pub(crate) fn whole_configuration(&self, number: usize, stream: StreamId) -> Option<Vec<Item>> {
         let messages = self.machines[&number].edge_messages.get(&stream)?;
--- a/crates/control-node/tests/node.rs
+++ b/crates/control-node/tests/node.rs
@@ -1,5 +1,6 @@
 //! The users' worst days, each brought about on a scripted clock over the node that ships.
 
+#[allow(dead_code)]
 mod harness;
 
 use harness::{Cluster, change, heartbeat, route};
--- a/crates/control-plane/src/control.rs
+++ b/crates/control-plane/src/control.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod configuration;
 mod instances;
+mod rollouts;
 mod status;
 
 use std::sync::Arc;
@@ -27,6 +28,8 @@
         ("DELETE", ["v1", "evacuation", zone]) => {
             configuration::evacuate(host, &request, zone, false).await
         }
+        ("POST", ["v1", "rollouts"]) => rollouts::start(host, &request).await,
+        ("GET", ["v1", "rollouts", service]) => rollouts::show(host, &request, service).await,
         ("GET", ["v1", "counters"]) => status::counters(host),
         ("GET", ["v1", "status"]) => status::status(host),
         _ => unknown_call(host, &request),
--- a/crates/control-plane/src/control/configuration.rs
+++ b/crates/control-plane/src/control/configuration.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lynxmill_configuration::ConfigurationChange;
+use lynxmill_configuration::{ConfigurationChange, ValidationError};
 use lynxmill_control_node::{Answer, ControlRequest};
 use lynxmill_http_server::{Request, Response, response};
 use tokio::time::sleep;
@@ -25,7 +25,7 @@
             return response::error(400, error);
         }
     };
-    order(host, request, ControlRequest::Change(change), 400).await
+    order(host, request, ControlRequest::Change(change), |_| 400).await
 }
 
 /// `GET /v1/configuration`: the newest configuration.
@@ -36,7 +36,7 @@
             let body = newest.read_back().to_string();
             response::json_text(body)
         }
-        other => done_or_refused(other, 409),
+        other => done_or_refused(other, |_| 409),
     }
 }
 
@@ -54,16 +54,19 @@
     let (caller, sent_after) = (request.caller(), request.sent_after());
     log::info!("{caller} asks that zone {zone} {what}, sent after change {sent_after}");
     let zone = zone.to_owned();
-    order(host, request, ControlRequest::Evacuate { zone, on }, 409).await
+    order(host, request, ControlRequest::Evacuate { zone, on }, |_| {
+        409
+    })
+    .await
 }
 
-/// Carries out an order that its caller still waits for; `refusal` is the status of a refused one. One that was overtaken
+/// Carries out an order that its caller still waits for; `refusal` tells the status of a refused one. One that was overtaken
 /// is to be sent again, here.
-async fn order(
+pub(super) async fn order(
     host: &Arc<Host>,
     request: &Request,
     order: ControlRequest,
-    refusal: u16,
+    refusal: impl FnOnce(&ValidationError) -> u16,
 ) -> Response {
     sleep(ABANDONMENT_CHECK).await;
     match host.call(order, request.sent_after()).await {
--- a/crates/control-plane/src/control/instances.rs
+++ b/crates/control-plane/src/control/instances.rs
@@ -145,7 +145,7 @@
             response::redirect(&location)
         }
         Answer::Heartbeat(answer) => response::json(200, &HeartbeatResponse::from(answer)),
-        other => done_or_refused(other, 409),
+        other => done_or_refused(other, |_| 409),
     }
 }
 
--- a/crates/control-plane/src/host.rs
+++ b/crates/control-plane/src/host.rs
@@ -176,7 +176,7 @@
         arrived: Instant,
     ) -> bool {
         let mut node = lock(&self.node);
-        if is_order(&request) && arrived.elapsed() > LONGEST_WAIT {
+        if request.is_order() && arrived.elapsed() > LONGEST_WAIT {
             self.count("orders-too-late");
             return false;
         }
@@ -253,14 +253,6 @@
     }
 }
 
-/// Whether a call that is begun late does harm.
-fn is_order(request: &ControlRequest) -> bool {
-    matches!(
-        request,
-        ControlRequest::Change(_) | ControlRequest::Evacuate { .. }
-    )
-}
-
 fn log_event(event: &Event) {
     if event.is_warning() {
         log::warn!("{event}");
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -792,7 +792,9 @@
             return;
         }
         let what = match &request {
-            ControlRequest::Change(_) | ControlRequest::Evacuate { .. } => "an order",
+            ControlRequest::Change(_)
+            | ControlRequest::Evacuate { .. }
+            | ControlRequest::Rollout(_) => "an order",
             ControlRequest::ReadBack => "a read-back",
             ControlRequest::Heartbeat(_) => "a heartbeat",
             ControlRequest::SignOff(_) => "a sign-off",
