Keys of sharded services go to a new version for its trial, and as a whole in the end

The owner of the shards tells its placement of tasks that are to have no keys as draining: those of a version that is not released but for a few, and as many of the versions before as these replace; once the version takes over, all of those before. Only the owner decides that such a rollout rises or is completed. A version that got as many requests as a bad one may, and can't rise, is reverted. What a rollout waits for is logged; without that line it was not to be seen why sharded ones stood still (few requests at one task, then decisions held up by members that could not take them).

--- a/crates/control-node/src/event.rs
+++ b/crates/control-node/src/event.rs
@@ -103,6 +103,15 @@
         /// Why.
         reason: String,
     },
+    /// A rollout waits for something else than before.
+    RolloutWaits {
+        /// The service.
+        service: String,
+        /// The version that is brought in.
+        version: String,
+        /// What it waits for.
+        waits_for: String,
+    },
     /// A decision on a rollout was agreed on.
     RolloutAdvanced {
         /// The service.
@@ -225,6 +234,14 @@
                 out,
                 "rollout of {service} to {version}: decides on {decision}: {reason}"
             ),
+            Event::RolloutWaits {
+                service,
+                version,
+                waits_for,
+            } => write!(
+                out,
+                "rollout of {service} to {version} waits for {waits_for}"
+            ),
             Event::RolloutAdvanced {
                 service,
                 version,
--- a/crates/control-node/src/lib.rs
+++ b/crates/control-node/src/lib.rs
@@ -14,6 +14,7 @@
 //! | heartbeats, drains and sign-offs of tasks | `instances` |
 //! | which member tasks send their heartbeats to | `heartbeat_balance` |
 //! | rollouts of service versions | `rollouts` |
+//! | keys of sharded services during a rollout | `sharded_rollouts` |
 //! | joins of edges | `edges` |
 //! | ownership of shards, grants | `ownership` |
 //! | graceful shutdown | `departure` |
@@ -37,6 +38,7 @@
 mod pending_requests;
 mod proposals;
 mod rollouts;
+mod sharded_rollouts;
 mod storage;
 
 pub use catch_up::SnapshotProgress;
--- a/crates/control-node/src/ownership.rs
+++ b/crates/control-node/src/ownership.rs
@@ -48,6 +48,13 @@
         self.services.get_mut(service)?.planner.as_mut()
     }
 
+    /// The placement of a service whose shards this node owns now.
+    pub(crate) fn planner(&self, now: Timestamp, service: &str) -> Option<&PlacementPlanner> {
+        let ownership = self.services.get(service)?;
+        let planner = ownership.planner.as_ref();
+        planner.filter(|_| ownership.election.is_held(now))
+    }
+
     pub(crate) fn planners_mut(&mut self) -> impl Iterator<Item = &mut PlacementPlanner> {
         self.services
             .values_mut()
@@ -139,9 +146,11 @@
             .instances
             .registry
             .all()
-            .filter(|known| owned.contains(&known.task.service))
-            .filter(|known| self.rollouts.is_released(&known.task));
-        let tasks: Vec<Task> = all.map(|known| known.as_of(now)).collect();
+            .filter(|known| owned.contains(&known.task.service));
+        let mut tasks: Vec<Task> = all.map(|known| known.as_of(now)).collect();
+        owned
+            .iter()
+            .for_each(|service| self.withhold_keys(service, &mut tasks));
         let evacuated: Vec<String> = self.configuration.evacuated().map(str::to_owned).collect();
         owned
             .iter()
--- a/crates/control-node/src/rollouts.rs
+++ b/crates/control-node/src/rollouts.rs
@@ -9,7 +9,9 @@
     VersionAccess, fnv1a,
 };
 use lynxmill_protocol::{RolloutObservation, Task, TaskState};
-use lynxmill_rollout::{Decided, EdgeState, ExposureBounds, RolloutController, Surroundings};
+use lynxmill_rollout::{
+    Decided, EdgeState, ExposureBounds, RolloutController, Surroundings, WaitsFor,
+};
 use lynxmill_time::{TimeDelta, Timestamp};
 
 use crate::event::Event;
@@ -23,19 +25,23 @@
 const LOST_EDGE_TIMEOUT: TimeDelta = TimeDelta::from_micros(2_600_000);
 
 /// A rollout in progress, followed by this member.
-struct Followed {
+pub(crate) struct Followed {
     controller: RolloutController,
     /// Since when a decision is due that was not agreed on yet.
     due_since: Option<Timestamp>,
+    /// What it was last said to wait for.
+    logged_wait: Option<WaitsFor>,
+    /// Tasks of a sharded service whose keys go to the new version, by `InstanceId`.
+    pub(crate) replaced: BTreeSet<String>,
 }
 
 /// The rollouts that this member knows.
 #[derive(Default)]
 pub(crate) struct Rollouts {
     /// By service, with the version of the item.
-    by_service: BTreeMap<String, (u64, ServiceRollouts)>,
+    pub(crate) by_service: BTreeMap<String, (u64, ServiceRollouts)>,
     /// Those in progress, by the number of their order.
-    followed: BTreeMap<u64, Followed>,
+    pub(crate) followed: BTreeMap<u64, Followed>,
     last_look: Timestamp,
     last_edge_lost: Option<Timestamp>,
 }
@@ -46,7 +52,7 @@
     }
 
     /// What a task's version may be sent.
-    fn access(&self, task: &Task) -> VersionAccess {
+    pub(crate) fn access(&self, task: &Task) -> VersionAccess {
         let rollouts = self.by_service.get(&task.service);
         rollouts.map_or(VersionAccess::Released, |(_, all)| {
             all.access(&task.version)
@@ -151,17 +157,20 @@
                 ..self.surroundings(now, service, rollout)
             };
             waits_for_earlier = true;
-            let due = self.follow(now, rollout, &surroundings);
-            if let Some(decided) = due
-                && self.is_next_to_decide(now, rollout.number)
-            {
-                self.order_decision(now, service, rollout, decided);
+            match self.follow(now, rollout, &surroundings) {
+                Some(decided) if self.is_next_to_decide(now, service, rollout.number) => {
+                    self.order_decision(now, service, rollout, decided);
+                }
+                Some(_) => {}
+                None => self.log_wait(service, rollout),
             }
         }
     }
 
     fn surroundings(&self, now: Timestamp, service: &str, rollout: &Rollout) -> Surroundings {
         let is_sharded = self.sharded_services.iter().any(|s| s.name == service);
+        // Only the owner of a service's shards hands keys over, and knows how far that is.
+        let hands_over = !is_sharded || self.owned_services(now).iter().any(|s| s == service);
         let (mut target_tasks, mut other_tasks) = (0, 0);
         for known in self.instances.registry.all() {
             let task = &known.task;
@@ -178,8 +187,8 @@
         Surroundings {
             edges: self.edges.states(),
             edge_lost_lately: edge_lost.is_some_and(|at| now - at < LOST_EDGE_TIMEOUT),
-            // Keys are not handed over to a new version.
-            target_tasks: if is_sharded { 0 } else { target_tasks },
+            target_tasks: if hands_over { target_tasks } else { 0 },
+            others_hold_keys: is_sharded && self.others_hold_keys(now, service, rollout),
             other_tasks,
             ..Surroundings::default()
         }
@@ -200,6 +209,8 @@
         let followed = followed.or_insert_with(|| Followed {
             controller: RolloutController::new(now, rollout, bounds),
             due_since: None,
+            logged_wait: None,
+            replaced: BTreeSet::new(),
         });
         let decided = followed.controller.step(now, rollout, surroundings);
         if decided.is_none() {
@@ -210,11 +221,30 @@
         decided
     }
 
+    /// A line for each change of what a rollout waits for.
+    fn log_wait(&mut self, service: &str, rollout: &Rollout) {
+        let Some(followed) = self.rollouts.followed.get_mut(&rollout.number) else {
+            return;
+        };
+        let waits_for = followed.controller.waits_for();
+        if followed.logged_wait.replace(waits_for) == Some(waits_for) {
+            return;
+        }
+        self.log(Event::RolloutWaits {
+            service: service.to_owned(),
+            version: rollout.target_version.clone(),
+            waits_for: waits_for.to_string(),
+        });
+    }
+
     /// Whether it is this member's turn to have a decision agreed on.
-    fn is_next_to_decide(&self, now: Timestamp, number: u64) -> bool {
+    fn is_next_to_decide(&self, now: Timestamp, service: &str, number: u64) -> bool {
         if !self.in_contact(now) || self.departure.is_some() || !self.is_member() {
             return false;
         }
+        if self.ownership.planner(now, service).is_some() {
+            return true;
+        }
         let rank = |ip: &str| fnv1a(number.to_be_bytes().into_iter().chain(ip.bytes()));
         let mine = rank(&self.options.ip);
         let others = self.other_members();
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -201,6 +201,21 @@
         self.holders.get_mut(id).expect("was put there")
     }
 
+    /// Requests a second for the keys of each owner.
+    pub fn request_rates(&self) -> BTreeMap<&str, f64> {
+        let mut rates = BTreeMap::new();
+        for state in &self.slices {
+            *rates.entry(state.slice.owner.as_str()).or_default() += state.request_rate;
+        }
+        rates
+    }
+
+    /// Whether a task owns keys, or may still hold some.
+    pub fn has_keys(&self, now: Timestamp, id: &str) -> bool {
+        let mut slices = self.slices.iter();
+        slices.any(|state| state.slice.owner == id || state.lease.holder_at(now) == Some(id))
+    }
+
     /// How many slices are being moved, and how many tasks own any.
     pub fn counts(&self) -> (usize, usize) {
         let owners: BTreeSet<&str> = self.slices.iter().map(|p| p.slice.owner.as_str()).collect();
--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -13,7 +13,7 @@
 /// The least time at one share: reports of it have to come in.
 const MIN_STEP: TimeDelta = TimeDelta::from_micros(1_000_000);
 /// Requests at the new version that a first verdict takes.
-const MIN_EVIDENCE: u64 = 40;
+const MIN_EVIDENCE: u64 = 30;
 /// Tasks of the new version that a share needs, as a part of those before it.
 const MIN_CAPACITY: f64 = 0.6;
 /// Once all requests go to the new version, how long requests at the others are waited for.
@@ -43,6 +43,8 @@
     pub target_tasks: usize,
     /// Tasks of the other versions that are ready.
     pub other_tasks: usize,
+    /// Tasks of other versions hold keys, or may, as far as this member knows.
+    pub others_hold_keys: bool,
     /// An earlier rollout of the service is in progress: this one stays in its trial.
     pub waits_for_earlier: bool,
     /// The version of the rollouts' item.
@@ -60,6 +62,8 @@
     Bad(BadVersion),
     /// No verdict by the term.
     TermReached,
+    /// The version got as many requests as a bad one may, and could not take over.
+    ExposureUsed(u64),
     /// No edge in touch sends to the other versions, and nothing runs there.
     TakenOver,
 }
@@ -79,11 +83,50 @@
                 target.1, target.0, base.1, base.0
             ),
             Reason::TermReached => write!(out, "no verdict by its term"),
+            Reason::ExposureUsed(sent) => {
+                write!(
+                    out,
+                    "no verdict after {sent} requests, as many as it may get"
+                )
+            }
             Reason::TakenOver => write!(out, "the version has taken over"),
         }
     }
 }
 
+/// What a rollout waits for before its share rises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitsFor {
+    /// The next step is not due yet.
+    Schedule,
+    /// An earlier rollout of the service.
+    EarlierRollout,
+    /// A clear judgement: something speaks against the version.
+    Judgement,
+    /// More requests at the new version.
+    Evidence,
+    /// More tasks of the new version, or the owner of the service's shards.
+    Tasks,
+    /// The bound on what a bad version may get.
+    Bound,
+    /// Edges, tasks and keys that still use the other versions.
+    Others,
+}
+
+impl fmt::Display for WaitsFor {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            WaitsFor::Schedule => "its next step",
+            WaitsFor::EarlierRollout => "an earlier rollout of the service",
+            WaitsFor::Judgement => "a clear judgement: something speaks against the version",
+            WaitsFor::Evidence => "more requests at the new version",
+            WaitsFor::Tasks => "more tasks of the new version, or the owner of the shards",
+            WaitsFor::Bound => "the bound on what a bad version may get",
+            WaitsFor::Others => "edges, tasks and keys that still use the other versions",
+        })
+    }
+}
+
 /// A decision that is due.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Decided {
@@ -104,6 +147,7 @@
     share_since: Timestamp,
     evidence: Evidence,
     judge: Judge,
+    waits_for: WaitsFor,
 }
 
 impl RolloutController {
@@ -116,9 +160,15 @@
             share_since: now,
             evidence: Evidence::default(),
             judge: Judge::default(),
+            waits_for: WaitsFor::Schedule,
         }
     }
 
+    /// What it waited for at the last step.
+    pub fn waits_for(&self) -> WaitsFor {
+        self.waits_for
+    }
+
     /// An edge reports.
     pub fn observe(&mut self, edge: &str, incarnation: u64, observation: RolloutObservation) {
         self.evidence.observe(edge, incarnation, observation);
@@ -155,7 +205,8 @@
         let is_last_call = elapsed + LAST_CALL >= self.schedule.duration();
         if self.share >= 1.0 {
             let may_complete = surroundings.edges.iter().all(|edge| edge.knows_versions);
-            if may_complete && (is_last_call || self.has_taken_over(now, surroundings)) {
+            let is_due = is_last_call && !surroundings.others_hold_keys;
+            if may_complete && (is_due || self.has_taken_over(now, surroundings)) {
                 return decided(RolloutDecision::Complete, Reason::TakenOver);
             }
         }
@@ -166,9 +217,20 @@
             let trial = self.schedule.trial_share();
             return decided(RolloutDecision::Share(trial), Reason::Trial);
         }
-        let next = self.next_share(now, elapsed, &verdict, surroundings)?;
-        let reason = Reason::Sound(self.evidence.target_ended());
-        decided(RolloutDecision::Share(next), reason)
+        match self.next_share(now, elapsed, &verdict, surroundings) {
+            Ok(next) => {
+                let reason = Reason::Sound(self.evidence.target_ended());
+                decided(RolloutDecision::Share(next), reason)
+            }
+            Err(_) if self.is_used_up(elapsed) => {
+                let reason = Reason::ExposureUsed(self.evidence.target_requests);
+                decided(RolloutDecision::Revert, reason)
+            }
+            Err(waits_for) => {
+                self.waits_for = waits_for;
+                None
+            }
+        }
     }
 
     fn follow(&mut self, now: Timestamp, rollout: &Rollout) {
@@ -179,31 +241,45 @@
         }
     }
 
-    /// The share that the version may rise to now.
+    /// Whether the version got as many requests as a bad one may, and does not take over.
+    fn is_used_up(&self, elapsed: TimeDelta) -> bool {
+        let (requests, sent) = (self.evidence.requests, self.evidence.target_requests);
+        self.share < 1.0 && self.schedule.is_used_up(requests, sent, elapsed)
+    }
+
+    /// The share that the version may rise to now, or what it waits for.
     fn next_share(
         &self,
         now: Timestamp,
         elapsed: TimeDelta,
         verdict: &Verdict,
         surroundings: &Surroundings,
-    ) -> Option<f64> {
-        if self.share >= 1.0 || surroundings.waits_for_earlier || *verdict != Verdict::Sound {
-            return None;
+    ) -> Result<f64, WaitsFor> {
+        if self.share >= 1.0 {
+            return Err(WaitsFor::Others);
+        }
+        if surroundings.waits_for_earlier {
+            return Err(WaitsFor::EarlierRollout);
         }
         let (next, begins) = self.schedule.next_step(self.share);
-        let is_due = elapsed >= begins && now - self.share_since >= MIN_STEP;
-        let has_evidence = self.evidence.target_ended() >= MIN_EVIDENCE;
+        if elapsed < begins || now - self.share_since < MIN_STEP {
+            return Err(WaitsFor::Schedule);
+        }
+        if *verdict != Verdict::Sound {
+            return Err(WaitsFor::Judgement);
+        }
+        if self.evidence.target_ended() < MIN_EVIDENCE {
+            return Err(WaitsFor::Evidence);
+        }
         let needed = surroundings.other_tasks as f64 * next * MIN_CAPACITY;
-        let has_capacity = surroundings.target_tasks as f64 >= needed;
-        let evidence = &self.evidence;
-        let keeps_bound = next >= 1.0
-            || self.schedule.keeps_bound(
-                next,
-                evidence.requests,
-                evidence.target_requests,
-                elapsed,
-            );
-        (is_due && has_evidence && has_capacity && keeps_bound).then_some(next)
+        if (surroundings.target_tasks as f64) < needed {
+            return Err(WaitsFor::Tasks);
+        }
+        let (requests, sent) = (self.evidence.requests, self.evidence.target_requests);
+        if next < 1.0 && !self.schedule.keeps_bound(next, requests, sent, elapsed) {
+            return Err(WaitsFor::Bound);
+        }
+        Ok(next)
     }
 
     /// Whether no edge in touch sends to other versions, and nothing runs there, or has for too long.
@@ -224,7 +300,8 @@
             .flatten()
             .map(|r| r.others_in_flight)
             .sum();
-        all_know && (in_flight == 0 || since >= DRAIN_TIMEOUT)
+        let is_handed_over = all_know && !surroundings.others_hold_keys;
+        is_handed_over && (in_flight == 0 || since >= DRAIN_TIMEOUT)
     }
 }
 
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -10,7 +10,7 @@
 mod judge;
 mod schedule;
 
-pub use controller::{Decided, EdgeState, Reason, RolloutController, Surroundings};
+pub use controller::{Decided, EdgeState, Reason, RolloutController, Surroundings, WaitsFor};
 pub use evidence::{Counts, Evidence, RouteOutcomes};
 pub use judge::{Judge, Verdict};
 pub use schedule::{ExposureBounds, Schedule};
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -21,6 +21,8 @@
 const TAKE_OVER: f64 = 0.56;
 /// The part of the bound that is used by plan.
 const USED_EXPOSURE: f64 = 0.9;
+/// The least time that a rate is taken over, in seconds.
+const MIN_ELAPSED_S: f64 = 0.1;
 /// How long it may take until a bad version is found and all edges know.
 const REACTION: TimeDelta = TimeDelta::from_micros(1_000_000);
 
@@ -70,10 +72,21 @@
     /// Whether a version that turns bad right after a step to this share would stay within the bound. `requests` and
     /// `sent` are what the service and the version got so far.
     pub fn keeps_bound(&self, share: f64, requests: u64, sent: u64, elapsed: TimeDelta) -> bool {
-        let elapsed_s = elapsed.secs().max(0.1);
+        let rate = requests as f64 / elapsed.secs().max(MIN_ELAPSED_S);
+        let allowed = self.allowed(requests, elapsed);
+        sent as f64 + rate * share * REACTION.secs() <= allowed
+    }
+
+    /// Whether a version got all that a bad one may by plan.
+    pub fn is_used_up(&self, requests: u64, sent: u64, elapsed: TimeDelta) -> bool {
+        sent as f64 > self.allowed(requests, elapsed)
+    }
+
+    /// Requests that a version may get by plan, if as many come for its service as until now.
+    fn allowed(&self, requests: u64, elapsed: TimeDelta) -> f64 {
+        let elapsed_s = elapsed.secs().max(MIN_ELAPSED_S);
         let rate = requests as f64 / elapsed_s;
         let expected = rate * self.duration.secs().max(elapsed_s);
-        let allowed = (expected * self.bounds.share + self.bounds.slack) * USED_EXPOSURE;
-        sent as f64 + rate * share * REACTION.secs() <= allowed
+        (expected * self.bounds.share + self.bounds.slack) * USED_EXPOSURE
     }
 }
