Sharded services: larger trials, and a version is sound only by evidence of it

Cause: a version rose after 30 requests that spoke neither for nor against it; keys take two seconds to change hands, so that each step of the rise was over before it was in force; an answer counted as slow only at four times the median, which 8 times the work does not reach where links and queues take half of the time; and the tasks of a trial got a third of its share, since keys differ.

Change: a second measure of slow answers (slower than nine tenths of those before); a version rises once the likelihoods speak for it over all routes and on each main one; a trial by key takes its whole share, is made larger while it gets less than half of it, and is followed by all keys at once. Verdicts and expired terms are logged with the requests of each route.

Left over: a version that is bad only on a route with 6% of the traffic, a sound one whose trial tasks got no requests of one route.

--- a/crates/control-node/src/rollouts.rs
+++ b/crates/control-node/src/rollouts.rs
@@ -10,7 +10,7 @@
 };
 use lynxmill_protocol::{RolloutObservation, Task, TaskState};
 use lynxmill_rollout::{
-    Decided, EdgeState, ExposureBounds, RolloutController, Surroundings, WaitsFor,
+    Decided, EdgeState, ExposureBounds, RolloutController, Surroundings, TrafficDivision, WaitsFor,
 };
 use lynxmill_time::{TimeDelta, Timestamp};
 
@@ -35,6 +35,13 @@
     pub(crate) replaced: BTreeSet<String>,
 }
 
+impl Followed {
+    /// By how much a trial by key is to be larger than its share says.
+    pub(crate) fn trial_factor(&self) -> f64 {
+        self.controller.trial_factor()
+    }
+}
+
 /// The rollouts that this member knows.
 #[derive(Default)]
 pub(crate) struct Rollouts {
@@ -157,7 +164,7 @@
                 ..self.surroundings(now, service, rollout)
             };
             waits_for_earlier = true;
-            match self.follow(now, rollout, &surroundings) {
+            match self.follow(now, service, rollout, &surroundings) {
                 Some(decided) if self.is_next_to_decide(now, service, rollout.number) => {
                     self.order_decision(now, service, rollout, decided);
                 }
@@ -198,6 +205,7 @@
     fn follow(
         &mut self,
         now: Timestamp,
+        service: &str,
         rollout: &Rollout,
         surroundings: &Surroundings,
     ) -> Option<Decided> {
@@ -205,9 +213,15 @@
             share: self.options.bounds.exposure_share,
             slack: self.options.bounds.exposure_slack,
         };
+        let is_sharded = self.sharded_services.iter().any(|s| s.name == service);
+        let division = if is_sharded {
+            TrafficDivision::ByKey
+        } else {
+            TrafficDivision::ByRequest
+        };
         let followed = self.rollouts.followed.entry(rollout.number);
         let followed = followed.or_insert_with(|| Followed {
-            controller: RolloutController::new(now, rollout, bounds),
+            controller: RolloutController::new(now, rollout, bounds, division),
             due_since: None,
             logged_wait: None,
             replaced: BTreeSet::new(),
--- a/crates/control-node/src/sharded_rollouts.rs
+++ b/crates/control-node/src/sharded_rollouts.rs
@@ -10,6 +10,7 @@
 use lynxmill_time::Timestamp;
 
 use crate::node::ControlNode;
+use crate::rollouts::Followed;
 
 /// The largest part of a service's tasks that one task may be to be replaced for a trial, as a multiple of the share.
 const MAX_TRIAL_FACTOR: f64 = 3.0;
@@ -22,13 +23,13 @@
     finalize(fnv1a(number.to_be_bytes().into_iter().chain(id.bytes())))
 }
 
-/// How many of these tasks are replaced at a share.
-fn replaced_count(share: f64, tasks: usize) -> usize {
+/// How many of these tasks are replaced at a share, and a factor that makes the trial larger.
+fn replaced_count(share: f64, factor: f64, tasks: usize) -> usize {
     let fair = share * tasks as f64;
     if fair * MAX_TRIAL_FACTOR < 1.0 {
         return 0;
     }
-    fair.ceil() as usize
+    ((fair * factor).ceil() as usize).min(tasks)
 }
 
 fn is_ready(task: &Task) -> bool {
@@ -78,7 +79,9 @@
         let mut targets: Vec<&Task> = targets;
         targets.retain(|task| task.warm_up_left_ms == 0);
         targets.sort_by_key(|task| order(rollout.number, &task.id));
-        let count = replaced_count(rollout.share, others.len());
+        let followed = self.rollouts.followed.get(&rollout.number);
+        let factor = followed.map_or(1.0, Followed::trial_factor);
+        let count = replaced_count(rollout.share, factor, others.len());
         let targets = targets.into_iter().take(count).map(|task| task.id.clone());
         let targets: BTreeSet<String> = targets.collect();
         let replaced = self.replaced_tasks(service, rollout, &others, targets.len());
--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -7,9 +7,12 @@
 use lynxmill_time::{TimeDelta, Timestamp};
 
 use crate::evidence::Evidence;
-use crate::judge::{BadVersion, Judge, Verdict};
-use crate::schedule::{ExposureBounds, Schedule};
+use crate::judge::{Judge, RouteShares, Verdict, shares_by_route};
+use crate::schedule::{ExposureBounds, Schedule, TrafficDivision};
+use crate::trial_size::TrialSize;
 
+/// Keys of tasks that have just started take so long to change hands: before that a trial's size says nothing.
+const FIRST_HANDOVER: TimeDelta = TimeDelta::from_micros(3_000_000);
 /// The least time at one share: reports of it have to come in.
 const MIN_STEP: TimeDelta = TimeDelta::from_micros(1_000_000);
 /// Requests at the new version that a first verdict takes.
@@ -56,33 +59,38 @@
 pub enum Reason {
     /// The rollout begins.
     Trial,
-    /// Nothing speaks against the version; so many requests ended there.
-    Sound(u64),
+    /// Nothing speaks against the version: bad requests by route.
+    Sound(Vec<RouteShares>),
     /// The version is worse than those before it.
-    Bad(BadVersion),
-    /// No verdict by the term.
-    TermReached,
+    Bad(RouteShares),
+    /// No verdict by the term: bad requests by route.
+    TermReached(Vec<RouteShares>),
     /// The version got as many requests as a bad one may, and could not take over.
     ExposureUsed(u64),
     /// No edge in touch sends to the other versions, and nothing runs there.
     TakenOver,
 }
 
+fn write_routes(out: &mut fmt::Formatter<'_>, routes: &[RouteShares]) -> fmt::Result {
+    write!(out, "; bad requests")?;
+    routes
+        .iter()
+        .try_for_each(|route| write!(out, "; on {route}"))
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Reason::Trial => write!(out, "the trial begins"),
-            Reason::Sound(ended) => write!(out, "sound after {ended} requests"),
-            Reason::Bad(BadVersion {
-                route,
-                target,
-                base,
-            }) => write!(
-                out,
-                "bad on {route}: {} of {} requests, {} of {} before",
-                target.1, target.0, base.1, base.0
-            ),
-            Reason::TermReached => write!(out, "no verdict by its term"),
+            Reason::Sound(routes) => {
+                write!(out, "sound")?;
+                write_routes(out, routes)
+            }
+            Reason::Bad(route) => write!(out, "bad on {route}"),
+            Reason::TermReached(routes) => {
+                write!(out, "no verdict by its term")?;
+                write_routes(out, routes)
+            }
             Reason::ExposureUsed(sent) => {
                 write!(
                     out,
@@ -148,19 +156,26 @@
     evidence: Evidence,
     judge: Judge,
     waits_for: WaitsFor,
+    trial_size: TrialSize,
 }
 
 impl RolloutController {
     /// Follows a rollout that this member has just heard of.
-    pub fn new(now: Timestamp, rollout: &Rollout, bounds: ExposureBounds) -> Self {
+    pub fn new(
+        now: Timestamp,
+        rollout: &Rollout,
+        bounds: ExposureBounds,
+        division: TrafficDivision,
+    ) -> Self {
         RolloutController {
-            schedule: Schedule::new(millis(rollout.duration_ms), bounds),
+            schedule: Schedule::new(millis(rollout.duration_ms), bounds, division),
             ordered_at: before(now, rollout.elapsed_ms),
             share: rollout.share,
             share_since: now,
             evidence: Evidence::default(),
             judge: Judge::default(),
             waits_for: WaitsFor::Schedule,
+            trial_size: TrialSize::default(),
         }
     }
 
@@ -169,6 +184,11 @@
         self.waits_for
     }
 
+    /// By how much a trial by key is to be larger than its share says.
+    pub fn trial_factor(&self) -> f64 {
+        self.trial_size.factor()
+    }
+
     /// An edge reports.
     pub fn observe(&mut self, edge: &str, incarnation: u64, observation: RolloutObservation) {
         self.evidence.observe(edge, incarnation, observation);
@@ -190,6 +210,10 @@
         let elapsed = now - self.ordered_at;
         let lately = self.evidence.take_unjudged();
         let is_alone = self.share >= 1.0;
+        if !is_alone && now - self.share_since >= FIRST_HANDOVER {
+            let (requests, sent) = (self.evidence.requests, self.evidence.target_requests);
+            self.trial_size.observe(now, self.share, requests, sent);
+        }
         let totals = &self.evidence.totals;
         let verdict = self.judge.judge(now, &lately, totals, is_alone);
         let decided = |decision, reason| {
@@ -211,7 +235,8 @@
             }
         }
         if is_last_call && self.share < 1.0 || elapsed >= self.schedule.duration() {
-            return decided(RolloutDecision::Revert, Reason::TermReached);
+            let reason = Reason::TermReached(shares_by_route(&self.evidence.totals));
+            return decided(RolloutDecision::Revert, reason);
         }
         if self.share <= 0.0 {
             let trial = self.schedule.trial_share();
@@ -219,7 +244,7 @@
         }
         match self.next_share(now, elapsed, &verdict, surroundings) {
             Ok(next) => {
-                let reason = Reason::Sound(self.evidence.target_ended());
+                let reason = Reason::Sound(shares_by_route(&self.evidence.totals));
                 decided(RolloutDecision::Share(next), reason)
             }
             Err(_) if self.is_used_up(elapsed) => {
@@ -262,20 +287,20 @@
             return Err(WaitsFor::EarlierRollout);
         }
         let (next, begins) = self.schedule.next_step(self.share);
-        if elapsed < begins || now - self.share_since < MIN_STEP {
+        let (requests, sent) = (self.evidence.requests, self.evidence.target_requests);
+        let is_early = elapsed < begins && !self.schedule.may_hurry(requests, sent, elapsed);
+        if is_early || now - self.share_since < MIN_STEP {
             return Err(WaitsFor::Schedule);
         }
-        if *verdict != Verdict::Sound {
-            return Err(WaitsFor::Judgement);
-        }
-        if self.evidence.target_ended() < MIN_EVIDENCE {
-            return Err(WaitsFor::Evidence);
+        match verdict {
+            Verdict::Sound if self.evidence.target_ended() >= MIN_EVIDENCE => {}
+            Verdict::Sound | Verdict::Unknown => return Err(WaitsFor::Evidence),
+            Verdict::Suspicious | Verdict::Bad(_) => return Err(WaitsFor::Judgement),
         }
         let needed = surroundings.other_tasks as f64 * next * MIN_CAPACITY;
         if (surroundings.target_tasks as f64) < needed {
             return Err(WaitsFor::Tasks);
         }
-        let (requests, sent) = (self.evidence.requests, self.evidence.target_requests);
         if next < 1.0 && !self.schedule.keeps_bound(next, requests, sent, elapsed) {
             return Err(WaitsFor::Bound);
         }
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -52,13 +52,18 @@
         self.latencies.iter().skip(bucket + 1).sum()
     }
 
-    /// The bucket of the median latency; none without good answers.
-    pub fn median_bucket(&self) -> Option<usize> {
+    /// Requests that failed, or were answered by tasks that do not warm up.
+    pub fn judged(&self) -> u64 {
+        self.failed + self.latencies.iter().sum::<u64>()
+    }
+
+    /// The bucket that a part of the good answers does not exceed; none without good answers.
+    pub fn quantile_bucket(&self, part: f64) -> Option<usize> {
         let all: u64 = self.latencies.iter().sum();
         let mut below = 0;
         self.latencies.iter().position(|count| {
             below += count;
-            all > 0 && below * 2 >= all
+            all > 0 && below as f64 >= all as f64 * part
         })
     }
 }
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -1,12 +1,15 @@
 //! Whether a new version is worse than those before it.
 //!
-//! A request counts as bad if it failed, or if its answer took several times as long as answers of the versions before
-//! usually take on its route. On each route, and over all of them, a sequential test compares two hypotheses: that the
-//! share of bad requests is what the versions before have (and some more), or that it is larger by [`BAD_SHARE`]. The
-//! score never falls below zero (CUSUM), so that a version that turns bad late is found as soon as one that always was.
-//! A second test finds a difference that is smaller and certain.
+//! A request counts as bad if it failed, or if its answer was slow, by one of two measures: slower than nearly all answers
+//! of the versions before on its route, or several times as slow as usual there. On each route, and over all of them, a
+//! sequential test compares two hypotheses: that the share of bad requests is what the versions before have (and some
+//! more), or that it is larger by [`BAD_SHARE`]. The score never falls below zero (CUSUM), so that a version that turns
+//! bad late is found as soon as one that always was. A second test finds a difference that is smaller and certain. A
+//! version is sound only once the same hypotheses, compared over all of its requests, speak for it on each route that
+//! carries much of the traffic.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use lynxmill_time::Timestamp;
 
@@ -30,6 +33,14 @@
 const SUSPICIOUS_SCORE: f64 = 3.0;
 /// Buckets of latency, two to a factor of two, between a usual answer and a slow one.
 const SLOW_BUCKETS: usize = 4;
+/// The part of the answers of the versions before that may be slow by the narrower measure.
+const SLOWEST_PART: f64 = 0.1;
+/// The logarithm of the likelihood ratio at which a version is found sound over all routes, and on each main one: errors of
+/// 1 in 50 and 1 in 14.
+const SOUND_SCORE: f64 = 3.9;
+const ROUTE_SOUND_SCORE: f64 = 2.6;
+/// The part of the requests from which a route has to speak for a version.
+const MAIN_ROUTE_PART: f64 = 0.1;
 /// Answers of the versions before that are needed to tell what is usual.
 const MIN_BASE: u64 = 20;
 /// Requests from which the second test has a meaning.
@@ -43,17 +54,19 @@
 /// What is known of a new version.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
-    /// Nothing speaks against it.
+    /// Its requests speak for it.
     Sound,
+    /// Too few requests to tell.
+    Unknown,
     /// It may be bad: it should not be sent more than it is.
     Suspicious,
     /// It is bad.
-    Bad(BadVersion),
+    Bad(RouteShares),
 }
 
-/// On which route a version was found bad, and by how much.
+/// Requests that ended on a route, and bad ones among them.
 #[derive(Clone, Debug, PartialEq)]
-pub struct BadVersion {
+pub struct RouteShares {
     /// The route.
     pub route: String,
     /// Requests of the new version, and bad ones among them.
@@ -62,10 +75,64 @@
     pub base: (u64, u64),
 }
 
-/// The bad requests among all that ended.
+impl fmt::Display for RouteShares {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let RouteShares {
+            route,
+            target,
+            base,
+        } = self;
+        write!(
+            out,
+            "{route}: {} of {} requests, {} of {} before",
+            target.1, target.0, base.1, base.0
+        )
+    }
+}
+
+/// The requests of each route that failed or took several times as long as usual.
+pub(crate) fn shares_by_route(totals: &BTreeMap<String, RouteOutcomes>) -> Vec<RouteShares> {
+    let shares = totals.iter().map(|(route, all)| {
+        let slow_from = Measure::SeveralTimes.slow_bucket(&all.base);
+        RouteShares {
+            route: route.clone(),
+            target: bad_of(&all.target, slow_from),
+            base: bad_of(&all.base, slow_from),
+        }
+    });
+    shares.collect()
+}
+
+/// What makes an answer slow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Measure {
+    /// It took several times as long as answers of the versions before usually do.
+    SeveralTimes,
+    /// It took longer than nearly all answers of the versions before.
+    NearlyAll,
+}
+
+impl Measure {
+    const ALL: [Measure; 2] = [Measure::SeveralTimes, Measure::NearlyAll];
+
+    /// The bucket above which answers are slow; none if too few of the versions before are known.
+    fn slow_bucket(self, base: &Counts) -> Option<usize> {
+        if base.latencies.iter().sum::<u64>() < MIN_BASE {
+            return None;
+        }
+        match self {
+            Measure::SeveralTimes => base
+                .quantile_bucket(0.5)
+                .map(|median| median + SLOW_BUCKETS),
+            Measure::NearlyAll => base.quantile_bucket(1.0 - SLOWEST_PART),
+        }
+    }
+}
+
+/// Requests that can be judged, and the bad ones among them.
 fn bad_of(counts: &Counts, slow_from: Option<usize>) -> (u64, u64) {
     let slow = slow_from.map_or(0, |bucket| counts.slower_than(bucket));
-    (counts.ended, counts.failed + slow)
+    (counts.judged(), counts.failed + slow)
 }
 
 fn share((ended, bad): (u64, u64)) -> f64 {
@@ -76,17 +143,10 @@
     }
 }
 
-/// The bucket above which answers are slow, by the median of the versions before; none if too few are known.
-fn slow_bucket(base: &Counts) -> Option<usize> {
-    let known: u64 = base.latencies.iter().sum();
-    let median = base.median_bucket().filter(|_| known >= MIN_BASE)?;
-    Some(median + SLOW_BUCKETS)
-}
-
 /// The judgement of one new version.
 #[derive(Clone, Debug, Default)]
 pub struct Judge {
-    routes: BTreeMap<String, RouteJudgement>,
+    routes: BTreeMap<(String, Measure), RouteJudgement>,
     last_look: Timestamp,
 }
 
@@ -144,55 +204,43 @@
             is_alone,
         };
         self.last_look = now;
-        let mut pooled = Pooled::default();
-        for (route, all) in totals {
-            let slow_from = slow_bucket(&all.base);
-            let recent = lately.get(route);
-            let target_now = recent.map_or((0, 0), |r| bad_of(&r.target, slow_from));
-            let base_now = recent.map_or((0, 0), |r| bad_of(&r.base, slow_from));
-            let seen = Seen {
-                target_now,
-                base_now,
-                target: bad_of(&all.target, slow_from),
-                base: bad_of(&all.base, slow_from),
-            };
-            pooled.add(&seen);
-            if let Some(bad) = self.judge_route(route, &seen, look) {
-                return Verdict::Bad(bad);
+        let main_route =
+            totals.values().map(|all| all.base.ended).sum::<u64>() as f64 * MAIN_ROUTE_PART;
+        let mut is_sound = true;
+        for measure in Measure::ALL {
+            // Nothing is left that answers could be compared with so closely.
+            if is_alone && measure == Measure::NearlyAll {
+                continue;
             }
+            let mut pooled = Pooled::default();
+            for (route, all) in totals {
+                let seen = Seen::new(measure, all, lately.get(route));
+                pooled.add(&seen);
+                let judgement = self.routes.entry((route.clone(), measure)).or_default();
+                if judgement.judge(&seen, look) {
+                    return Verdict::Bad(seen.shares(route));
+                }
+                is_sound &= (all.base.ended as f64) < main_route
+                    || judgement.sound_score(&seen, look) >= ROUTE_SOUND_SCORE;
+            }
+            let judgement = self
+                .routes
+                .entry((ALL_ROUTES.to_owned(), measure))
+                .or_default();
+            if judgement.judge(&pooled.0, look) {
+                return Verdict::Bad(pooled.0.shares(ALL_ROUTES));
+            }
+            is_sound &= judgement.sound_score(&pooled.0, look) >= SOUND_SCORE;
         }
-        if let Some(bad) = self.judge_route(ALL_ROUTES, &pooled.0, look) {
-            return Verdict::Bad(bad);
-        }
-        if self
-            .routes
-            .values()
-            .any(|route| route.score > SUSPICIOUS_SCORE)
-        {
+        let mut judgements = self.routes.values();
+        if judgements.any(|route| route.score > SUSPICIOUS_SCORE) {
             Verdict::Suspicious
-        } else {
+        } else if is_sound {
             Verdict::Sound
+        } else {
+            Verdict::Unknown
         }
     }
-
-    fn judge_route(&mut self, name: &str, seen: &Seen, look: Look) -> Option<BadVersion> {
-        let route = self.routes.entry(name.to_owned()).or_default();
-        route.remember_base(seen.base_now, look.memory);
-        route.excess.add(seen.target_now, route.recent_base);
-        let tolerated = route.tolerated_share(seen.base, look.is_alone);
-        let bad_share = tolerated + BAD_SHARE;
-        let (ended, bad) = seen.target_now;
-        let good = ended.saturating_sub(bad) as f64;
-        let gain = bad as f64 * (bad_share / tolerated).ln()
-            + good * ((1.0 - bad_share) / (1.0 - tolerated)).ln();
-        route.score = (route.score + gain).max(0.0);
-        let is_bad = route.score >= BAD_SCORE || route.excess.is_certain();
-        is_bad.then(|| BadVersion {
-            route: name.to_owned(),
-            target: seen.target,
-            base: seen.base,
-        })
-    }
 }
 
 /// One look at the outcomes.
@@ -213,7 +261,52 @@
     base: (u64, u64),
 }
 
+impl Seen {
+    fn new(measure: Measure, all: &RouteOutcomes, lately: Option<&RouteOutcomes>) -> Self {
+        let slow_from = measure.slow_bucket(&all.base);
+        let now = |side: fn(&RouteOutcomes) -> &Counts| {
+            lately.map_or((0, 0), |lately| bad_of(side(lately), slow_from))
+        };
+        Seen {
+            target_now: now(|outcomes| &outcomes.target),
+            base_now: now(|outcomes| &outcomes.base),
+            target: bad_of(&all.target, slow_from),
+            base: bad_of(&all.base, slow_from),
+        }
+    }
+
+    fn shares(&self, route: &str) -> RouteShares {
+        RouteShares {
+            route: route.to_owned(),
+            target: self.target,
+            base: self.base,
+        }
+    }
+}
+
+/// The logarithm of the likelihood ratio of two shares of bad requests.
+fn log_likelihood_ratio((ended, bad): (u64, u64), tolerated: f64, bad_share: f64) -> f64 {
+    let good = ended.saturating_sub(bad) as f64;
+    bad as f64 * (bad_share / tolerated).ln() + good * ((1.0 - bad_share) / (1.0 - tolerated)).ln()
+}
+
 impl RouteJudgement {
+    /// Takes what came lately; whether the version is bad.
+    fn judge(&mut self, seen: &Seen, look: Look) -> bool {
+        self.remember_base(seen.base_now, look.memory);
+        self.excess.add(seen.target_now, self.recent_base);
+        let tolerated = self.tolerated_share(seen.base, look.is_alone);
+        let gain = log_likelihood_ratio(seen.target_now, tolerated, tolerated + BAD_SHARE);
+        self.score = (self.score + gain).max(0.0);
+        self.score >= BAD_SCORE || self.excess.is_certain()
+    }
+
+    /// How much all requests together speak for the version.
+    fn sound_score(&self, seen: &Seen, look: Look) -> f64 {
+        let tolerated = self.tolerated_share(seen.base, look.is_alone);
+        -log_likelihood_ratio(seen.target, tolerated, tolerated + BAD_SHARE)
+    }
+
     fn remember_base(&mut self, (ended, bad): (u64, u64), memory: f64) {
         self.recent_base.0 = self.recent_base.0 * memory + ended as f64;
         self.recent_base.1 = self.recent_base.1 * memory + bad as f64;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -9,8 +9,9 @@
 mod evidence;
 mod judge;
 mod schedule;
+mod trial_size;
 
 pub use controller::{Decided, EdgeState, Reason, RolloutController, Surroundings, WaitsFor};
 pub use evidence::{Counts, Evidence, RouteOutcomes};
-pub use judge::{Judge, Verdict};
-pub use schedule::{ExposureBounds, Schedule};
+pub use judge::{Judge, RouteShares, Verdict};
+pub use schedule::{ExposureBounds, Schedule, TrafficDivision};
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -4,7 +4,9 @@
 use lynxmill_configuration::{Rollout, RolloutDecision, RolloutState};
 use lynxmill_protocol::{LATENCY_BUCKETS, OutcomeCounts, RolloutObservation, latency_bucket};
 use lynxmill_random::Pcg;
-use lynxmill_rollout::{EdgeState, ExposureBounds, RolloutController, Surroundings};
+use lynxmill_rollout::{
+    Decided, EdgeState, ExposureBounds, RolloutController, Surroundings, TrafficDivision,
+};
 use lynxmill_time::{TimeDelta, Timestamp};
 
 const TERM_S: f64 = 14.0;
@@ -35,6 +37,10 @@
     common_errors: f64,
     common_slow: f64,
     trouble_from_s: f64,
+    /// Waiting that does not grow with work: a link between regions for half of the requests, and queues.
+    wait_s: f64,
+    /// The service's traffic is divided by key: how long keys take to change hands.
+    handover_s: Option<f64>,
 }
 
 impl World {
@@ -82,6 +88,8 @@
     end: End,
     bad: u64,
     item_version: u64,
+    share_before: f64,
+    share_since_s: f64,
 }
 
 fn poisson(random: &mut Pcg, mean: f64) -> u64 {
@@ -113,15 +121,22 @@
             number: 7,
             ..RolloutObservation::default()
         };
+        let division = if world.handover_s.is_some() {
+            TrafficDivision::ByKey
+        } else {
+            TrafficDivision::ByRequest
+        };
         Player {
             world,
             random: Pcg::new(seed),
-            controller: RolloutController::new(Timestamp::default(), &rollout, EXPOSURE),
+            controller: RolloutController::new(Timestamp::default(), &rollout, EXPOSURE, division),
             rollout,
             observations: vec![observation; EDGES],
             end: End::default(),
             bad: 0,
             item_version: 1,
+            share_before: 0.0,
+            share_since_s: 0.0,
         }
     }
 
@@ -130,12 +145,23 @@
         let speed = [0.6, 1.0, 1.4][(self.random.unit() * 3.0) as usize % 3];
         let spread = (self.random.unit() + self.random.unit() + self.random.unit() - 1.5) * 0.7;
         let factor = if is_slow { self.world.slow_factor } else { 1.0 };
-        0.16 * spread.exp() / speed * factor
+        let waits = if self.random.unit() < 0.5 { 1.0 } else { 0.0 } + self.random.unit();
+        0.16 * spread.exp() / speed * factor + self.world.wait_s * waits
+    }
+
+    /// The share that is in force.
+    fn share(&self, now_s: f64) -> f64 {
+        let is_handed_over = |took: f64| now_s >= self.share_since_s + took;
+        if self.world.handover_s.is_none_or(is_handed_over) {
+            self.rollout.share
+        } else {
+            self.share_before
+        }
     }
 
     fn request(&mut self, now_s: f64, route: usize) {
         let edge = (self.random.unit() * EDGES as f64) as usize % EDGES;
-        let is_target = self.random.unit() < self.rollout.share;
+        let is_target = self.random.unit() < self.share(now_s);
         let world = self.world;
         let (mut errors, mut slow) = (0.002, 0.0);
         if now_s >= world.trouble_from_s {
@@ -182,10 +208,15 @@
         }
     }
 
-    fn apply(&mut self, decision: RolloutDecision) {
+    fn apply(&mut self, now_s: f64, decided: &Decided) {
         self.item_version += 1;
-        match decision {
-            RolloutDecision::Share(share) => self.rollout.share = share,
+        self.rollout.elapsed_ms = (decided.elapsed.micros() / 1000) as u64;
+        match decided.decision {
+            RolloutDecision::Share(share) if share == self.rollout.share => {}
+            RolloutDecision::Share(share) => {
+                self.share_before = self.rollout.share;
+                (self.rollout.share, self.share_since_s) = (share, now_s);
+            }
             RolloutDecision::Complete => self.end.state = Some(RolloutState::Completed),
             RolloutDecision::Revert => self.end.state = Some(RolloutState::Reverted),
         }
@@ -199,7 +230,7 @@
                 knows_versions: true,
             })
             .collect();
-        let mut pending: Option<(f64, RolloutDecision)> = None;
+        let mut pending: Option<(f64, Decided)> = None;
         let mut next_report_s = 0.0;
         for step in 0.. {
             let now_s = f64::from(step) * STEP_S;
@@ -219,18 +250,16 @@
                 target_tasks: 150,
                 other_tasks: 150,
                 item_version: self.item_version,
+                others_hold_keys: self.world.handover_s.is_some() && self.share(now_s) < 1.0,
                 ..Surroundings::default()
             };
             let now = Timestamp::from_secs(now_s);
             let decided = self.controller.step(now, &self.rollout, &surroundings);
             if pending.is_none() {
-                pending = decided.map(|decided| (now_s + IN_FORCE_S, decided.decision));
+                pending = decided.map(|decided| (now_s + IN_FORCE_S, decided));
             }
-            if let Some((at_s, decision)) = pending
-                && now_s >= at_s
-            {
-                pending = None;
-                self.apply(decision);
+            if let Some((_, decided)) = pending.take_if(|(at_s, _)| now_s >= *at_s) {
+                self.apply(now_s, &decided);
             }
             if self.end.state.is_some() {
                 self.end.at_s = now_s;
@@ -349,6 +378,49 @@
     assert_ends(world, RolloutState::Reverted, 40, 0);
 }
 
+/// A service with few tasks whose traffic is divided by key, and whose answers wait for other things than work.
+fn by_key() -> World {
+    World {
+        rates: [200.0, 90.0],
+        wait_s: 0.1,
+        handover_s: Some(2.5),
+        ..World::sound()
+    }
+}
+
+#[test]
+fn a_sound_version_takes_all_keys_over_in_its_term() {
+    assert_ends(by_key(), RolloutState::Completed, 200, 2);
+}
+
+#[test]
+fn a_bad_version_never_takes_all_keys_over() {
+    let bad = [
+        ([0.4, 0.4], [0.0, 0.0]),
+        ([0.0, 0.5], [0.0, 0.0]),
+        ([0.0, 0.0], [0.4, 0.4]),
+        ([0.0, 0.0], [0.6, 0.6]),
+    ];
+    for (errors, slow) in bad {
+        let world = World {
+            errors,
+            slow,
+            slow_factor: 8.0,
+            ..by_key()
+        };
+        assert_ends(world, RolloutState::Reverted, 100, 0);
+    }
+}
+
+#[test]
+fn a_version_that_gets_few_requests_does_not_take_over() {
+    let world = World {
+        rates: [14.0, 6.0],
+        ..by_key()
+    };
+    assert_ends(world, RolloutState::Reverted, 20, 0);
+}
+
 #[test]
 fn without_requests_there_is_no_verdict_and_the_version_is_reverted_by_its_term() {
     let world = World {
@@ -365,7 +437,12 @@
         share: 0.05,
         ..Player::new(World::sound(), 1).rollout
     };
-    let mut controller = RolloutController::new(Timestamp::from_secs(100.0), &rollout, EXPOSURE);
+    let mut controller = RolloutController::new(
+        Timestamp::from_secs(100.0),
+        &rollout,
+        EXPOSURE,
+        TrafficDivision::ByRequest,
+    );
     let decided = controller.step(
         Timestamp::from_secs(100.0),
         &rollout,
@@ -388,7 +465,12 @@
         incarnation: 1,
         knows_versions,
     };
-    let mut controller = RolloutController::new(Timestamp::default(), &rollout, EXPOSURE);
+    let mut controller = RolloutController::new(
+        Timestamp::default(),
+        &rollout,
+        EXPOSURE,
+        TrafficDivision::ByRequest,
+    );
     let mut surroundings = Surroundings {
         edges: vec![edge(true)],
         item_version: 5,
