Rollouts: the time since the order is recorded, so that a restart of all counts on from there

Cause: the time since a rollout's order is kept by each member's own clock from the last decision that was agreed on.

Change: a quarter of the term after the last record the share that stands is agreed on again, with the time since the order.

--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -21,6 +21,9 @@
 const MIN_CAPACITY: f64 = 0.6;
 /// Once all requests go to the new version, how long requests at the others are waited for.
 const DRAIN_TIMEOUT: TimeDelta = TimeDelta::from_micros(3_000_000);
+/// The part of the term after which it is recorded how much has passed: where all members lose power, the term is counted
+/// on from there.
+const RECORD_INTERVAL: f64 = 0.25;
 /// So long before its term a rollout comes to its end, whatever that is.
 const LAST_CALL: TimeDelta = TimeDelta::from_micros(800_000);
 
@@ -65,6 +68,8 @@
     Bad(RouteShares),
     /// No verdict by the term: bad requests by route.
     TermReached(Vec<RouteShares>),
+    /// Nothing changes: the time since the order is recorded.
+    TimePassed,
     /// The version got as many requests as a bad one may, and could not take over.
     ExposureUsed(u64),
     /// No edge in touch sends to the other versions, and nothing runs there.
@@ -91,6 +96,7 @@
                 write!(out, "no verdict by its term")?;
                 write_routes(out, routes)
             }
+            Reason::TimePassed => write!(out, "time has passed"),
             Reason::ExposureUsed(sent) => {
                 write!(
                     out,
@@ -253,11 +259,22 @@
             }
             Err(waits_for) => {
                 self.waits_for = waits_for;
-                None
+                let share = RolloutDecision::Share(self.share);
+                let is_due = self.is_record_due(rollout, elapsed);
+                is_due.then_some(Decided {
+                    decision: share,
+                    reason: Reason::TimePassed,
+                    elapsed,
+                })
             }
         }
     }
 
+    fn is_record_due(&self, rollout: &Rollout, elapsed: TimeDelta) -> bool {
+        let since_record = elapsed - millis(rollout.elapsed_ms);
+        since_record >= self.schedule.duration().times(RECORD_INTERVAL)
+    }
+
     fn follow(&mut self, now: Timestamp, rollout: &Rollout) {
         // What another member had measured may be longer than what this one did.
         self.ordered_at = self.ordered_at.min(before(now, rollout.elapsed_ms));
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -453,6 +453,28 @@
     assert!(decided.elapsed >= TimeDelta::from_secs(13.5));
 }
 
+#[test]
+fn the_time_that_has_passed_is_recorded_while_nothing_changes() {
+    let rollout = Rollout {
+        share: 0.05,
+        elapsed_ms: 100,
+        ..Player::new(World::sound(), 1).rollout
+    };
+    let mut controller = RolloutController::new(
+        Timestamp::default(),
+        &rollout,
+        EXPOSURE,
+        TrafficDivision::ByRequest,
+    );
+    let surroundings = Surroundings::default();
+    let mut step = |at_s| controller.step(Timestamp::from_secs(at_s), &rollout, &surroundings);
+    assert_eq!(step(0.2), None);
+    assert_eq!(step(TERM_S * 0.25 - 0.1), None);
+    let decided = step(TERM_S * 0.25 + 0.1).expect("a record");
+    assert_eq!(decided.decision, RolloutDecision::Share(0.05));
+    assert!(decided.elapsed.secs() >= TERM_S * 0.25);
+}
+
 #[test]
 fn a_version_does_not_take_over_while_an_edge_sends_to_those_before_it() {
     let rollout = Rollout {
