Simulator: versions are brought in while members, callers and edges fail

An operator of rollouts orders sound and bad versions one after the other, edges send clients' requests by the shipping policy and report how they end, tasks of versions come and go. Invariants: an acknowledged order is not forgotten, what was told of its end stands, a bad version is not completed and gets no more than its exposure in its term, none is refused, and each ends in calm time; where all members have ended, its term may be counted from then.

--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -49,6 +49,8 @@
             optional --replay
             /// No clock creeps: with it a seed is as it was before the simulator had creeping clocks.
             optional --steady-clocks
+            /// No versions of services are brought in: with it a seed is as it was before there were rollouts.
+            optional --no-rollouts
             /// Prints a digest of all that nodes did: two builds with one digest behave alike.
             optional --digest
         }
@@ -148,6 +150,7 @@
                 bug: options.bug,
                 replay: options.replay,
                 steady_clocks: options.steady_clocks,
+                no_rollouts: options.no_rollouts,
                 digest: options.digest,
             };
             explore::run(&options).map(|held| if held { DONE } else { FAILED })
--- a/crates/operator/src/explore.rs
+++ b/crates/operator/src/explore.rs
@@ -20,6 +20,8 @@
     pub replay: bool,
     /// No clock creeps: plans are as they were before clocks did.
     pub steady_clocks: bool,
+    /// No versions of services are brought in: plans are as they were before there were rollouts.
+    pub no_rollouts: bool,
     /// Prints a digest of all that nodes did.
     pub digest: bool,
 }
@@ -53,6 +55,7 @@
             digest: options.digest,
             sign_offs_first: true,
             late_orders: true,
+            rollouts: !options.no_rollouts,
         },
         clock_faults: !options.steady_clocks,
         most_found: MOST_FOUND,
--- a/crates/simulator/src/checks.rs
+++ b/crates/simulator/src/checks.rs
@@ -37,6 +37,9 @@
             self.check_orders(self.last_event, BORNE_PATIENCE);
         }
         self.check_leases();
+        if let Some(violation) = self.ledger.rollouts.overexposed(self.now) {
+            self.ledger.record_violation(self.now, violation);
+        }
         let broken = self.network.timed_out_connections(self.now);
         self.break_connections(broken);
         let Some(calm) = self.calm_since.filter(|calm| self.now >= *calm) else {
@@ -45,6 +48,14 @@
         // Whoever is told to leave in calm time, or is gone, leaves time to settle again.
         let calm = calm.max(self.last_departure);
         self.check_orders(calm, PATIENCE);
+        let all_ended = self.all_ended();
+        let stuck = self
+            .ledger
+            .rollouts
+            .stuck(self.now, calm, all_ended, PATIENCE);
+        if let Some(violation) = stuck {
+            self.ledger.record_violation(self.now, violation);
+        }
         self.check_members(calm);
         self.check_edges(calm);
         if self.now - calm > PATIENCE {
@@ -53,6 +64,16 @@
         }
     }
 
+    /// The last moment by which every member's process had ended once.
+    fn all_ended(&self) -> Option<Timestamp> {
+        let members = self.membership.ips.iter().filter_map(|ip| machine_of(ip));
+        let last_end = |machine: usize| {
+            let ends = self.process_ends.iter().filter(|(_, m)| *m == machine);
+            ends.map(|(at, _)| *at).max()
+        };
+        members.map(last_end).min().flatten()
+    }
+
     fn check_orders(&mut self, calm: Timestamp, patience: TimeDelta) {
         for index in 0..self.operators.len() {
             let Some((since, number)) = self.operators[index].under_way() else {
--- a/crates/simulator/src/edge.rs
+++ b/crates/simulator/src/edge.rs
@@ -3,16 +3,20 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lynxmill_configuration::{Bounds, Configuration};
+use lynxmill_configuration::{Bounds, Configuration, RoutingTable};
 use lynxmill_load_balancing::{LoadBalancer, Locality};
 use lynxmill_protocol::{
-    EdgeReadiness, FromEdgeBody, Hello, TableAcknowledgement, TaskUpdate, ToEdgeBody,
+    EdgeReadiness, FromEdgeBody, Hello, LoadReport, TableAcknowledgement, TaskUpdate, ToEdgeBody,
 };
 use lynxmill_time::{TimeDelta, Timestamp};
 
+use crate::client_traffic::{ClientTraffic, SentRequests};
+
 /// Between tries to reach a member.
 const PAUSE: TimeDelta = TimeDelta::from_micros(200_000);
 const REPORT: TimeDelta = TimeDelta::from_micros(1_000_000);
+/// While rollouts are in progress.
+const ROLLOUT_REPORT: TimeDelta = TimeDelta::from_micros(500_000);
 /// A stream that is silent for so long is a dead one.
 const SILENT: TimeDelta = TimeDelta::from_micros(2_600_000);
 /// Between two looks at the streams.
@@ -38,6 +42,8 @@
     /// It got a whole configuration in this life.
     pub open: bool,
     load_balancer: LoadBalancer,
+    /// Clients' requests, where a run has any.
+    clients: Option<ClientTraffic>,
 }
 
 /// What an edge does.
@@ -86,9 +92,36 @@
             is_synchronized: false,
             open: false,
             load_balancer: LoadBalancer::new(now, place, Bounds::default()),
+            clients: None,
         }
     }
 
+    /// Clients send it requests.
+    pub(crate) fn with_clients(mut self, seed: u64) -> Self {
+        self.clients = Some(ClientTraffic::new(seed, &self.name));
+        self
+    }
+
+    /// What clients sent it since the last look, if it is open.
+    pub(crate) fn serve_clients(&mut self, now: Timestamp) -> SentRequests {
+        let clients = self.clients.as_mut().filter(|_| self.open);
+        clients.map_or_else(SentRequests::default, |clients| {
+            clients.send(now, &mut self.load_balancer)
+        })
+    }
+
+    /// The next report, and when the one after it is due.
+    fn report(&mut self, now: Timestamp) -> (LoadReport, Timestamp) {
+        if self.clients.is_some() && self.load_balancer.has_rollouts() {
+            return (self.load_balancer.take_report(now), now + ROLLOUT_REPORT);
+        }
+        let report = LoadReport {
+            interval_ms: 1000,
+            ..LoadReport::default()
+        };
+        (report, now + REPORT)
+    }
+
     /// Streams that it has, with their members.
     pub(crate) fn streams(&self) -> Vec<(usize, u64)> {
         self.streams
@@ -140,24 +173,33 @@
                 );
             }
         }
-        for (machine, stream) in self
+        actions.extend(self.reports(now));
+        actions
+    }
+
+    /// The reports that are due.
+    fn reports(&mut self, now: Timestamp) -> Vec<EdgeAction> {
+        if !self
             .streams
-            .iter_mut()
-            .filter(|(_, s)| now >= s.next_report)
+            .values()
+            .any(|stream| now >= stream.next_report)
         {
-            stream.next_report = now + REPORT;
-            let report = lynxmill_protocol::LoadReport {
-                interval_ms: 1000,
-                ..Default::default()
-            };
-            let message = FromEdgeBody::LoadReport(report);
-            actions.push(EdgeAction::Say {
+            return Vec::new();
+        }
+        let (report, next_report) = self.report(now);
+        let due = self
+            .streams
+            .iter_mut()
+            .filter(|(_, stream)| now >= stream.next_report);
+        let say = due.map(|(machine, stream)| {
+            stream.next_report = next_report;
+            EdgeAction::Say {
                 machine: *machine,
                 stream: stream.id,
-                message,
-            });
-        }
-        actions
+                message: FromEdgeBody::LoadReport(report.clone()),
+            }
+        });
+        say.collect()
     }
 
     fn hello_messages(&self, machine: usize, stream: u64) -> Vec<EdgeAction> {
@@ -212,6 +254,7 @@
             return news;
         };
         open.last_message = now;
+        self.load_balancer.member_heard(now);
         match body {
             ToEdgeBody::EdgeWelcome(welcome) => {
                 self.members
@@ -221,6 +264,10 @@
                 for item in &update.items {
                     self.configuration.merge(item);
                 }
+                if self.clients.is_some() {
+                    self.load_balancer
+                        .set_routes(RoutingTable::new(&self.configuration));
+                }
                 self.is_synchronized |= update.is_complete;
                 let whole = self.is_synchronized && !self.configuration.items.is_empty();
                 news.opened = whole && !std::mem::replace(&mut self.open, whole);
--- a/crates/simulator/src/fault_injection.rs
+++ b/crates/simulator/src/fault_injection.rs
@@ -5,7 +5,6 @@
 
 use crate::clock::Pace;
 use crate::disk::Unsynced;
-use crate::edge::EdgeActor;
 use crate::faults::{Closing, Fault, FaultKind};
 use crate::machine::{Machine, ip, machine_of};
 use crate::network::Endpoint;
@@ -238,6 +237,11 @@
         let operators = (0..self.operators.len()).map(Endpoint::Operator);
         let tasks = (0..self.tasks.len()).map(Endpoint::Task);
         operators
+            .chain(
+                self.rollout_operator
+                    .iter()
+                    .map(|_| Endpoint::RolloutOperator),
+            )
             .chain(tasks)
             .chain((0..self.edges.len()).map(Endpoint::Edge))
             .collect()
@@ -466,8 +470,7 @@
             }
         }
         let life = self.random.number();
-        let seeds = self.listed_machines();
-        self.edges[edge] = EdgeActor::new(edge, life, self.now, &seeds);
+        self.edges[edge] = self.new_edge(edge, life);
         self.trace_line(|| format!("edge {edge} starts anew"));
         self.queue.add(self.now, Event::Edge { edge, life });
     }
@@ -542,6 +545,9 @@
         self.operators
             .iter_mut()
             .for_each(|operator| operator.calm_down());
+        if let Some(operator) = &mut self.rollout_operator {
+            operator.calm_down();
+        }
         self.queue.add(last + CALM, Event::End);
     }
 }
--- a/crates/simulator/src/invariants.rs
+++ b/crates/simulator/src/invariants.rs
@@ -8,6 +8,9 @@
 use lynxmill_protocol::{Ballot, Register};
 use lynxmill_time::{TimeDelta, Timestamp};
 
+use crate::operator::PLAIN;
+use crate::rollout_history::RolloutHistory;
+
 /// An edge that starts may lack what was acknowledged within this time before.
 pub(crate) const EDGE_LAG: TimeDelta = TimeDelta::from_micros(3_000_000);
 /// A node that has been cut off for longer than this serves nothing that needs a majority.
@@ -86,6 +89,30 @@
     AnsweredTwice {
         call: u64,
     },
+    /// An acknowledged rollout is not in a read-back.
+    RolloutLost {
+        version: String,
+    },
+    /// A rollout that had ended has another state.
+    RolloutWentBack {
+        version: String,
+    },
+    RolloutRefused {
+        version: String,
+        why: String,
+    },
+    BadVersionCompleted {
+        version: String,
+    },
+    /// A bad version got more requests in its term than it may.
+    BadVersionExposed {
+        version: String,
+        requests: u64,
+        sent: u64,
+    },
+    RolloutStuck {
+        version: String,
+    },
     /// Liveness in calm time.
     OrderStuck {
         order: usize,
@@ -232,6 +259,34 @@
                 )
             }
             Violation::AnsweredTwice { call } => write!(out, "call {call} was answered twice"),
+            Violation::RolloutLost { version } => {
+                write!(
+                    out,
+                    "the acknowledged rollout to {version} is not in the read-back"
+                )
+            }
+            Violation::RolloutWentBack { version } => {
+                write!(out, "the rollout to {version} had ended otherwise")
+            }
+            Violation::RolloutRefused { version, why } => {
+                write!(out, "the rollout to {version} was refused: {why}")
+            }
+            Violation::BadVersionCompleted { version } => {
+                write!(out, "the rollout to {version} was completed")
+            }
+            Violation::BadVersionExposed {
+                version,
+                requests,
+                sent,
+            } => {
+                write!(
+                    out,
+                    "{version} got {sent} of {requests} requests in its term"
+                )
+            }
+            Violation::RolloutStuck { version } => {
+                write!(out, "the rollout to {version} has not ended in calm time")
+            }
             Violation::OrderStuck { order } => {
                 write!(out, "order {order} was not acknowledged in calm time")
             }
@@ -302,6 +357,7 @@
     accepted: BTreeMap<(String, Ballot), Vec<u8>>,
     /// Tasks whose drain or sign-off was acknowledged.
     pub leaving: BTreeMap<String, Timestamp>,
+    pub(crate) rollouts: RolloutHistory,
     pub violation: Option<(Timestamp, Violation)>,
 }
 
@@ -471,6 +527,23 @@
             }
         }
         self.evacuations(now, asked, held);
+        let rollouts = held.rollouts(PLAIN).unwrap_or_default();
+        if let Some(violation) = self.rollouts.read(now, asked, &rollouts) {
+            self.record_violation(now, violation);
+        }
+    }
+
+    /// Whether the first change is acknowledged, which carries all services.
+    pub(crate) fn is_first_change_acknowledged(&self) -> bool {
+        self.orders
+            .first()
+            .is_some_and(|order| order.acknowledged.is_some())
+    }
+
+    /// An order that nothing speaks against was refused.
+    pub(crate) fn rollout_refused(&mut self, now: Timestamp, version: &str, why: &str) {
+        let (version, why) = (version.to_owned(), why.to_owned());
+        self.record_violation(now, Violation::RolloutRefused { version, why });
     }
 
     /// The last acknowledged evacuation of each zone is in a read-back, where no other was asked for since. Those that
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `disk` | group commits, losses of power, full and hanging disks |
 //! | `host` | a machine and its process |
 //! | `operator`, `task`, `edge` | scripted callers |
+//! | `rollout_operator`, `rollout_history`, `client_traffic` | versions of a service that are brought in |
 //! | `faults`, `play` | plans as data, and what each fault does |
 //! | `invariants`, `checks` | what has to hold, all the time and in calm time |
 //! | `world` | one run |
@@ -25,6 +26,7 @@
 
 mod backlog;
 mod checks;
+mod client_traffic;
 mod clock;
 mod connections;
 mod digest;
@@ -40,6 +42,8 @@
 mod operator;
 mod operator_connections;
 mod random;
+mod rollout_history;
+mod rollout_operator;
 mod run;
 mod sabotage;
 mod shrink;
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -17,6 +17,7 @@
 pub(crate) enum Endpoint {
     Machine(usize),
     Operator(usize),
+    RolloutOperator,
     Task(usize),
     Edge(usize),
 }
@@ -227,7 +228,10 @@
     /// Whether a held-up message arrives although its caller has given up: an order whose caller closed its connection in
     /// order, with the end of the connection far behind it.
     fn arrives_late(&self, held: &HeldPacket) -> bool {
-        let from_operator = matches!(held.packet.from, Endpoint::Operator(_));
+        let from_operator = matches!(
+            held.packet.from,
+            Endpoint::Operator(_) | Endpoint::RolloutOperator
+        );
         self.late_orders && from_operator && matches!(held.packet.payload, Payload::Call { .. })
     }
 
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -19,6 +19,8 @@
     pub elapsed: TimeDelta,
     pub steps: u64,
     pub orders: usize,
+    /// Rollouts that were completed, and reverted.
+    pub rollouts: (usize, usize),
     /// Of all that nodes did, if one was asked for.
     pub digest: Option<u128>,
     pub trace: Vec<String>,
@@ -48,6 +50,7 @@
         elapsed: world.elapsed(),
         steps: world.steps,
         orders: world.ledger.orders.len(),
+        rollouts: world.ledger.rollouts.ended(),
         digest: world.digest.as_ref().map(EffectDigest::value),
         trace: std::mem::take(&mut world.trace),
     }
--- a/crates/simulator/src/task.rs
+++ b/crates/simulator/src/task.rs
@@ -58,6 +58,7 @@
 pub(crate) struct TaskActor {
     pub id: String,
     pub service: &'static str,
+    pub version: String,
     zone: String,
     random: Random,
     pub stage: Stage,
@@ -94,6 +95,7 @@
         seed: u64,
         id: String,
         service: &'static str,
+        version: &str,
         zone: &str,
         now: Timestamp,
     ) -> Self {
@@ -102,6 +104,7 @@
         TaskActor {
             id,
             service,
+            version: version.to_owned(),
             zone: zone.to_owned(),
             random,
             stage: Stage::Ready,
@@ -246,7 +249,7 @@
             call_seq: self.call_seq,
             warm_up_left_ms: 0,
             timed_out: false,
-            version: "v1".to_owned(),
+            version: self.version.clone(),
         };
         let held = self
             .held
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -22,6 +22,7 @@
 use crate::operator::{Operator, PLAIN, SHARDED, Versions, ZONES};
 use crate::operator_connections::OperatorConnections;
 use crate::random::Random;
+use crate::rollout_operator::{RolloutNews, RolloutOperator};
 use crate::sabotage::Sabotage;
 use crate::task::{Stage, TaskActor, TaskOutcome};
 
@@ -33,6 +34,9 @@
 const REDIAL_S: (f64, f64) = (0.15, 0.75);
 /// An order waits no longer than this between its arrival and the node.
 const MAX_QUEUE_TIME: TimeDelta = TimeDelta::from_micros(100_000);
+/// Tasks of the plain service of each version, where versions are brought in.
+const ROLLOUT_TASKS: usize = 2;
+const FIRST_VERSION: &str = "v1";
 const HANDSHAKE_S: (f64, f64) = (0.001, 0.01);
 
 /// What a run is beside its plan.
@@ -49,6 +53,8 @@
     /// Orders that a cut held up arrive after it though their callers have gone, and operators keep half of their
     /// connections.
     pub late_orders: bool,
+    /// Versions of a service are brought in, and edges have clients.
+    pub rollouts: bool,
 }
 
 #[derive(Debug)]
@@ -138,6 +144,7 @@
     pub(crate) streams: BTreeMap<u64, (usize, usize)>,
     pub(crate) calls: OpenCalls,
     pub(crate) operators: Vec<Operator>,
+    pub(crate) rollout_operator: Option<RolloutOperator>,
     pub(crate) tasks: Vec<TaskActor>,
     pub(crate) edges: Vec<EdgeActor>,
     pub(crate) versions: Versions,
@@ -148,6 +155,8 @@
     /// The members before them, and when the newest were first found agreed.
     previous_membership: Membership,
     membership_since: Timestamp,
+    /// The version of the plain service that new tasks run.
+    released_version: String,
     /// Processes that ended, and when.
     pub(crate) process_ends: Vec<(Timestamp, usize)>,
     /// All faults are over since then, and all machines run.
@@ -182,6 +191,7 @@
             operators: (0..plan.operators)
                 .map(|index| Operator::new(seed, index, now))
                 .collect(),
+            rollout_operator: options.rollouts.then(|| RolloutOperator::new(seed, now)),
             tasks: Vec::new(),
             edges: Vec::new(),
             versions: Versions::new(plan.conflicts),
@@ -190,6 +200,7 @@
             membership: Membership::default(),
             previous_membership: Membership::default(),
             membership_since: now,
+            released_version: FIRST_VERSION.to_owned(),
             process_ends: Vec::new(),
             calm_since: None,
             last_departure: now,
@@ -226,11 +237,15 @@
             let service = if index % 3 == 2 { PLAIN } else { SHARDED };
             self.add_task(service);
         }
+        if self.rollout_operator.is_some() {
+            (0..ROLLOUT_TASKS).for_each(|_| self.add_task(PLAIN));
+            let at = self.now + TimeDelta::from_secs(0.5);
+            self.wake_at(Endpoint::RolloutOperator, at);
+        }
         for index in 0..self.plan.edges {
             let life = self.random.number();
-            let seeds = self.listed_machines();
-            self.edges
-                .push(EdgeActor::new(index, life, self.now, &seeds));
+            let edge = self.new_edge(index, life);
+            self.edges.push(edge);
             self.queue.add(self.now, Event::Edge { edge: index, life });
         }
         for index in 0..self.operators.len() {
@@ -248,6 +263,16 @@
             .add(World::plan_time(self.plan.calm_at), Event::Close);
     }
 
+    /// An edge that starts.
+    pub(crate) fn new_edge(&self, index: usize, life: u64) -> EdgeActor {
+        let edge = EdgeActor::new(index, life, self.now, &self.listed_machines());
+        if self.rollout_operator.is_some() {
+            edge.with_clients(self.plan.seed)
+        } else {
+            edge
+        }
+    }
+
     /// Plays to the end, or to the first violation.
     pub fn run(&mut self) -> Option<(Timestamp, Violation)> {
         while !self.finished && self.ledger.violation.is_none() {
@@ -497,9 +522,12 @@
                 .ledger
                 .record_violation(self.now, Violation::AnsweredTwice { call });
         };
-        if let (Endpoint::Operator(operator), Some(process)) =
-            (open.caller, &self.machines[machine].process)
-        {
+        let operator = match open.caller {
+            Endpoint::Operator(operator) => Some(operator),
+            Endpoint::RolloutOperator => Some(self.operators.len()),
+            _ => None,
+        };
+        if let (Some(operator), Some(process)) = (operator, &self.machines[machine].process) {
             let merged = process.node.merged();
             self.operator_connections
                 .answered(operator, machine, merged);
@@ -832,10 +860,67 @@
         match caller {
             Endpoint::Operator(index) => self.wake_operator(index),
             Endpoint::Task(index) => self.wake_task(index),
+            Endpoint::RolloutOperator => self.wake_rollout_operator(),
             _ => {}
         }
     }
 
+    fn wake_rollout_operator(&mut self) {
+        let (machines, call) = (self.listed_machines(), self.next_call());
+        let Some(operator) = &mut self.rollout_operator else {
+            return;
+        };
+        let wish = operator.wake(self.now, &machines, &mut self.ledger, call);
+        let next = operator.next_wake();
+        if let Some(wish) = wish {
+            let process = self.machines[wish.machine].process.as_ref();
+            let merged = process.map_or(0, |process| process.node.merged());
+            let connection = self.operators.len();
+            let sent_after = self
+                .operator_connections
+                .call(connection, wish.machine, merged);
+            let payload = Payload::Call {
+                call: wish.call,
+                request: wish.request,
+                sent_after,
+            };
+            let to = Endpoint::Machine(wish.machine);
+            self.send(Endpoint::RolloutOperator, to, 0, payload);
+        }
+        self.wake_at(Endpoint::RolloutOperator, next);
+    }
+
+    fn rollout_operator_answered(&mut self, call: u64, answer: &Answer) {
+        let Some(operator) = &mut self.rollout_operator else {
+            return;
+        };
+        let news = operator.answered(self.now, call, answer, &mut self.ledger);
+        let next = operator.next_wake();
+        self.wake_at(Endpoint::RolloutOperator, next);
+        match news {
+            RolloutNews::Nothing => {}
+            RolloutNews::Acknowledged(version) => {
+                let at = self.now;
+                self.trace_line(|| format!("tasks of {version} start"));
+                (0..ROLLOUT_TASKS).for_each(|_| self.add_task_of(PLAIN, &version, at));
+            }
+            RolloutNews::Completed(version) => {
+                let now = self.now;
+                let is_old =
+                    |task: &&mut TaskActor| task.service == PLAIN && task.version != version;
+                let old = self.tasks.iter_mut().filter(is_old);
+                old.for_each(|task| task.crash(now));
+                // Whoever starts from now on runs the new version.
+                self.released_version = version;
+            }
+            RolloutNews::Reverted(version) => {
+                let now = self.now;
+                let new = self.tasks.iter_mut().filter(|task| task.version == version);
+                new.for_each(|task| task.drain(now));
+            }
+        }
+    }
+
     fn wake_operator(&mut self, index: usize) {
         let (machines, most) = (self.listed_machines(), self.plan.orders);
         let call = self.next_call();
@@ -867,12 +952,22 @@
     }
 
     pub(crate) fn add_task(&mut self, service: &'static str) {
+        let version = if service == PLAIN {
+            self.released_version.clone()
+        } else {
+            FIRST_VERSION.to_owned()
+        };
+        let at = self.now + self.random.time_delta(0.0, 0.5);
+        self.add_task_of(service, &version, at);
+    }
+
+    /// A task that first calls at a time.
+    fn add_task_of(&mut self, service: &'static str, version: &str, at: Timestamp) {
         let index = self.tasks.len();
         let zone = ZONES[index % ZONES.len()];
         let id = format!("i-{index}");
-        self.tasks
-            .push(TaskActor::new(self.plan.seed, id, service, zone, self.now));
-        let at = self.now + self.random.time_delta(0.0, 0.5);
+        let task = TaskActor::new(self.plan.seed, id, service, version, zone, self.now);
+        self.tasks.push(task);
         self.wake_at(Endpoint::Task(index), at);
     }
 
@@ -924,6 +1019,7 @@
                 self.wake_at(Endpoint::Operator(index), self.operators[index].next_wake());
             }
             Endpoint::Task(index) => self.task_answered(index, call, &answer),
+            Endpoint::RolloutOperator => self.rollout_operator_answered(call, &answer),
             _ => {}
         }
     }
@@ -979,6 +1075,13 @@
                 self.tasks[index].refused(self.now, call);
                 self.schedule_task(index);
             }
+            Endpoint::RolloutOperator => {
+                if let Some(operator) = &mut self.rollout_operator {
+                    operator.refused(self.now, call);
+                    let next = operator.next_wake();
+                    self.wake_at(Endpoint::RolloutOperator, next);
+                }
+            }
             _ => {}
         }
     }
@@ -992,6 +1095,8 @@
         let connections = &mut self.connections;
         let actions = self.edges[edge].wake(self.now, || connections.number());
         self.carry_out_edge_actions(edge, actions);
+        let sent = self.edges[edge].serve_clients(self.now);
+        self.ledger.rollouts.sent(self.now, &sent);
         self.queue.add(self.now + LOOK, Event::Edge { edge, life });
     }
 
--- a/crates/simulator/tests/points.rs
+++ b/crates/simulator/tests/points.rs
@@ -195,3 +195,44 @@
         most_found: 3,
     });
 }
+
+/// Versions of a service are brought in while members and callers fail: an acknowledged order is carried out or undone and
+/// never forgotten, what was told of it stands, a bad version gets no more than it may and is not completed.
+#[rstest]
+#[case::members_cut_off(40_000, &[FaultKind::CutOff, FaultKind::CutOneWay, FaultKind::Partition, FaultKind::CutCallers])]
+#[case::members_that_end(41_000, &[FaultKind::Kill, FaultKind::PowerLoss, FaultKind::WipeDisk, FaultKind::KillAll])]
+#[case::members_replaced(42_000, &[FaultKind::ReplacePlanned, FaultKind::ReplaceUnplanned, FaultKind::EdgeRestart])]
+#[case::all_kinds(43_000, &[])]
+fn versions_brought_in(#[case] first: u64, #[case] kinds: &[FaultKind]) {
+    let options = RunOptions {
+        late_orders: true,
+        rollouts: true,
+        ..RunOptions::default()
+    };
+    hold_all(&Exploration {
+        first,
+        seeds: 60,
+        jobs: JOBS,
+        kinds: kinds.to_vec(),
+        options,
+        clock_faults: false,
+        most_found: 3,
+    });
+}
+
+#[test]
+fn in_calm_time_sound_versions_are_completed_and_bad_ones_reverted() {
+    let options = RunOptions {
+        rollouts: true,
+        ..RunOptions::default()
+    };
+    let (mut completed, mut reverted) = (0, 0);
+    for seed in 1..=20 {
+        let report = run(&Plan::calm(seed, 3), &options);
+        assert_eq!(report.violation, None, "seed {seed}");
+        completed += report.rollouts.0;
+        reverted += report.rollouts.1;
+    }
+    assert!(completed >= 10, "{completed} completed");
+    assert!(reverted >= 5, "{reverted} reverted");
+}
