--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -73,6 +73,9 @@
     assert!(torn.is_empty(), "two owners at a time: {torn:?}");
 }
 
+/// Moves until each fate of a call has met one.
+const MOST_MOVES: usize = 3;
+
 #[rstest]
 #[case::answered(&[])]
 #[case::throttled(&[CallOutcome::Throttled, CallOutcome::Throttled, CallOutcome::Throttled])]
@@ -86,14 +89,24 @@
 #[case::takes_some(&[CallOutcome::Takes(1), CallOutcome::Takes(0), CallOutcome::Takes(2)])]
 fn a_drained_server_gives_up_its_slices_whatever_becomes_of_calls(#[case] fates: &[CallOutcome]) {
     let (standin, _daemon) = serving();
-    standin.change(|state| {
-        state.fates.extend(fates);
-        state.list("s-a", "draining", 0.0);
-    });
-    standin.wait("all slices have moved", |state| {
-        state.fates.is_empty() && owned_by_others(state, "s-a")
-    });
-    never_torn(&standin);
+    standin.change(|state| state.fates.extend(fates));
+    // A move that had begun before the drain needs a call less: then the next one meets the fate that is left.
+    let (mut drained, mut other) = ("s-a", "s-b");
+    for _ in 0..MOST_MOVES {
+        standin.change(|state| {
+            state.list(other, "ready", 0.0);
+            state.list(drained, "draining", 0.0);
+        });
+        standin.wait("all slices have moved", |state| {
+            owned_by_others(state, drained)
+        });
+        never_torn(&standin);
+        if standin.state().fates.is_empty() {
+            return;
+        }
+        std::mem::swap(&mut drained, &mut other);
+    }
+    panic!("left over: {:?}", standin.state().fates);
 }
 
 #[test]
