--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -3,7 +3,7 @@
 use std::ffi::OsString;
 use std::path::PathBuf;
 
-use crate::{check, disk_command_line, explore, plan, show, soak, trial};
+use crate::{check, disk_command_line, explore, plan, rollout_command_line, show, soak, trial};
 
 xflags::xflags! {
     /// The whole system: files checked, programs shown, changes planned, all of it tried on loopback.
@@ -76,6 +76,10 @@
             /// Looks for a shorter schedule that breaks the same rule, at the first seed that breaks one; takes long.
             optional --shrink
         }
+        /// Versions of services: start, show, watch; `rollout --help` tells of each.
+        cmd rollout {
+            repeated words: OsString
+        }
         /// A control-plane node's disk: show, verify, export, import; `disk --help` tells of each.
         cmd disk {
             repeated words: OsString
@@ -86,11 +90,11 @@
 /// Nothing to complain of.
 pub(crate) const DONE: u8 = 0;
 pub(crate) const FAILED: u8 = 1;
-const WRONG_LINE: u8 = 2;
+pub(crate) const WRONG_LINE: u8 = 2;
 /// A file has faults.
 pub(crate) const FAULTS: u8 = 4;
 /// The change would be refused.
-const REFUSED: u8 = 6;
+pub(crate) const REFUSED: u8 = 6;
 /// A plan of a recovery was printed, and nothing written.
 pub(crate) const LOSS_NOT_ACCEPTED: u8 = 8;
 
@@ -128,6 +132,9 @@
     if words.first().is_some_and(|word| word == "disk") {
         return disk_command_line::run(words[1..].to_vec());
     }
+    if words.first().is_some_and(|word| word == "rollout") {
+        return rollout_command_line::run(words[1..].to_vec());
+    }
     let system = match System::from_vec(words) {
         Ok(system) => system,
         Err(error) => error.exit(),
@@ -169,6 +176,7 @@
             };
             soak::run(&options).map(|held| if held { DONE } else { FAILED })
         }
+        SystemCmd::Rollout(options) => return rollout_command_line::run(options.words),
         SystemCmd::Disk(options) => return disk_command_line::run(options.words),
         SystemCmd::Try(options) => {
             trial::run(options.seconds, options.programs, options.keep).map(|()| DONE)
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -10,6 +10,8 @@
 mod disk_command_line;
 mod explore;
 pub mod plan;
+pub mod rollout;
+mod rollout_command_line;
 mod show;
 mod soak;
 mod task;
