--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -20,5 +20,5 @@
 pub use command_line::run;
 pub use lynxmill_deployment::client::{Answer, REDIRECT, agent, by, by_following, get, patch};
 pub use lynxmill_deployment::{Deployment, Machine, Signal, Site};
-pub use task::Task;
-pub use trial::{HOST, Kind, Sent, configuration, kinds, resolve, send, tasks};
+pub use task::{Task, TaskOptions};
+pub use trial::{FIRST_VERSION, HOST, Kind, Sent, configuration, kinds, resolve, send, tasks};
--- a/crates/operator/src/task.rs
+++ b/crates/operator/src/task.rs
@@ -96,6 +96,9 @@
 struct Shared {
     id: String,
     service: String,
+    version: &'static str,
+    /// From then on it fails every second request.
+    fails_from: Option<Instant>,
     zone: String,
     sharded: bool,
     keys: Mutex<HeldKeys>,
@@ -145,7 +148,15 @@
         if self.sharded && !keys.holds(key) {
             return echo(self.turned_away(421, "the key is not held here"));
         }
-        *lock(&self.runs).entry(attempt.clone()).or_default() += 1;
+        let runs = {
+            let mut runs = lock(&self.runs);
+            *runs.entry(attempt.clone()).or_default() += 1;
+            runs.len()
+        };
+        let fails = self.fails_from.is_some_and(|from| Instant::now() >= from);
+        if fails && runs % 2 == 0 {
+            return echo(Response::text("failed\n").with_status_code(500));
+        }
         let (method, url, bytes) = (request.method(), request.raw_url(), body.len());
         let told = format!(
             "{} {id} ran {method} {url} with {bytes} bytes\n",
@@ -161,6 +172,10 @@
 /// What a task is to be.
 pub struct TaskOptions {
     pub service: &'static str,
+    /// Its software's version.
+    pub version: &'static str,
+    /// From when on it fails every second request; never where it has none.
+    pub fails_after: Option<Duration>,
     pub zone: &'static str,
     pub sharded: bool,
     /// Its machine's address.
@@ -184,6 +199,8 @@
         let shared = Arc::new(Shared {
             id: format!("i-{}-{}-{life}", options.service, std::process::id()),
             service: options.service.to_owned(),
+            version: options.version,
+            fails_from: options.fails_after.map(|after| Instant::now() + after),
             zone: options.zone.to_owned(),
             sharded: options.sharded,
             keys: Mutex::new(HeldKeys::new()),
@@ -236,6 +253,10 @@
         &self.shared.service
     }
 
+    pub fn version(&self) -> &str {
+        self.shared.version
+    }
+
     pub fn zone(&self) -> &str {
         &self.shared.zone
     }
@@ -304,7 +325,7 @@
             address: &self.address,
             info: Info {
                 service: &self.shared.service,
-                version: "v1",
+                version: self.shared.version,
                 zone: &self.shared.zone,
                 slots: SLOTS,
             },
--- a/crates/operator/src/trial.rs
+++ b/crates/operator/src/trial.rs
@@ -24,6 +24,9 @@
 const ROUND: Duration = Duration::from_secs(1);
 const ROUNDS_A_LINE: u32 = 5;
 
+/// The version of the software of the first tasks.
+pub const FIRST_VERSION: &str = "v1";
+
 static ATTEMPTS: AtomicU64 = AtomicU64::new(1);
 
 /// A kind of request.
@@ -114,6 +117,8 @@
     let start = |(n, (service, zone)): (usize, &(&'static str, usize))| {
         Task::start(TaskOptions {
             service,
+            version: FIRST_VERSION,
+            fails_after: None,
             zone: ZONES[*zone],
             sharded: *service == "sorter",
             ip: system.site.task(n),
