Soak: versions of services are brought in among all else, sound and bad ones

One rollout at a time of a service by request or by key; tasks of its version start once it is acknowledged, the others end at once where it is completed. Rules EXPOSURE (share, slack, and nothing 5 s after the 50th bad answer) and ROLLOUT (it ends, once, and no bad version is completed).

--- a/crates/deployment/src/heartbeat.rs
+++ b/crates/deployment/src/heartbeat.rs
@@ -16,7 +16,7 @@
     /// Its service.
     pub service: &'a str,
     /// The version of its software.
-    pub version: &'static str,
+    pub version: &'a str,
     /// Its zone.
     pub zone: &'a str,
     /// How many requests it works on at once.
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -65,6 +65,8 @@
     RefusedAfterRun,
     /// Its answer has no length and ends with the connection.
     WithoutLength,
+    /// Its version is bad: it answers 500.
+    BadVersion,
 }
 
 /// A request that a task has run.
@@ -87,6 +89,8 @@
 pub struct TaskLife {
     /// Its service.
     pub service: &'static str,
+    /// Its software's version.
+    pub version: String,
     /// Its zone.
     pub zone: &'static str,
     /// When its draining, or its sign-off if that came first, was acknowledged.
@@ -161,6 +165,36 @@
     pub taken_back: Option<f64>,
 }
 
+/// How a rollout has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum RolloutEnd {
+    /// The version has taken over.
+    Completed,
+    /// The version gets nothing.
+    Reverted,
+}
+
+/// A version of a service that was brought in.
+#[derive(Clone, Debug, Serialize)]
+pub struct RolloutRecord {
+    /// The service.
+    pub service: &'static str,
+    /// The version.
+    pub version: String,
+    /// Half of its answers are failures.
+    pub is_bad: bool,
+    /// Its term, in seconds from the order.
+    pub term_s: f64,
+    /// When it was ordered first.
+    pub ordered: f64,
+    /// When the order was acknowledged.
+    pub acknowledged: Option<f64>,
+    /// When its end was told, and what it was.
+    pub ended: Option<(f64, RolloutEnd)>,
+    /// The end that was read back, where it was the newest of its service.
+    pub read_back: Option<RolloutEnd>,
+}
+
 /// What a process uses at a moment.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Usage {
@@ -192,6 +226,8 @@
     pub changes: Vec<Change>,
     /// Evacuations in order.
     pub evacuations: Vec<Evacuation>,
+    /// Versions of services that were brought in.
+    pub rollouts: Vec<RolloutRecord>,
     /// What processes use while nothing is disrupted, at the start and at the end, by machine and incarnation.
     #[serde(skip)]
     pub usage: BTreeMap<(Machine, u32), Vec<Usage>>,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,12 +11,14 @@
 pub mod plot;
 mod processes;
 pub mod report;
+mod rollouts;
 pub mod rules;
 mod run;
 pub mod schedule;
 pub mod settings;
 mod shrink;
 mod tasks;
+mod versions;
 
 pub use error::SoakError;
 pub use run::run;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -7,7 +7,7 @@
 use lynxmill_deployment::Machine;
 use serde::Serialize;
 
-use crate::ledger::{Outcome, Records, Try};
+use crate::ledger::{Outcome, Records, RolloutEnd, Try};
 use crate::rules::{Rule, Violation};
 use crate::schedule::Planned;
 
@@ -78,6 +78,8 @@
     pub changes: (usize, usize),
     /// Evacuations acknowledged, of those sent.
     pub evacuations: (usize, usize),
+    /// Rollouts that were completed and reverted, of those ordered.
+    pub rollouts: (usize, usize, usize),
     /// Tasks that have lived.
     pub tasks: usize,
     /// Connections of callers at each member at the end.
@@ -104,6 +106,15 @@
     members.map(|(_, usage)| usage.callers).collect()
 }
 
+fn rollouts(records: &Records) -> (usize, usize, usize) {
+    let count = |wanted: RolloutEnd| {
+        let ends = records.rollouts.iter().filter_map(|rollout| rollout.ended);
+        ends.filter(|(_, end)| *end == wanted).count()
+    };
+    let (completed, reverted) = (count(RolloutEnd::Completed), count(RolloutEnd::Reverted));
+    (completed, reverted, records.rollouts.len())
+}
+
 impl Report {
     /// Sums the records up.
     pub fn new(
@@ -127,6 +138,7 @@
             runs: records.runs.values().map(Vec::len).sum(),
             changes: (acknowledged.count(), records.changes.len()),
             evacuations: (evacuated.count(), records.evacuations.len()),
+            rollouts: rollouts(records),
             tasks: records.tasks.len(),
             callers_by_member: callers_by_member(records),
             latencies: latencies(records),
@@ -168,7 +180,8 @@
         writeln!(
             out,
             "seed {}: {} tries in {:.0} s: {served} served, {promised} promised not to have run, {failed} failed, {cut} cut, \
-             {left} left, {timed_out} timed out; {} runs; {} of {} changes, {} of {} evacuations; {} tasks; {} disruptions",
+             {left} left, {timed_out} timed out; {} runs; {} of {} changes, {} of {} evacuations; \
+             {} rollouts completed and {} reverted of {}; {} tasks; {} disruptions",
             self.seed,
             self.tries,
             self.seconds,
@@ -177,6 +190,9 @@
             self.changes.1,
             self.evacuations.0,
             self.evacuations.1,
+            self.rollouts.0,
+            self.rollouts.1,
+            self.rollouts.2,
             self.tasks,
             self.schedule.len()
         )?;
--- a/crates/soak/src/rules/mod.rs
+++ b/crates/soak/src/rules/mod.rs
@@ -4,12 +4,14 @@
 mod denied;
 mod drain;
 mod evacuation;
+mod exposure;
 mod leak;
 mod lost;
 mod mixed;
 mod owner;
 mod process;
 mod refused;
+mod rollout;
 mod twice;
 mod unasked;
 
@@ -45,6 +47,10 @@
     Evac,
     /// Requests arrive at a task that has left.
     Drain,
+    /// A bad version gets too much, or too late.
+    Exposure,
+    /// A rollout does not end, or a bad version is completed.
+    Rollout,
     /// A process ends by itself, badly, or not within its grace.
     Process,
     /// A process uses more and more.
@@ -153,6 +159,8 @@
         configuration::check(&evidence, bounds),
         evacuation::check(&evidence, bounds),
         drain::check(&evidence, bounds),
+        exposure::check(&evidence, bounds),
+        rollout::check(records, bounds),
         process::check(records),
         leak::check(records),
     ]
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use lynxmill_deployment::{BEAT_S, Deployment, Size, ZONES};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -16,11 +17,15 @@
 use crate::operators::{HOST, Operator, SERVICES, first_configuration};
 use crate::processes::Processes;
 use crate::report::Report;
+use crate::rollouts::{RolloutEvent, RolloutOperator, TaskVersion};
 use crate::rules::{Bounds, check};
 use crate::schedule::{Disruption, Planned, draw};
 use crate::settings::SoakSettings;
 use crate::tasks::{self, TaskEnd, TaskHandle, TaskOptions};
+use crate::versions::Versions;
 
+/// The version that tasks run at first.
+const FIRST_VERSION: &str = "v1";
 /// Until the first configuration is acknowledged and edges are ready.
 const START_PATIENCE: Duration = Duration::from_secs(20);
 /// Until all keys are granted, and tables are with the edges.
@@ -43,6 +48,10 @@
     ledger: Arc<Ledger>,
     processes: Processes,
     operator: Arc<Operator>,
+    rollouts: Arc<RolloutOperator>,
+    /// What tasks are to do about rollouts.
+    rollout_events: UnboundedReceiver<RolloutEvent>,
+    versions: Versions,
     links: Arc<Links>,
     bounds: Bounds,
     tasks: Vec<Option<TaskHandle>>,
@@ -140,6 +149,8 @@
         let options: Vec<TaskOptions> = (0..settings.tasks.0 * SERVICES.len())
             .map(|n| TaskOptions {
                 service: SERVICES[n % SERVICES.len()],
+                version: FIRST_VERSION.to_owned(),
+                is_bad: false,
                 zone: ZONES[n / SERVICES.len() % ZONES.len()],
                 ip: system.site.task(n),
                 controls: controls.clone(),
@@ -151,6 +162,13 @@
         for options in options {
             tasks.push(Some(tasks::start(options, &ledger, &links).await?));
         }
+        let (events, rollout_events) = unbounded_channel();
+        let rollouts = Arc::new(RolloutOperator {
+            ledger: ledger.clone(),
+            controls: controls.clone(),
+            links: links.clone(),
+            events,
+        });
         let operator = Arc::new(Operator::new(ledger.clone(), controls, links.clone()));
         sleep(SETTLE).await;
         Ok(Soak {
@@ -158,6 +176,9 @@
             processes: Processes::new(system, ledger.clone(), size, told.grace_s),
             ledger,
             operator,
+            rollouts,
+            rollout_events,
+            versions: Versions::default(),
             links,
             bounds,
             tasks,
@@ -175,6 +196,7 @@
         loop {
             self.processes.look();
             self.replace_tasks().await?;
+            self.follow_rollouts().await?;
             while let Some(done) = self.disruptions.try_join_next() {
                 done.map_err(std::io::Error::other)??;
             }
@@ -223,6 +245,13 @@
                     Ok(())
                 });
             }
+            Disruption::BringIn(planned) => {
+                let rollouts = self.rollouts.clone();
+                self.disruptions.spawn(async move {
+                    rollouts.bring_in(member, planned).await;
+                    Ok(())
+                });
+            }
             Disruption::HoldCalls(held, lasts_s, behind_s) => {
                 let lasts = Duration::from_secs_f64(lasts_s);
                 let ends_behind = Duration::from_secs_f64(behind_s);
@@ -243,6 +272,10 @@
     fn end_task(&mut self, end: TaskEnd) {
         let place = self.next_task % self.tasks.len();
         self.next_task += 1;
+        self.end_task_at(place, end);
+    }
+
+    fn end_task_at(&mut self, place: usize, end: TaskEnd) {
         let Some(task) = self.tasks[place].take() else {
             return;
         };
@@ -257,17 +290,65 @@
     async fn replace_tasks(&mut self) -> Result<(), SoakError> {
         while let Some(ended) = self.ending.try_join_next() {
             let (place, options) = ended.map_err(std::io::Error::other)?;
-            self.tasks[place] = Some(tasks::start(options, &self.ledger, &self.links).await?);
+            if self.versions.is_wanted(&options) {
+                self.tasks[place] = Some(tasks::start(options, &self.ledger, &self.links).await?);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts and ends tasks as rollouts go.
+    async fn follow_rollouts(&mut self) -> Result<(), SoakError> {
+        while let Ok(event) = self.rollout_events.try_recv() {
+            self.versions.follow(&event);
+            match event {
+                RolloutEvent::Acknowledged(version) => self.start_version(&version).await?,
+                RolloutEvent::Completed(_) => self.end_unwanted(TaskEnd::Crash),
+                RolloutEvent::Reverted(_) => self.end_unwanted(TaskEnd::Drain),
+            }
         }
         Ok(())
     }
 
+    /// As many tasks of a version as there are others of its service.
+    async fn start_version(&mut self, version: &TaskVersion) -> Result<(), SoakError> {
+        let running = self.tasks.iter().flatten().map(|task| &task.options);
+        let of_service = running.filter(|options| options.service == version.service);
+        let new: Vec<TaskOptions> = of_service
+            .map(|options| TaskOptions {
+                version: version.version.clone(),
+                is_bad: version.is_bad,
+                ..options.clone()
+            })
+            .collect();
+        for options in new {
+            let task = tasks::start(options, &self.ledger, &self.links).await?;
+            self.tasks.push(Some(task));
+        }
+        Ok(())
+    }
+
+    /// Ends tasks of versions that are not to run any more.
+    fn end_unwanted(&mut self, end: TaskEnd) {
+        for place in 0..self.tasks.len() {
+            let unwanted = |task: &TaskHandle| !self.versions.is_wanted(&task.options);
+            if self.tasks[place].as_ref().is_some_and(unwanted) {
+                self.end_task_at(place, end);
+            }
+        }
+    }
+
     /// Waits until all disruptions are over and all is calm, reads the configuration back and measures.
     async fn settle(&mut self) -> Result<(), SoakError> {
-        while let Some(done) = self.disruptions.join_next().await {
-            done.map_err(std::io::Error::other)??;
+        while !self.disruptions.is_empty() {
+            while let Some(done) = self.disruptions.try_join_next() {
+                done.map_err(std::io::Error::other)??;
+            }
+            self.follow_rollouts().await?;
+            sleep(LOOK).await;
         }
         sleep(CALM).await;
+        self.rollouts.read_back().await;
         self.processes.look();
         for _ in 0..READ_BACKS {
             let read_back = self.operator.read_back().await;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -6,6 +6,7 @@
 use lynxmill_random::Pcg;
 use serde::Serialize;
 
+use crate::operators::SERVICES;
 use crate::settings::{PerMinute, SoakSettings};
 
 /// No disruption comes in the first seconds, nor in the last ones.
@@ -22,9 +23,27 @@
 /// How long a zone stays evacuated, at least and at most. Longer than an evacuation takes to be in force.
 const EVACUATION_S: (f64, f64) = (6.0, 9.0);
 
+/// The term of a rollout, at least and at most.
+const ROLLOUT_TERM_S: (f64, f64) = (12.0, 16.0);
+/// Between the term of a rollout and the next one.
+const ROLLOUT_PAUSE_S: f64 = 6.0;
+/// Services whose versions are brought in.
+const ROLLOUT_SERVICES: [&str; 2] = [SERVICES[0], SERVICES[2]];
+
 /// A round trip, a lost segment, several.
 const ENDS_BEHIND_S: [f64; 4] = [0.0, 0.126, 0.3, 0.6];
 
+/// A version of a service that is to be brought in.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct PlannedRollout {
+    /// The service.
+    pub service: &'static str,
+    /// Half of the version's answers are failures.
+    pub is_bad: bool,
+    /// The term, in seconds.
+    pub term_s: f64,
+}
+
 /// What happens to the system.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub enum Disruption {
@@ -46,6 +65,8 @@
     Configure,
     /// A zone, by its number, is evacuated for so many seconds, so often in a row.
     Evacuate(usize, f64, usize),
+    /// A version of a service is brought in.
+    BringIn(PlannedRollout),
     /// The way from callers to a member, by its number, holds everything back for so many seconds; the ends of
     /// connections come so many seconds behind their last bytes.
     HoldCalls(usize, f64, f64),
@@ -72,6 +93,17 @@
                 let zone = ZONES[*zone];
                 write!(out, "{zone} is evacuated for {s:.2} s, {times} times")
             }
+            Disruption::BringIn(PlannedRollout {
+                service,
+                is_bad,
+                term_s,
+            }) => {
+                let kind = if *is_bad { "bad" } else { "sound" };
+                write!(
+                    out,
+                    "a {kind} version of {service} is brought in within {term_s:.1} s"
+                )
+            }
             Disruption::HoldCalls(member, s, behind_s) => {
                 let member = Machine::Member(*member);
                 write!(
@@ -111,7 +143,7 @@
     type Draw<'a> = (PerMinute, &'a dyn Fn(&mut Pcg) -> Disruption);
     let edge = |random: &mut Pcg| Machine::Edge(below(random, edges));
     let member = |random: &mut Pcg| Machine::Member(below(random, members));
-    let kinds: [Draw; 15] = [
+    let kinds: [Draw; 16] = [
         (doses.edge_terminate, &|r| Disruption::Terminate(edge(r))),
         (doses.edge_kill, &|r| Disruption::Kill(edge(r))),
         (doses.edge_freeze, &|r| {
@@ -142,6 +174,13 @@
         (doses.calls_reset, &|r| {
             Disruption::ResetCalls(below(r, members))
         }),
+        (doses.rollout, &|r| {
+            Disruption::BringIn(PlannedRollout {
+                service: ROLLOUT_SERVICES[below(r, ROLLOUT_SERVICES.len())],
+                is_bad: r.unit() < 0.5,
+                term_s: between(r, ROLLOUT_TERM_S),
+            })
+        }),
     ];
     let last = settings.seconds.0 - CALM_AT_END_S;
     let mut drawn = Vec::new();
@@ -160,13 +199,19 @@
         }
     }
     drawn.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    // Clients send until its term.
+    drawn.retain(|planned| match planned.disruption {
+        Disruption::BringIn(rollout) => planned.at_s + rollout.term_s <= last,
+        _ => true,
+    });
     keep_apart(drawn)
 }
 
-/// Drops what would disrupt two members at once, an edge that is in trouble already, or a second zone.
+/// Drops what would disrupt two members at once, an edge that is in trouble already, a second zone, or a rollout under way.
 fn keep_apart(drawn: Vec<Planned>) -> Vec<Planned> {
     let mut members_free_at = 0.0;
     let mut zones_free_at = 0.0;
+    let mut rollouts_free_at = 0.0;
     let mut edges_free_at = std::collections::BTreeMap::new();
     let mut kept = Vec::new();
     for planned in drawn {
@@ -185,6 +230,10 @@
                 let lasts = (lasts + EDGE_RECOVERY_S) * times as f64;
                 take(&mut zones_free_at, at, lasts)
             }
+            Disruption::BringIn(rollout) => {
+                let lasts = rollout.term_s + ROLLOUT_PAUSE_S;
+                take(&mut rollouts_free_at, at, lasts)
+            }
             _ => true,
         };
         if free {
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -103,6 +103,8 @@
     pub configuration: PerMinute,
     /// A zone is evacuated, and taken back after a while; half of the time twice in a row.
     pub evacuation: PerMinute,
+    /// A version of a service is brought in, sound or bad; one at a time.
+    pub rollout: PerMinute,
     /// The way from callers to a member holds everything back for a while.
     pub calls_hold: PerMinute,
     /// All connections of callers to a member are reset.
@@ -125,6 +127,7 @@
             task_crash: PerMinute(2.0),
             configuration: PerMinute(12.0),
             evacuation: PerMinute(2.0),
+            rollout: PerMinute(4.0),
             calls_hold: PerMinute(4.0),
             calls_reset: PerMinute(3.0),
         }
--- a/crates/soak/src/tasks.rs
+++ b/crates/soak/src/tasks.rs
@@ -42,6 +42,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TaskOptions {
     pub service: &'static str,
+    /// Its software's version.
+    pub version: String,
+    /// Half of its answers are failures.
+    pub is_bad: bool,
     pub zone: &'static str,
     /// Its machine's address.
     pub ip: String,
@@ -70,6 +74,7 @@
 struct Shared {
     id: String,
     sharded: bool,
+    is_bad: bool,
     ledger: Arc<Ledger>,
     keys: Mutex<HeldKeys>,
 }
@@ -92,6 +97,7 @@
     let address = listener.local_addr()?.to_string();
     let lived = TaskLife {
         service: options.service,
+        version: options.version.clone(),
         zone: options.zone,
         leave_acknowledged: None,
         ended: None,
@@ -100,6 +106,7 @@
     let shared = Arc::new(Shared {
         keys: Mutex::new(HeldKeys::new(&id)),
         sharded: options.service == SHARDED_SERVICE,
+        is_bad: options.is_bad,
         ledger: ledger.clone(),
         id,
     });
@@ -156,17 +163,18 @@
     id.bytes().cycle().take(bytes).collect()
 }
 
-fn fault_of(id: &str) -> TaskFault {
+fn fault_of(id: &str, is_bad: bool) -> TaskFault {
     // By the id alone, so that a seed does the same again.
-    match id.bytes().fold(7u32, |sum, byte| {
+    let drawn = id.bytes().fold(7u32, |sum, byte| {
         sum.wrapping_mul(31).wrapping_add(byte.into())
-    }) % 100
-    {
+    });
+    match drawn % 100 {
         0..2 => TaskFault::Cut,
         2..5 => TaskFault::Late,
         5..7 => TaskFault::Twice,
         7..9 => TaskFault::RefusedAfterRun,
         9..10 => TaskFault::WithoutLength,
+        10..60 if is_bad => TaskFault::BadVersion,
         _ => TaskFault::None,
     }
 }
@@ -244,7 +252,7 @@
     begun: f64,
 ) -> io::Result<()> {
     let id = head.header("lynxmill-attempt-id").unwrap_or_default();
-    let fault = fault_of(id);
+    let fault = fault_of(id, shared.is_bad);
     let known_as = if altered(head, body) {
         format!("{id}, altered: {}", head.line)
     } else {
@@ -293,6 +301,7 @@
 fn answer(shared: &Shared, id: &str, bytes: usize, fault: TaskFault) -> Vec<u8> {
     let (status, bytes) = match fault {
         TaskFault::RefusedAfterRun => ("503 Service Unavailable", 0),
+        TaskFault::BadVersion => ("500 Internal Server Error", bytes),
         _ => ("200 OK", bytes),
     };
     let length = match fault {
@@ -425,7 +434,7 @@
             address: &self.address,
             info: Info {
                 service: self.options.service,
-                version: "v1",
+                version: &self.options.version,
                 zone: self.options.zone,
                 slots: SLOTS,
             },
--- a/crates/soak/tests/rules.rs
+++ b/crates/soak/tests/rules.rs
@@ -2,7 +2,8 @@
 
 use lynxmill_deployment::Machine;
 use lynxmill_soak::ledger::{
-    Change, Evacuation, Hold, MachineEvent, Outcome, Records, Run, TaskFault, TaskLife, Try, Usage,
+    Change, Evacuation, Hold, MachineEvent, Outcome, Records, RolloutEnd, RolloutRecord, Run,
+    TaskFault, TaskLife, Try, Usage,
 };
 use lynxmill_soak::rules::{Bounds, Rule, check};
 use rstest::rstest;
@@ -58,6 +59,7 @@
 fn records(tries: Vec<Try>, runs: Vec<Run>) -> Records {
     let life = |service, zone| TaskLife {
         service,
+        version: "v1".to_owned(),
         zone,
         leave_acknowledged: None,
         ended: None,
@@ -365,6 +367,7 @@
     for number in 0..100 {
         let life = TaskLife {
             service: "mill",
+            version: "v1".to_owned(),
             zone: "north",
             leave_acknowledged: None,
             ended: None,
@@ -387,3 +390,78 @@
     }
     assert_eq!(broken(&records), rules);
 }
+
+/// Requests at a version of `mill` that runs at `i-new`, some of them bad, and at the one before, one each 10 ms from 100 s on.
+fn rollout(new: usize, bad: usize, old: usize, pause_s: f64) -> Records {
+    let mut records = records(Vec::new(), Vec::new());
+    let life = TaskLife {
+        service: "mill",
+        version: "v2".to_owned(),
+        zone: "north",
+        leave_acknowledged: None,
+        ended: None,
+    };
+    records.tasks.insert("i-new".to_owned(), life);
+    for n in 0..new + old {
+        let task = if n < new { "i-new" } else { "i-a" };
+        let at = 100.0 + n as f64 * pause_s;
+        let id = format!("r{n}");
+        let fault = if n < bad {
+            TaskFault::BadVersion
+        } else {
+            TaskFault::None
+        };
+        records.tries.push(Try {
+            id: id.clone(),
+            ..sent("read", at, served())
+        });
+        let run = Run {
+            id: id.clone(),
+            fault,
+            ..run(task, at + 0.001)
+        };
+        records.runs.insert(id, vec![run]);
+    }
+    records.rollouts.push(RolloutRecord {
+        service: "mill",
+        version: "v2".to_owned(),
+        is_bad: true,
+        term_s: 20.0,
+        ordered: 99.0,
+        acknowledged: Some(99.5),
+        ended: Some((115.0, RolloutEnd::Reverted)),
+        read_back: Some(RolloutEnd::Reverted),
+    });
+    records
+}
+
+#[rstest]
+#[case::within_share_and_slack(140, 40, 860, 0.01, &[])]
+#[case::beyond(160, 40, 840, 0.01, &[Rule::Exposure])]
+#[case::after_the_fiftieth_bad_answer(80, 50, 900, 0.02, &[])]
+#[case::late_after_it(150, 50, 1000, 0.1, &[Rule::Exposure])]
+fn a_bad_version_gets_little_and_not_for_long(
+    #[case] new: usize,
+    #[case] bad: usize,
+    #[case] old: usize,
+    #[case] pause_s: f64,
+    #[case] rules: &[Rule],
+) {
+    assert_eq!(broken(&rollout(new, bad, old, pause_s)), rules);
+}
+
+#[rstest]
+#[case::taken_back(Some(RolloutEnd::Reverted), Some(RolloutEnd::Reverted), &[])]
+#[case::completed(Some(RolloutEnd::Completed), None, &[Rule::Rollout])]
+#[case::told_otherwise_later(Some(RolloutEnd::Reverted), Some(RolloutEnd::Completed), &[Rule::Rollout])]
+#[case::never_ended(None, None, &[Rule::Rollout])]
+fn a_rollout_ends_once_and_rightly(
+    #[case] end: Option<RolloutEnd>,
+    #[case] read_back: Option<RolloutEnd>,
+    #[case] rules: &[Rule],
+) {
+    let mut records = rollout(10, 5, 90, 0.01);
+    records.rollouts[0].ended = end.map(|end| (115.0, end));
+    records.rollouts[0].read_back = read_back;
+    assert_eq!(broken(&records), rules);
+}
