A member that does not know the members yet acknowledges no drain alone

A member came back with a lost disk, and 0.17 s later, before it had heard of any other member, a task signed off there.

Cause: a drain or sign-off is acknowledged once as many others have it as may be lost, or all others if these are fewer. A member without a disk knows no others, so it needed none, acknowledged at once and told nobody; then it learnt from the others that the task was ready.

Not new with rollouts: any restart with an empty disk had it.

--- a/crates/control-node/src/instances.rs
+++ b/crates/control-node/src/instances.rs
@@ -251,6 +251,10 @@
     /// How many other members have to have a word: as many as may be lost, and one more if this node leaves.
     fn replicas_needed(&self) -> usize {
         let survivors = self.options.core_size / 2 + usize::from(self.departure.is_some());
+        // A node that does not know the members yet has others all the same.
+        if self.acceptor.members.ips.is_empty() {
+            return survivors;
+        }
         survivors.min(self.other_members().len())
     }
 
--- a/crates/simulator/tests/found.rs
+++ b/crates/simulator/tests/found.rs
@@ -69,3 +69,17 @@
         assert_eq!(violation, None, "seed {seed}");
     }
 }
+
+/// A member whose disk was lost acknowledged a sign-off before it knew any other member, and nobody else heard of it.
+#[test]
+fn a_sign_off_is_acknowledged_once_others_know_of_it() {
+    let options = RunOptions {
+        sign_offs_first: true,
+        late_orders: true,
+        rollouts: true,
+        ..RunOptions::default()
+    };
+    let plan = Plan::drawn(609_166, &[]).with_clock_faults();
+    let violation = run(&plan, &options).violation;
+    assert_eq!(violation.map(|(_, violation)| violation.to_string()), None);
+}
