--- a/crates/simulator/src/backlog.rs
+++ b/crates/simulator/src/backlog.rs
@@ -9,10 +9,10 @@
 
 use crate::disk::Unsynced;
 use crate::faults::Plan;
-use crate::invariants::Violation;
 use crate::network::Endpoint;
 use crate::operator::{PLAIN, first_call, route};
 use crate::random::Random;
+use crate::violation::Violation;
 use crate::world::{RunOptions, World};
 
 /// Between two looks.
--- a/crates/simulator/src/checks.rs
+++ b/crates/simulator/src/checks.rs
@@ -4,10 +4,10 @@
 
 use lynxmill_time::{TimeDelta, Timestamp};
 
-use crate::invariants::Violation;
 use crate::machine::machine_of;
 use crate::operator::SHARDED;
 use crate::task::{Stage, TaskActor};
+use crate::violation::Violation;
 use crate::world::World;
 
 /// Orders are settled, edges served and shards granted within so long in calm time; with the time of a retry.
--- a/crates/simulator/src/explore.rs
+++ b/crates/simulator/src/explore.rs
@@ -7,8 +7,8 @@
 use lynxmill_time::Timestamp;
 
 use crate::faults::{FaultKind, Plan};
-use crate::invariants::Violation;
 use crate::run::run;
+use crate::violation::Violation;
 use crate::world::RunOptions;
 
 /// Which seeds are played, and how.
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -12,8 +12,8 @@
 //! | `operator`, `task`, `edge` | scripted callers |
 //! | `rollout_operator`, `rollout_history`, `client_traffic` | versions of a service that are brought in |
 //! | `faults`, `play` | plans as data, and what each fault does |
-//! | `invariants`, `checks` | what has to hold, all the time and in calm time |
-//! | `world` | one run |
+//! | `violation`, `invariants`, `checks` | what has to hold, all the time and in calm time |
+//! | `world` | one run, in parts by what happens in it |
 //! | `backlog` | hundreds of changes while a member is down |
 //! | `digest` | one number over all that nodes do |
 //! | `shrink`, `explore` | shorter plans, many seeds |
@@ -48,13 +48,14 @@
 mod sabotage;
 mod shrink;
 mod task;
+mod violation;
 mod world;
 
 pub use backlog::{Backlog, BacklogReport, backlog};
 pub use explore::{Exploration, Found, Progress, explore};
 pub use faults::{Closing, Fault, FaultKind, Plan};
-pub use invariants::Violation;
 pub use run::{RunReport, run};
 pub use sabotage::Sabotage;
 pub use shrink::shrink;
+pub use violation::Violation;
 pub use world::{RunOptions, World};
--- a/crates/simulator/src/rollout_history.rs
+++ b/crates/simulator/src/rollout_history.rs
@@ -6,7 +6,7 @@
 use lynxmill_time::{TimeDelta, Timestamp};
 
 use crate::client_traffic::SentRequests;
-use crate::invariants::Violation;
+use crate::violation::Violation;
 
 /// The bounds on what a bad version may get: a share of all requests in its term, and so many more.
 const EXPOSURE_SHARE: f64 = 0.1;
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -7,7 +7,7 @@
 
 use crate::digest::EffectDigest;
 use crate::faults::Plan;
-use crate::invariants::Violation;
+use crate::violation::Violation;
 use crate::world::{RunOptions, World};
 
 /// What a run came to.
--- a/crates/simulator/src/shrink.rs
+++ b/crates/simulator/src/shrink.rs
@@ -15,7 +15,7 @@
 struct Shrinking<'a> {
     plan: Plan,
     options: &'a RunOptions,
-    kind: std::mem::Discriminant<crate::invariants::Violation>,
+    kind: std::mem::Discriminant<crate::violation::Violation>,
     runs: usize,
 }
 
