--- a/crates/capacity-bench/src/lib.rs
+++ b/crates/capacity-bench/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fit;
 pub mod heap;
 pub mod made;
+pub mod rollouts;
 pub mod routes;
 pub mod slices;
 pub mod tasks;
--- a/crates/capacity-bench/src/main.rs
+++ b/crates/capacity-bench/src/main.rs
@@ -3,7 +3,7 @@
 // Not yet documented and split as the workspace lints ask: see docs/ROADMAP.md.
 #![allow(missing_docs)]
 
-use lynxmill_capacity_bench::{ballots, heap::Counting, routes, slices, tasks};
+use lynxmill_capacity_bench::{ballots, heap::Counting, rollouts, routes, slices, tasks};
 
 #[global_allocator]
 static HEAP: Counting = Counting;
@@ -15,7 +15,7 @@
         cmd libraries {
             /// Runs of each measure; 30 if not told.
             optional --runs runs: usize
-            /// Only series whose names begin so: tasks, choice, routes, slices, ballots, disk.
+            /// Only series whose names begin so: tasks, choice, routes, slices, ballots, rollouts, disk.
             optional --only only: String
         }
     }
@@ -32,12 +32,13 @@
     let CapacityBenchCmd::Libraries(flags) = CapacityBench::from_env_or_exit().subcommand;
     let runs = flags.runs.unwrap_or(DEFAULT_RUNS).max(MIN_RUNS);
     let only = flags.only.unwrap_or_default();
-    let all: [Series; 6] = [
+    let all: [Series; 7] = [
         ("tasks", tasks::run),
         ("choice", tasks::choice),
         ("routes", routes::run),
         ("slices", slices::run),
         ("ballots", ballots::run),
+        ("rollouts", rollouts::run),
         ("disk", ballots::disk),
     ];
     all.iter()
