--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod lease_handover;
 pub mod ownership;
 pub mod register;
+pub mod rollouts;
 pub mod search;
 pub mod snapshot;
