--- a/crates/control-plane/tests/callers.rs
+++ b/crates/control-plane/tests/callers.rs
@@ -1,14 +1,16 @@
 //! Callers of a control-plane node that stop midway, or give an order up before it arrives.
 
+mod common;
+
 use std::io::Write;
 use std::net::TcpStream;
-use std::path::Path;
 use std::time::{Duration, Instant};
 
 use lynxmill_operator::{Deployment, configuration, get};
 use serde_json::{Value, json};
 
-const PATIENCE: Duration = Duration::from_secs(30);
+use common::{PATIENCE, configured};
+
 /// More than a node has threads.
 const STALLED_CALLERS: usize = 40;
 /// Far longer than an order takes.
@@ -16,21 +18,6 @@
 /// A caller that waits for longer goes to another node.
 const CALLER_PATIENCE: Duration = Duration::from_secs(1);
 
-fn programs() -> &'static Path {
-    Path::new(env!("CARGO_BIN_EXE_lynxmill-control-plane"))
-        .parent()
-        .expect("a folder")
-}
-
-fn configured() -> Deployment {
-    let mut system = Deployment::start(programs()).expect("the system starts");
-    let (by, answer) = system
-        .configure(&configuration(), PATIENCE)
-        .expect("an answer");
-    assert_eq!(answer.status, 200, "{by}: {}", answer.body);
-    system
-}
-
 fn send(control: &str, request: &str) -> TcpStream {
     let mut stream = TcpStream::connect(control).expect("a connection");
     stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
--- a/crates/control-plane/tests/calls.rs
+++ b/crates/control-plane/tests/calls.rs
@@ -1,13 +1,15 @@
 //! Every call of the control plane and of an edge's readiness address, on real processes: each is served, and each of its
 //! statuses is given.
 
-use std::path::Path;
+mod common;
+
 use std::time::Duration;
 
 use lynxmill_operator::{Answer, Deployment, HOST, agent, by, by_following, configuration};
 use serde_json::{Value, json};
 
-const PATIENCE: Duration = Duration::from_secs(30);
+use common::{PATIENCE, configured};
+
 const ANSWER_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Which address of the system a call goes to.
@@ -186,14 +188,7 @@
 /// Guards against calls that are promised and not served.
 #[test]
 fn every_call_is_served_with_each_of_its_statuses() {
-    let programs = Path::new(env!("CARGO_BIN_EXE_lynxmill-control-plane"))
-        .parent()
-        .expect("a folder");
-    let mut system = Deployment::start(programs).expect("the system starts");
-    let (by, first) = system
-        .configure(&configuration(), PATIENCE)
-        .expect("an answer");
-    assert_eq!(first.status, 200, "{by}: {}", first.body);
+    let mut system = configured();
     system.wait_ready(PATIENCE).expect("edges are ready");
     let all = calls_of_tasks()
         .into_iter()
--- a/crates/control-plane/tests/late_orders.rs
+++ b/crates/control-plane/tests/late_orders.rs
@@ -1,18 +1,18 @@
 //! Orders that the network holds up until their callers have had them carried out elsewhere, and the opposite after them.
 //! Between real processes: the bytes of an order come late, and the end of its connection later still.
 
+mod common;
+
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::path::Path;
 use std::time::Duration;
 
-use lynxmill_operator::{
-    Answer, Deployment, HOST, REDIRECT, agent, by_following, configuration, get, patch,
-};
+use lynxmill_operator::{Answer, HOST, REDIRECT, agent, by_following, get, patch};
 use rstest::rstest;
 use serde_json::{Value, json};
 
-const PATIENCE: Duration = Duration::from_secs(30);
+use common::{PATIENCE, configured};
+
 /// Far longer than an order takes.
 const TIME_FOR_ORDERS: Duration = Duration::from_secs(2);
 /// How far the end of a connection may be behind the last bytes: at once, a round trip between regions, a lost segment,
@@ -20,18 +20,6 @@
 const ENDS_BEHIND_MS: [u64; 4] = [0, 126, 300, 600];
 const ZONE: &str = "north";
 
-fn configured() -> Deployment {
-    let programs = Path::new(env!("CARGO_BIN_EXE_lynxmill-control-plane"))
-        .parent()
-        .expect("a folder");
-    let mut system = Deployment::start(programs).expect("the system starts");
-    let (by, answer) = system
-        .configure(&configuration(), PATIENCE)
-        .expect("an answer");
-    assert_eq!(answer.status, 200, "{by}: {}", answer.body);
-    system
-}
-
 fn evacuation_path() -> String {
     format!("/v1/evacuation/{ZONE}")
 }
--- a/crates/control-plane/tests/rollouts.rs
+++ b/crates/control-plane/tests/rollouts.rs
@@ -1,6 +1,7 @@
 //! Orders to bring a new version of a service in, on real processes.
 
-use std::path::Path;
+mod common;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -8,27 +9,15 @@
 
 use lynxmill_operator::rollout::{self, RolloutError};
 use lynxmill_operator::{
-    Deployment, FIRST_VERSION, Machine, Task, TaskOptions, agent, by_following, configuration,
-    kinds, send, tasks,
+    Deployment, FIRST_VERSION, Machine, Task, TaskOptions, agent, by_following, kinds, send, tasks,
 };
 use rstest::rstest;
 
-const PATIENCE: Duration = Duration::from_secs(30);
+use common::{PATIENCE, configured};
+
 const SERVICE: &str = "mill";
 const ORDER: &[u8] = br#"{"Service":"mill","TargetVersion":"v2","DurationS":12}"#;
 
-fn configured() -> Deployment {
-    let programs = Path::new(env!("CARGO_BIN_EXE_lynxmill-control-plane"))
-        .parent()
-        .expect("a folder");
-    let mut system = Deployment::start(programs).expect("the system starts");
-    let (by, answer) = system
-        .configure(&configuration(), PATIENCE)
-        .expect("an answer");
-    assert_eq!(answer.status, 200, "{by}: {}", answer.body);
-    system
-}
-
 /// Guards against SHORT: rollouts that no member acknowledged.
 #[test]
 fn a_rollout_order_is_acknowledged_and_read_back_at_every_member() {
