Rollouts: one lookup of each task, one order of tasks, holders of keys in one pass

Each selection looked every task of a service up twice since rollouts, also where there was none; whether others hold keys walked all slices for each task, ten times a second; the order in which tasks are used stood in two packages, whether a service is sharded in five places.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -18,7 +18,7 @@
 pub use resources::{Limits, Route, RouteKind, Service, Split};
 pub use rollouts::{
     ROLLOUTS_PREFIX, Rollout, RolloutDecision, RolloutOrder, RolloutState, RolloutStep,
-    ServiceRollouts, VersionAccess, rollouts_key,
+    ServiceRollouts, VersionAccess, rollout_rank, rollouts_key,
 };
 pub use routing_table::{MatchedRoute, RoutingTable};
 pub use settings::{Bounds, FaultTolerance, Listen, NodeSettings, ResourceLimits, parse};
--- a/crates/configuration/src/rollouts.rs
+++ b/crates/configuration/src/rollouts.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::hash::{finalize, fnv1a};
 use crate::items::{Configuration, Item};
 use crate::validation::ValidationError;
 
@@ -108,6 +109,11 @@
     format!("{ROLLOUTS_PREFIX}{service}")
 }
 
+/// The place of a task in the order in which a rollout uses and replaces tasks, the same at all members and edges.
+pub fn rollout_rank(number: u64, id: &str) -> u64 {
+    finalize(fnv1a(number.to_be_bytes().into_iter().chain(id.bytes())))
+}
+
 impl Rollout {
     /// Whether it has not ended.
     pub fn is_in_progress(&self) -> bool {
--- a/crates/control-node/src/instances.rs
+++ b/crates/control-node/src/instances.rs
@@ -136,11 +136,7 @@
             self.count("heartbeats-late");
             return self.answer(call, Answer::Heartbeat(HeartbeatAnswer::default()));
         }
-        let sharded = self
-            .sharded_services
-            .iter()
-            .any(|service| service.name == task.service);
-        let answer = if sharded {
+        let answer = if self.is_sharded(&task.service) {
             self.grant(now, heartbeat)
         } else {
             Some(self.balance_heartbeats(now, &task.id))
@@ -188,7 +184,6 @@
         let interval = TimeDelta::from_secs(self.options.heartbeat_interval_s);
         let counted = interval.times(COUNTED_HEARTBEATS);
         let owned = self.owned_services(now);
-        let sharded = self.sharded_services.clone();
         let mut load = HeartbeatLoad::default();
         for known in self.instances.registry.all() {
             let Some(last) = known.last_heartbeat.filter(|last| now - *last < counted) else {
@@ -197,7 +192,7 @@
             let service = &known.task.service;
             if owned.contains(service) {
                 load.pinned += 1;
-            } else if !sharded.iter().any(|sharded| sharded.name == *service)
+            } else if !self.is_sharded(service)
                 && !self.instances.balancer.has_moved(&known.task.id, last)
             {
                 load.movable += 1;
@@ -336,11 +331,7 @@
             self.count("heartbeats-without-contact");
             return self.answer(call, Answer::Unavailable(Unavailable::NoContact));
         }
-        let sharded = self
-            .sharded_services
-            .iter()
-            .any(|service| service.name == heartbeat.task.service);
-        let granted = if sharded {
+        let granted = if self.is_sharded(&heartbeat.task.service) {
             self.grant(now, heartbeat)
         } else {
             None
--- a/crates/control-node/src/node.rs
+++ b/crates/control-node/src/node.rs
@@ -434,6 +434,12 @@
         );
     }
 
+    pub(crate) fn is_sharded(&self, service: &str) -> bool {
+        self.sharded_services
+            .iter()
+            .any(|sharded| sharded.name == service)
+    }
+
     /// The last change whose items are merged.
     pub fn merged(&self) -> u64 {
         self.merged
--- a/crates/control-node/src/rollouts.rs
+++ b/crates/control-node/src/rollouts.rs
@@ -175,7 +175,7 @@
     }
 
     fn surroundings(&self, now: Timestamp, service: &str, rollout: &Rollout) -> Surroundings {
-        let is_sharded = self.sharded_services.iter().any(|s| s.name == service);
+        let is_sharded = self.is_sharded(service);
         // Only the owner of a service's shards hands keys over, and knows how far that is.
         let hands_over = !is_sharded || self.owned_services(now).iter().any(|s| s == service);
         let (mut target_tasks, mut other_tasks) = (0, 0);
@@ -213,8 +213,7 @@
             share: self.options.bounds.exposure_share,
             slack: self.options.bounds.exposure_slack,
         };
-        let is_sharded = self.sharded_services.iter().any(|s| s.name == service);
-        let division = if is_sharded {
+        let division = if self.is_sharded(service) {
             TrafficDivision::ByKey
         } else {
             TrafficDivision::ByRequest
--- a/crates/control-node/src/sharded_rollouts.rs
+++ b/crates/control-node/src/sharded_rollouts.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeSet;
 
-use lynxmill_configuration::{Rollout, VersionAccess, finalize, fnv1a};
+use lynxmill_configuration::{Rollout, VersionAccess, rollout_rank};
 use lynxmill_protocol::{Task, TaskState};
 use lynxmill_time::Timestamp;
 
@@ -18,11 +18,6 @@
 /// share.
 const MAX_RELATIVE_RATE: f64 = 1.3;
 
-/// The order in which tasks are used and replaced.
-fn order(number: u64, id: &str) -> u64 {
-    finalize(fnv1a(number.to_be_bytes().into_iter().chain(id.bytes())))
-}
-
 /// How many of these tasks are replaced at a share, and a factor that makes the trial larger.
 fn replaced_count(share: f64, factor: f64, tasks: usize) -> usize {
     let fair = share * tasks as f64;
@@ -78,7 +73,7 @@
         // The placement gives keys of draining tasks to others than tasks that warm up.
         let mut targets: Vec<&Task> = targets;
         targets.retain(|task| task.warm_up_left_ms == 0);
-        targets.sort_by_key(|task| order(rollout.number, &task.id));
+        targets.sort_by_key(|task| rollout_rank(rollout.number, &task.id));
         let followed = self.rollouts.followed.get(&rollout.number);
         let factor = followed.map_or(1.0, Followed::trial_factor);
         let count = replaced_count(rollout.share, factor, others.len());
@@ -110,7 +105,7 @@
                 .iter()
                 .filter(|task| rate(task) <= mean * MAX_RELATIVE_RATE)
                 .collect();
-            usual.sort_by_key(|task| order(rollout.number, &task.id));
+            usual.sort_by_key(|task| rollout_rank(rollout.number, &task.id));
             let missing = count - replaced.len();
             let further = usual
                 .into_iter()
@@ -131,9 +126,11 @@
         let Some(planner) = self.ownership.planner(now, service) else {
             return true;
         };
-        let tasks = self.instances.registry.all().map(|known| &known.task);
-        let mut others =
-            tasks.filter(|task| task.service == service && task.version != rollout.target_version);
-        others.any(|task| planner.has_keys(now, &task.id))
+        let registry = &self.instances.registry;
+        let is_other = |id: &str| {
+            let task = registry.get(id).map(|known| &known.task);
+            task.is_some_and(|task| task.version != rollout.target_version)
+        };
+        planner.holders(now).any(is_other)
     }
 }
--- a/crates/load-balancing/src/rollouts.rs
+++ b/crates/load-balancing/src/rollouts.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lynxmill_configuration::{Rollout, VersionAccess, finalize, fnv1a};
+use lynxmill_configuration::{Rollout, VersionAccess, rollout_rank};
 use lynxmill_protocol::{
     LATENCY_BUCKETS, OutcomeCounts, RolloutObservation, TaskState, latency_bucket,
 };
@@ -99,11 +99,6 @@
     }
 }
 
-/// The order in which tasks of a new version are used, the same at all edges.
-fn order(number: u64, id: &str) -> u64 {
-    finalize(fnv1a(number.to_be_bytes().into_iter().chain(id.bytes())))
-}
-
 impl LoadBalancer {
     /// A member has sent a message.
     pub fn member_heard(&mut self, now: Timestamp) {
@@ -158,7 +153,7 @@
                 let is_ready = task.state == TaskState::Ready as i32 && !task.timed_out;
                 if is_ready && task.version == traffic.version {
                     let zone = by_zone.entry(task.zone.as_str()).or_default();
-                    zone.push((order(traffic.number, id), id));
+                    zone.push((rollout_rank(traffic.number, id), id));
                 }
             }
             traffic.in_use.clear();
--- a/crates/load-balancing/src/selection.rs
+++ b/crates/load-balancing/src/selection.rs
@@ -101,17 +101,17 @@
         let Some(in_use) = self.rollout_candidates(now, candidates) else {
             return Vec::new();
         };
-        self.rank(now, in_use.iter(), candidates, random)
+        let endpoints = in_use.iter().filter_map(|id| self.endpoint(id));
+        self.rank(now, endpoints, candidates, random)
     }
 
     /// The tasks of versions that are released, the best first.
     fn rank_released(&self, now: Timestamp, candidates: &Candidates, random: f64) -> Vec<String> {
-        let is_released = |id: &&String| {
-            let endpoint = self.endpoint(id);
-            endpoint.is_some_and(|endpoint| endpoint.access == VersionAccess::Released)
-        };
         let ids = self.endpoints_of(&candidates.service.name).iter();
-        self.rank(now, ids.filter(is_released), candidates, random)
+        let released = ids
+            .filter_map(|id| self.endpoint(id))
+            .filter(|endpoint| endpoint.access == VersionAccess::Released);
+        self.rank(now, released, candidates, random)
     }
 
     fn first_with_capacity(
@@ -128,19 +128,14 @@
     fn rank<'a>(
         &self,
         now: Timestamp,
-        ids: impl Iterator<Item = &'a String>,
+        endpoints: impl Iterator<Item = &'a Endpoint>,
         candidates: &Candidates,
         random: f64,
     ) -> Vec<String> {
         let mut best: Vec<(f64, &str)> = Vec::new();
-        for id in ids {
-            let Some(endpoint) = self
-                .endpoint(id)
-                .filter(|endpoint| self.is_open(now, endpoint, candidates))
-            else {
-                continue;
-            };
-            best.push((self.cost(now, endpoint, candidates.latency_target), id));
+        for endpoint in endpoints.filter(|endpoint| self.is_open(now, endpoint, candidates)) {
+            let cost = self.cost(now, endpoint, candidates.latency_target);
+            best.push((cost, &endpoint.task.id));
         }
         best.sort_by(|a, b| a.0.total_cmp(&b.0));
         // Near-equals share: edges that know the same must not all go to one task.
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -210,10 +210,12 @@
         rates
     }
 
-    /// Whether a task owns keys, or may still hold some.
-    pub fn has_keys(&self, now: Timestamp, id: &str) -> bool {
-        let mut slices = self.slices.iter();
-        slices.any(|state| state.slice.owner == id || state.lease.holder_at(now) == Some(id))
+    /// Tasks that own keys, or may still hold some, once for each slice.
+    pub fn holders(&self, now: Timestamp) -> impl Iterator<Item = &str> {
+        self.slices.iter().flat_map(move |state| {
+            let owner = Some(state.slice.owner.as_str());
+            owner.into_iter().chain(state.lease.holder_at(now))
+        })
     }
 
     /// How many slices are being moved, and how many tasks own any.
