Simulator's edge takes tasks as the shipped one does; soak's exposure from the site's bounds

The simulated edge updated tasks one by one and so went by old tasks of a version until the next change of the configuration. Whether a process still runs stood three times; the soak had the bounds of exposure twice.

--- a/crates/simulator/src/edge.rs
+++ b/crates/simulator/src/edge.rs
@@ -299,10 +299,7 @@
 
     fn apply_tasks(&mut self, now: Timestamp, machine: usize, tasks: &TaskUpdate) {
         let member = machine.to_string();
-        tasks
-            .tasks
-            .iter()
-            .for_each(|task| self.load_balancer.update_task(now, &member, task));
+        self.load_balancer.update_tasks(now, &member, &tasks.tasks);
         let ids = tasks.tasks.iter().map(|task| task.id.clone());
         if tasks.is_complete {
             self.known.insert(machine, ids.collect());
--- a/crates/simulator/src/machine.rs
+++ b/crates/simulator/src/machine.rs
@@ -60,6 +60,12 @@
         Some(process.node.report(self.clock.read(now)))
     }
 
+    /// Whether the process of this incarnation still runs.
+    pub(crate) fn runs(&self, incarnation: u64) -> bool {
+        let process = self.process.as_ref();
+        process.is_some_and(|process| process.incarnation == incarnation)
+    }
+
     pub(crate) fn is_running(&self) -> bool {
         self.process.is_some()
     }
--- a/crates/simulator/src/world/disks.rs
+++ b/crates/simulator/src/world/disks.rs
@@ -34,11 +34,7 @@
 
     pub(super) fn synced(&mut self, machine: usize, life: u64) {
         let host = &mut self.machines[machine];
-        if host
-            .process
-            .as_ref()
-            .is_none_or(|process| process.incarnation != life)
-        {
+        if !host.runs(life) {
             return;
         }
         match host.disk.synced(self.now, &mut self.random) {
--- a/crates/simulator/src/world/ends.rs
+++ b/crates/simulator/src/world/ends.rs
@@ -67,11 +67,7 @@
 
     /// A process that was told to leave is killed, unless it has been started anew since.
     pub(super) fn grace_is_over(&mut self, machine: usize, life: u64) {
-        if self.machines[machine]
-            .process
-            .as_ref()
-            .is_some_and(|process| process.incarnation == life)
-        {
+        if self.machines[machine].runs(life) {
             self.retire(machine);
         }
     }
--- a/crates/simulator/src/world/machines.rs
+++ b/crates/simulator/src/world/machines.rs
@@ -40,11 +40,7 @@
 
     pub(super) fn tick(&mut self, machine: usize, life: u64) {
         let host = &mut self.machines[machine];
-        if host
-            .process
-            .as_ref()
-            .is_none_or(|process| process.incarnation != life)
-        {
+        if !host.runs(life) {
             return;
         }
         self.queue
--- a/crates/soak/src/rules/exposure.rs
+++ b/crates/soak/src/rules/exposure.rs
@@ -5,8 +5,6 @@
 use super::{Bounds, Evidence, Rule, Violation};
 use crate::ledger::{RolloutRecord, Run, TaskFault, Try};
 
-const EXPOSURE_SHARE: f64 = 0.1;
-const EXPOSURE_SLACK: f64 = 50.0;
 const ROLLBACK_S: f64 = 5.0;
 /// The bad answer from which the version has to be taken back.
 const LAST_TOLERATED: usize = 50;
@@ -55,7 +53,7 @@
         .count();
     let mut sent = runs_at(evidence, bounds, rollout);
     sent.retain(|(run, _)| term.contains(&run.begun));
-    let most = (all as f64 * EXPOSURE_SHARE + EXPOSURE_SLACK) as usize;
+    let most = (all as f64 * bounds.exposure_share + bounds.exposure_slack) as usize;
     let (first, _) = sent.get(most)?;
     let text = format!("{} of {all} requests in its term", sent.len());
     Some(Violation::new(
--- a/crates/soak/src/rules/mod.rs
+++ b/crates/soak/src/rules/mod.rs
@@ -57,7 +57,7 @@
     Leak,
 }
 
-/// What the system has promised, in seconds.
+/// What the system has promised; times are in seconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// `ContactS`.
@@ -72,6 +72,10 @@
     pub config_apply_s: f64,
     /// `LossSlackS`.
     pub loss_slack_s: f64,
+    /// `ExposureShare`: a part of a service's requests.
+    pub exposure_share: f64,
+    /// `ExposureSlack`: requests.
+    pub exposure_slack: f64,
     /// How long clients wait.
     pub deadline_s: f64,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -135,6 +135,8 @@
             evacuate_s: told.evacuate_s,
             config_apply_s: told.config_apply_s,
             loss_slack_s: LOSS_SLACK_S,
+            exposure_share: told.exposure_share,
+            exposure_slack: told.exposure_slack,
             deadline_s: clients::DEADLINE.as_secs_f64(),
         };
         let ledger = Arc::new(Ledger::default());
--- a/crates/soak/tests/rules.rs
+++ b/crates/soak/tests/rules.rs
@@ -15,6 +15,8 @@
     evacuate_s: 5.0,
     config_apply_s: 4.0,
     loss_slack_s: 0.2,
+    exposure_share: 0.1,
+    exposure_slack: 50.0,
     deadline_s: 2.0,
 };
 const EDGE: Machine = Machine::Edge(0);
